internal/sidecar: log requests that ended badly, and counts of what happened

Logs named no request, so a bad one could not be followed. One bounded line now tells each request that was turned away, refused, failed, late or left by its client: its id, and for every attempt the upstream, the end, the time and what its connection had been through. A line of counts every 5 s sets a good stretch beside a bad one.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,11 @@
 	ask     func()
 	started atomic.Bool // the known list is in
 
+	bad     *lines                           // on requests that ended badly
+	late    func(class string) time.Duration // after which an answer is late
+	counts  counts
+	sockets func() string // words the connections' state for the line of counts
+
 	lists  chan balancer.Members
 	events chan any // arrival, gone, ended, abort
 	stop   <-chan struct{}
@@ -27,17 +33,23 @@
 	timer   *time.Timer
 }
 
+const countsEvery = 5 * time.Second
+
 // flight is a request that the module knows. It stays until it has its final answer and all outcomes.
 type flight struct {
 	request  *clientRequest
+	taken    time.Duration
 	attempts []flightAttempt
 	out      int
 	done     bool
 }
 
 type flightAttempt struct {
-	sent   time.Duration
-	cancel context.CancelFunc
+	upstream string
+	sent     time.Duration
+	ended    time.Duration // 0: still out
+	reply    reply         // its result, connection and error
+	cancel   context.CancelFunc
 }
 
 // answer is the final answer to a request.
@@ -73,7 +85,8 @@
 
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
 	l := &loop{clock: clk, b: b, lists: make(chan balancer.Members, 16), events: make(chan any, 256), stop: stop,
-		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour)}
+		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(), counts: newCounts(),
+		sockets: func() string { return "" }, late: func(string) time.Duration { return math.MaxInt64 }}
 	l.timer.Stop()
 	return l
 }
@@ -100,6 +113,8 @@
 func (l *loop) run(known balancer.Members) {
 	l.handle(known)
 	l.started.Store(true)
+	tell := time.NewTicker(countsEvery)
+	defer tell.Stop()
 	for {
 		select {
 		case m := <-l.lists:
@@ -114,6 +129,9 @@
 			l.event(e)
 		case <-l.timer.C:
 			l.handle(balancer.Wake{})
+		case <-tell.C:
+			log.Printf("%v; in hand %d%s", &l.counts, len(l.flights), l.sockets())
+			l.counts = newCounts()
 		case <-l.stop:
 			return
 		}
@@ -128,12 +146,16 @@
 			r.answer <- answer{kind: duplicate}
 			return
 		}
-		l.flights[r.id] = &flight{request: r}
+		l.counts.taken++
+		l.flights[r.id] = &flight{request: r, taken: l.clock.now()}
 		l.handle(balancer.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Expires: r.expires, Hint: r.hint})
 		l.forget(r.id)
 	case gone:
 		if f := l.flights[e.request.id]; f != nil && f.request == e.request && !f.done {
 			f.done = true
+			l.counts.gone++
+			l.bad.printf("%s %s client gone after %v%s", short(f.request.id), f.request.class,
+				ms(l.clock.now()-f.taken), f.trail(l.clock.now()))
 			l.handle(balancer.Gone{ID: e.request.id})
 			l.forget(e.request.id)
 		}
@@ -154,12 +176,16 @@
 func (l *loop) ended(e ended) {
 	f, id := e.flight, e.flight.request.id
 	f.out--
-	f.attempts[e.attempt].cancel()
+	a := &f.attempts[e.attempt]
+	a.cancel()
+	a.ended = e.at
+	a.reply = reply{result: e.reply.result, use: e.reply.use, err: e.reply.err} // without the body
+	l.counts.results[e.reply.result]++
 	if e.reply.result == balancer.OK {
 		l.finish(id, answer{kind: served, reply: e.reply})
 	}
 	l.handle(balancer.Outcome{ID: id, Attempt: e.attempt, Result: e.reply.result,
-		Elapsed: e.at - f.attempts[e.attempt].sent, Finished: f.done})
+		Elapsed: e.at - a.sent, Finished: f.done})
 	l.forget(id)
 }
 
@@ -205,7 +231,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	n, upstream := len(f.attempts), a.Upstream
-	f.attempts = append(f.attempts, flightAttempt{sent: now, cancel: cancel})
+	f.attempts = append(f.attempts, flightAttempt{upstream: upstream, sent: now, cancel: cancel})
 	f.out++
 	go func() {
 		rep := l.send(ctx, upstream, f.request)
@@ -218,6 +244,12 @@
 	if f := l.flights[id]; f != nil && !f.done {
 		f.done = true
 		f.request.answer <- a
+		l.counts.answers[a.kind]++
+		now := l.clock.now()
+		if a.kind != served || now-f.taken > l.late(f.request.class) {
+			l.bad.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
+				len(f.request.body), f.trail(now))
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/report.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"fmt"
+	"log"
+	"strings"
+	"sync"
+	"time"
+
+	"granitehinge/balancer"
+)
+
+// What operators are told of single requests: one line for each that ended badly, with every attempt and what
+// its connection had been through, and one for each that was turned away unread. Lines are bounded: a bad
+// minute must not cost the CPU that is needed to get out of it.
+
+const (
+	badLines  = 20.0 // a second, and as many at once
+	noteBytes = 160  // of what a peer may have worded
+)
+
+// lines bounds a log's lines, and counts those that it left out.
+type lines struct {
+	mu      sync.Mutex
+	tokens  float64
+	at      time.Time
+	dropped int
+}
+
+func newLines() *lines { return &lines{tokens: badLines, at: time.Now()} }
+
+func (l *lines) printf(format string, args ...any) {
+	l.mu.Lock()
+	now := time.Now()
+	l.tokens = min(badLines, l.tokens+badLines*now.Sub(l.at).Seconds())
+	l.at = now
+	if l.tokens < 1 {
+		l.dropped++
+		l.mu.Unlock()
+		return
+	}
+	l.tokens--
+	dropped := l.dropped
+	l.dropped = 0
+	l.mu.Unlock()
+	if dropped > 0 {
+		log.Printf("%d lines on bad requests left out", dropped)
+	}
+	log.Printf(format, args...)
+}
+
+// short makes what a peer sent fit for a log line.
+func short(s string) string {
+	if len(s) > noteBytes {
+		s = s[:noteBytes] + "..."
+	}
+	return fmt.Sprintf("%q", s)
+}
+
+var resultNames = map[balancer.Result]string{balancer.OK: "ok", balancer.ServerError: "error",
+	balancer.Overloaded: "full", balancer.Timeout: "timeout", balancer.ConnectFailed: "connect", balancer.Reset: "reset",
+	balancer.Cancelled: "cancelled", balancer.Moot: "moot"}
+
+var answerNames = map[answerKind]string{served: "served late", refused: "refused", failed: "failed",
+	duplicate: "duplicate"}
+
+// connUse is what an attempt's connection had been through when the attempt took it.
+type connUse struct {
+	nth  int           // request on this connection, from 1; 0: none was had
+	idle time.Duration // since the request before
+}
+
+// trail words a request's way: its attempts in order, each with its upstream, end, time and connection.
+func (f *flight) trail(now time.Duration) string {
+	var s strings.Builder
+	for _, a := range f.attempts {
+		if a.ended == 0 {
+			fmt.Fprintf(&s, "; %s out for %v", a.upstream, ms(now-a.sent))
+			continue
+		}
+		fmt.Fprintf(&s, "; %s %s in %v, use %d of its connection", a.upstream, resultNames[a.reply.result],
+			ms(a.ended-a.sent), a.reply.use.nth)
+		if a.reply.use.nth > 1 {
+			fmt.Fprintf(&s, " after %v idle", ms(a.reply.use.idle))
+		}
+		if a.reply.err != nil {
+			fmt.Fprintf(&s, ": %s", short(a.reply.err.Error()))
+		}
+	}
+	return s.String()
+}
+
+func ms(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+
+// counts is what happened since the last line on it. The loop owns it.
+type counts struct {
+	taken, gone int
+	answers     map[answerKind]int // served counts those in time too
+	results     map[balancer.Result]int
+}
+
+func newCounts() counts {
+	return counts{answers: map[answerKind]int{}, results: map[balancer.Result]int{}}
+}
+
+func (c *counts) String() string {
+	return fmt.Sprintf("taken %d, served %d, refused %d, failed %d, gone %d; attempts ok %d error %d full %d timeout %d "+
+		"connect %d reset %d cancelled %d moot %d", c.taken, c.answers[served], c.answers[refused], c.answers[failed], c.gone,
+		c.results[balancer.OK], c.results[balancer.ServerError], c.results[balancer.Overloaded], c.results[balancer.Timeout],
+		c.results[balancer.ConnectFailed], c.results[balancer.Reset], c.results[balancer.Cancelled], c.results[balancer.Moot])
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -66,6 +66,7 @@
 	post     func(any) bool
 	stop     <-chan struct{}
 	ready    func() bool
+	bad      *lines      // on requests that are turned away
 	stopping atomic.Bool // connections are to end with their next answer
 }
 
@@ -82,6 +83,8 @@
 	}
 	req, bad := s.read(w, r)
 	if bad != nil {
+		s.bad.printf("%s from %s turned away, %s %s, length %d: %d %s", short(r.Header.Get(headerID)), r.RemoteAddr, r.Method,
+			short(r.RequestURI), r.ContentLength, bad.status, bad.text)
 		w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
 		s.say(w, bad.status, bad.text)
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,7 +54,12 @@
 	up := newUpstreams(c, clk, connections)
 	l := newLoop(b, clk, running.Done())
 	w := newWatcher(c, up.dir, l.postList)
-	l.send, l.ask = up.attempt, w.ask
+	l.send, l.ask, l.sockets = up.attempt, w.ask, up.sockets
+	classes := map[string]balancer.Class{}
+	for _, class := range c.Settings.Classes {
+		classes[class.Name] = class
+	}
+	l.late = func(class string) time.Duration { return classes[class].Aim }
 	known := balancer.Members{}
 	if c.Known != nil {
 		known = up.dir.apply(c.Known)
@@ -63,11 +68,8 @@
 	go l.run(known)
 	go w.run(running, c.Settings.MustSubscribe)
 
-	s := &server{clock: clk, classes: map[string]balancer.Class{}, post: l.post, stop: running.Done(),
+	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad,
 		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
-	for _, class := range c.Settings.Classes {
-		s.classes[class.Name] = class
-	}
 	conns := newClientConns(listener, connections)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeader, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -32,9 +32,10 @@
 	maxIdle        time.Duration
 	most           int // connections
 
-	mu   sync.Mutex
-	open int
-	idle []*upstreamConn // the one idle for longest first
+	mu     sync.Mutex
+	open   int
+	opened int             // since the last line of counts
+	idle   []*upstreamConn // the one idle for longest first
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
@@ -52,6 +53,8 @@
 	name   string
 	at     place
 	retire *time.Timer
+	uses   int       // requests that it was taken for
+	since  time.Time // when it was put back last
 
 	allowed  func() bool // may the request that comes next still be written?
 	begun    atomic.Bool // its first byte was
@@ -83,6 +86,8 @@
 	result balancer.Result
 	header http.Header
 	body   []byte
+	use    connUse
+	err    error // what broke the attempt, for the log
 }
 
 // attempt sends a request to an upstream once, and waits for its end or that of ctx.
@@ -97,14 +102,20 @@
 		if c, err = u.connect(ctx, name, at); err != nil {
 			switch {
 			case errors.Is(err, errSaturated): // says nothing of the upstream
-				return reply{result: balancer.Moot}
+				return reply{result: balancer.Moot, err: err}
 			case errors.Is(ctx.Err(), context.Canceled):
-				return reply{result: balancer.Cancelled}
+				return reply{result: balancer.Cancelled, err: err}
 			}
-			return reply{result: balancer.ConnectFailed}
+			return reply{result: balancer.ConnectFailed, err: err}
 		}
 	}
+	c.uses++
+	use := connUse{nth: c.uses}
+	if c.uses > 1 {
+		use.idle = time.Since(c.since)
+	}
 	rep, reusable := u.exchange(ctx, c, r)
+	rep.use = use
 	if reusable {
 		u.put(c)
 	} else {
@@ -119,22 +130,22 @@
 	var encoded atomic.Bool
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { encoded.Store(i.Err == nil) }}
 	req := r.outgoing(httptrace.WithClientTrace(ctx, trace), c.at.address)
-	broken := func() reply {
+	broken := func(err error) reply {
 		switch {
 		case c.stopped.Load():
-			return reply{result: balancer.Moot}
+			return reply{result: balancer.Moot, err: err}
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
-			return reply{result: balancer.Timeout}
+			return reply{result: balancer.Timeout, err: err}
 		case ctx.Err() != nil:
-			return reply{result: balancer.Cancelled}
+			return reply{result: balancer.Cancelled, err: err}
 		case !encoded.Load() || c.writeErr.Load():
-			return reply{result: balancer.ConnectFailed}
+			return reply{result: balancer.ConnectFailed, err: err}
 		}
-		return reply{result: balancer.Reset}
+		return reply{result: balancer.Reset, err: err}
 	}
 	resp, err := c.http.RoundTrip(req)
 	if err != nil {
-		return broken(), false
+		return broken(err), false
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusSwitchingProtocols { // asked for by nobody; its body has no end
@@ -147,17 +158,17 @@
 	case status == http.StatusOK:
 		// An answer that only the connection's end delimits can't be told from a broken one.
 		if err != nil || resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") {
-			return broken(), false
+			return broken(err), false
 		}
 		if !whole {
 			return reply{result: balancer.ServerError}, false
 		}
-		return reply{balancer.OK, endToEnd(resp.Header), body}, reusable
+		return reply{result: balancer.OK, header: endToEnd(resp.Header), body: body}, reusable
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
 		return reply{result: balancer.Overloaded}, reusable
 	}
-	return reply{result: balancer.ServerError}, reusable
+	return reply{result: balancer.ServerError, err: fmt.Errorf("answered %s", resp.Status)}, reusable
 }
 
 // connect opens a connection. At the limit it closes the one idle for longest instead of failing.
@@ -172,6 +183,7 @@
 		u.idle = slices.Delete(u.idle, 0, 1)
 	}
 	u.open++
+	u.opened++
 	u.mu.Unlock()
 	c := &upstreamConn{name: name, at: at}
 	var err error
@@ -222,6 +234,7 @@
 		u.closeLocked(c)
 		return
 	}
+	c.since = time.Now()
 	c.retire = time.AfterFunc(u.maxIdle, func() { u.retire(c) })
 	u.idle = append(u.idle, c)
 }
@@ -277,3 +290,12 @@
 	}
 	return req.WithContext(ctx)
 }
+
+// sockets words the pool's state for the line of counts.
+func (u *upstreams) sockets() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	opened := u.opened
+	u.opened = 0
+	return fmt.Sprintf("; upstream connections %d (%d idle) of %d, %d opened", u.open, len(u.idle), u.most, opened)
+}
