--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -20,6 +20,7 @@
 	started atomic.Bool // the known list is in
 
 	bad     *lines                           // on requests that ended badly
+	slow    *lines                           // on those served late
 	late    func(class string) time.Duration // after which an answer is late
 	counts  counts
 	sockets func() string // words the connections' state for the line of counts
@@ -85,7 +86,7 @@
 
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
 	l := &loop{clock: clk, b: b, lists: make(chan balancer.Members, 16), events: make(chan any, 256), stop: stop,
-		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(), counts: newCounts(),
+		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(badLines), slow: newLines(lateLines), counts: newCounts(),
 		sockets: func() string { return "" }, late: func(string) time.Duration { return math.MaxInt64 }}
 	l.timer.Stop()
 	return l
@@ -246,10 +247,15 @@
 		f.request.answer <- a
 		l.counts.answers[a.kind]++
 		now := l.clock.now()
-		if a.kind != served || now-f.taken > l.late(f.request.class) {
-			l.bad.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
-				len(f.request.body), f.trail(now))
+		to := l.bad
+		if a.kind == served {
+			if now-f.taken <= l.late(f.request.class) {
+				return
+			}
+			to = l.slow
 		}
+		to.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
+			len(f.request.body), f.trail(now))
 	}
 }
 
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -16,23 +16,26 @@
 
 const (
 	badLines  = 20.0 // a second, and as many at once
+	lateLines = 2.0  // the same, on requests that were served late: a few tell enough
 	noteBytes = 160  // of what a peer may have worded
 )
 
 // lines bounds a log's lines, and counts those that it left out.
 type lines struct {
+	rate float64
+
 	mu      sync.Mutex
 	tokens  float64
 	at      time.Time
 	dropped int
 }
 
-func newLines() *lines { return &lines{tokens: badLines, at: time.Now()} }
+func newLines(rate float64) *lines { return &lines{rate: rate, tokens: rate, at: time.Now()} }
 
 func (l *lines) printf(format string, args ...any) {
 	l.mu.Lock()
 	now := time.Now()
-	l.tokens = min(badLines, l.tokens+badLines*now.Sub(l.at).Seconds())
+	l.tokens = min(l.rate, l.tokens+l.rate*now.Sub(l.at).Seconds())
 	l.at = now
 	if l.tokens < 1 {
 		l.dropped++
@@ -44,7 +47,7 @@
 	l.dropped = 0
 	l.mu.Unlock()
 	if dropped > 0 {
-		log.Printf("%d lines on bad requests left out", dropped)
+		format, args = format+" (%d lines like it left out before)", append(args, dropped)
 	}
 	log.Printf(format, args...)
 }
