internal/sidecar: turn down requests whose end is doubtful

Evidence: lines by id showed pairs of charge-ship requests from one client connection, 100 us apart, whose ids share their second half; servers answered both 400. Every first one of a pair came in chunks and had an empty body. The bytes on such a connection were: a head with both Content-Length: 202 and Transfer-Encoding: chunked, the end of chunks, and then a whole second request inside those 202 bytes.

Lines at fault: server.read took the library's word for the framing. net/http lets Transfer-Encoding win, drops the Content-Length unseen and goes on reading what follows as the next request; the handler kept the connection. The own pages under /-/ had the same hole.

Ruled out: reads with a body and HTTP/1.0 (none came), upstream connections reused with bytes unread, and a request sent twice by the sidecar (each id went out once).

The change is for the class: a request in chunks gets 411 (the application states lengths, and the library hides whether one stood beside the chunks), HTTP/1.0 gets 505, a GET with a body 400, before anything else looks at it, and the connection ends there.

--- /dev/null
+++ b/internal/sidecar/framing_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against requests that stand inside the body of another: where two readers may disagree on where a
+// request ends, it is turned away, nothing of it goes upstream, and nothing after it is read.
+func TestNothingInsideABodyIsARequest(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	const inner = "POST /confirm/2 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 00000000000000f2\r\nContent-Length: 0\r\n\r\n"
+	const rest = "Host: s\r\nX-Request-ID: 00000000000000f1\r\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"chunks beside a length": {"POST /confirm/1 HTTP/1.1\r\n" + rest +
+			"Content-Length: 88\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411"},
+		"chunks alone": {"POST /confirm/1 HTTP/1.1\r\n" + rest + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411"},
+		"chunks to an own page": {"GET /-/ready HTTP/1.1\r\n" + rest +
+			"Content-Length: 88\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411"},
+		"chunks to an own page that is none": {"POST /-/none HTTP/1.1\r\n" + rest +
+			"Content-Length: 88\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411"},
+		"chunks that HTTP/1.0 does not know": {"POST /confirm/1 HTTP/1.0\r\n" + rest +
+			"Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n", "505"},
+		"a body with GET": {"GET /search/1 HTTP/1.1\r\n" + rest + "Content-Length: 88\r\n\r\n", "400"},
+	} {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		if _, err := io.WriteString(conn, c.text+inner); err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if !strings.HasPrefix(resp.Status, c.want) {
+			t.Errorf("%s: %s, want %s", name, resp.Status, c.want)
+		}
+		if second, err := http.ReadResponse(in, nil); err == nil {
+			second.Body.Close()
+			t.Errorf("%s: what follows was answered too: %s", name, second.Status)
+		}
+		conn.Close()
+	}
+	if got := s.requests(); len(got) != 0 {
+		t.Errorf("%d requests reached the upstream, the first %s %s", len(got), got[0].method, got[0].target)
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -77,11 +77,15 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, "/-/") {
+	bad := framing(r)
+	if bad == nil && strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
 		return
 	}
-	req, bad := s.read(w, r)
+	var req *clientRequest
+	if bad == nil {
+		req, bad = s.read(w, r)
+	}
 	if bad != nil {
 		s.bad.printf("%s from %s turned away, %s %s, length %d: %d %s", short(r.Header.Get(headerID)), r.RemoteAddr, r.Method,
 			short(r.RequestURI), r.ContentLength, bad.status, bad.text)
@@ -104,6 +108,22 @@
 	}
 }
 
+// framing turns down a request whose end two readers may see in different places, so that nothing that stands
+// inside a body is ever read as a request. The library drops a Content-Length that stands beside
+// Transfer-Encoding, so the two can't be told from chunks alone: the application states lengths, and chunks are
+// not taken at all. HTTP/1.0 knows no chunks, and what is safe to repeat has no body.
+func framing(r *http.Request) *rejection {
+	switch {
+	case !r.ProtoAtLeast(1, 1):
+		return &rejection{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
+	case len(r.TransferEncoding) > 0:
+		return &rejection{http.StatusLengthRequired, "a body needs a Content-Length, and no Transfer-Encoding"}
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return &rejection{http.StatusBadRequest, "GET has no body"}
+	}
+	return nil
+}
+
 // own serves the sidecar's own pages.
 func (s *server) own(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -208,12 +228,9 @@
 		_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
 		_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(r.Body) // of the length checked above
 	_ = conn.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
-		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return reject(http.StatusRequestTimeout, "the body did not come in time")
 	case err != nil:
