balancer: a broken connection or two is no dead upstream

Symptom: from 5 s on 28 to 43% of the orders are refused, in time 50% at worst, and it passes by itself at 20 s.

Evidence: the log shows 25 to 50 ejections and as many returns a second, on each sidecar, of all 12 servers in turn, all with "1 failures unheard". The counts beside them: about one attempt in eight is reset, from 2 s to 21 s, on every server alike, on new and on used connections, after 0.1 ms or in the middle of an answer, while the same servers answer the other seven with a median of 60 to 70 ms throughout. So at any moment several healthy servers were out and the rest had their load.

Line at fault: balancer.health took the first reset, or quick refusal of a connection, for a crash (dead), whatever else the upstream had answered. It now takes three in a row with no answer between, as for error answers. A server that is really down still gives those within a few attempts, and refused connections cost nothing and move on at once.

Ruled out: connection age, use count and idle time (resets have the same spread as answers), bodies (reads break as often as orders), one bad server or zone, and descriptors (at most 156 of 384).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -35,7 +35,7 @@
 	rateMemory   = 20 * time.Second // offered load is averaged over this
 	ejectBase    = time.Second      // first ejection; doubles with each failed trial
 	ejectMax     = 8 * time.Second
-	ejectErrors  = 3                // error answers in a row: two happen by chance
+	ejectErrors  = 3                // errors, or broken connections, in a row: two happen by chance
 	silentAims   = 3.0              // no answer for this many mean aims, with failures: silent
 	limitMax     = 0.65             // requests in hand may wait this share of their aim
 	limitMin     = 0.33             // or down to this where upstreams are crowded
@@ -575,7 +575,7 @@
 		if u.fails++; u.fails == 1 {
 			u.silentSince = a.sent
 		}
-		dead := res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2
+		dead := u.fails >= ejectErrors && (res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2)
 		silent := u.fails > 1 && (b.now-u.silentSince).Seconds() > silentAims*b.meanAim
 		if (dead || silent || u.ejections > 0) && b.now >= u.until {
 			b.eject(u)
--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -258,6 +258,44 @@
 	}
 }
 
+// A network that breaks every eighth attempt, wherever it goes: upstreams that answer all the while are not taken
+// for dead ones, or the few that are left at a moment would get what all can carry. One that breaks every
+// connection is.
+func TestBrokenConnectionsAreNoDeadUpstream(t *testing.T) {
+	n := 0
+	w := newWorld(t, testSettings(), func(string) (Result, time.Duration) {
+		if n++; n%8 == 0 {
+			return Reset, ms
+		}
+		return OK, 20 * ms
+	})
+	w.fleet(12)
+	w.play(10*time.Second, 200)
+	if got := w.ejected(); got > 5 {
+		t.Errorf("%d ejections, of upstreams that answer seven of eight: %q", got, w.logs)
+	}
+	w.reply = func(u string) (Result, time.Duration) {
+		if u == "u0" {
+			return Reset, ms
+		}
+		return OK, 20 * ms
+	}
+	w.logs, w.sends["u0"] = nil, 0
+	w.play(4*time.Second, 200)
+	if got := w.ejected(); got != 1 || w.sends["u0"] > 20 {
+		t.Errorf("%d ejections and %d attempts, where one upstream of twelve breaks every connection", got, w.sends["u0"])
+	}
+}
+
+func (w *world) ejected() (n int) {
+	for _, l := range w.logs {
+		if strings.HasPrefix(l, "eject ") {
+			n++
+		}
+	}
+	return n
+}
+
 // A cut zone with the list lost: work stays home, the cut zone is left alone but for trials, and comes back.
 func TestZoneCutWithListLost(t *testing.T) {
 	s := testSettings()
