internal/sidecar: a late answer keeps its connection

Symptom: with the ejections mended, 17 to 20% of the orders between 6 s and 16 s were still refused, all of them after an attempt that timed out.

Evidence: in that stretch seven of ten tries state a time of only 66 to 126 ms in X-Timeout (1.0 to 1.3 s before and after), while an answer takes 40 to 60 ms. Two thirds of the time-outs (987 of 1464) were on the first request of a connection, where in the good stretch a third of the requests were: first requests to other data centres took 65 ms at the very least (5th percentile) and 85 to 100 in the median, later ones 27 and 50. The connections opened per 5 s rose from 340 to 680 at one sidecar with no more load. So one time-out closed its connection, the next try paid for a new one with time that it did not have, timed out, and closed that one.

Lines at fault: upstreams.exchange bound the connection's life to the attempt's context, and balancer.giveUp cancelled what was out before it gave the answer, so that the two kinds of cancel could not be told apart. Now giveUp answers first; an attempt that ends by its time, or after its request's final answer, is reported at once as before, and its connection waits for the answer, at most as long as the longest deadline, and is then used again. The answer goes to nobody. Such connections give way first at the limit. A cancel that makes room for another attempt closes at once as before, and a further attempt first closes what an earlier one left waiting.

The inherited test that wanted a closed connection after a time-out now wants one where another attempt may follow.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -410,7 +410,6 @@
 	if r.done {
 		return
 	}
-	b.cancelRest(r, -1)
 	b.learnLimit(r)
 	if mayRefuse(r) {
 		a := Action{Kind: Refuse, ID: r.id}
@@ -424,6 +423,7 @@
 	} else {
 		b.act(Action{Kind: Fail, ID: r.id})
 	}
+	b.cancelRest(r, -1) // after the answer, which says that no attempt will follow
 	b.close(r)
 }
 
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -392,3 +392,23 @@
 		}
 	}
 }
+
+// The final answer comes before the end of what is still out: the sidecar then knows that no attempt follows.
+func TestAnswerBeforeCancel(t *testing.T) {
+	for _, effect := range []Effect{Safe, Unsafe} {
+		s := testSettings()
+		s.Classes[0].Effect = effect
+		r := newRig(t, s)
+		r.fleet(1)
+		r.wantSend(r.request("1", "c", 500*ms))
+		var order []ActionKind
+		for _, a := range r.pass(600 * ms) {
+			if a.Kind == Refuse || a.Kind == Fail || a.Kind == Cancel {
+				order = append(order, a.Kind)
+			}
+		}
+		if len(order) != 2 || order[0] == Cancel || order[1] != Cancel {
+			t.Errorf("effect %d: kinds %v", effect, order)
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -50,7 +50,7 @@
 	sent     time.Duration
 	ended    time.Duration // 0: still out
 	reply    reply         // its result, connection and error
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 }
 
 // answer is the final answer to a request.
@@ -178,9 +178,9 @@
 	f, id := e.flight, e.flight.request.id
 	f.out--
 	a := &f.attempts[e.attempt]
-	a.cancel()
+	a.cancel(nil)
 	a.ended = e.at
-	a.reply = reply{result: e.reply.result, use: e.reply.use, err: e.reply.err} // without the body
+	a.reply = reply{result: e.reply.result, use: e.reply.use, err: e.reply.err, abandon: e.reply.abandon}
 	l.counts.results[e.reply.result]++
 	if e.reply.result == balancer.OK {
 		l.finish(id, answer{kind: served, reply: e.reply})
@@ -204,7 +204,11 @@
 		l.start(a)
 	case balancer.Cancel:
 		if f := l.flights[a.ID]; f != nil && a.Attempt < len(f.attempts) {
-			f.attempts[a.Attempt].cancel()
+			var cause error
+			if f.done {
+				cause = errAnswered
+			}
+			f.attempts[a.Attempt].cancel(cause)
 		}
 	case balancer.Refuse:
 		l.finish(a.ID, answer{kind: refused, retryIn: a.RetryIn})
@@ -230,7 +234,17 @@
 	if a.Timeout > 0 {
 		limit = min(limit, a.Timeout)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	for i := range f.attempts { // never two at once: the upstream must not see an earlier one wait
+		if abandon := f.attempts[i].reply.abandon; abandon != nil {
+			abandon()
+		}
+	}
+	ctx, end := context.WithCancelCause(context.Background())
+	ctx, stop := context.WithTimeout(ctx, limit)
+	cancel := func(cause error) {
+		end(cause)
+		stop()
+	}
 	n, upstream := len(f.attempts), a.Upstream
 	f.attempts = append(f.attempts, flightAttempt{upstream: upstream, sent: now, cancel: cancel})
 	f.out++
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -66,7 +66,7 @@
 	if a := <-r.answer; a.kind != failed {
 		t.Errorf("answered %+v", a)
 	}
-	l.flights["1"].attempts[0].cancel()
+	l.flights["1"].attempts[0].cancel(nil)
 	l.event(<-l.events)
 	select {
 	case a := <-r.answer:
@@ -98,3 +98,28 @@
 		t.Errorf("answered %+v", a)
 	}
 }
+
+// Guards against two attempts out at once: before another attempt for a request begins, the connection on which
+// the one before still waits is closed.
+func TestNextAttemptAbandonsTheOneBefore(t *testing.T) {
+	abandoned, n := make(chan bool, 1), 0
+	l := testLoop(t, func(context.Context, string, *clientRequest) reply {
+		if n++; n == 1 {
+			return reply{result: balancer.Timeout, abandon: func() { abandoned <- true }}
+		}
+		select {
+		case <-abandoned:
+		default:
+			t.Error("the second attempt began beside the first")
+		}
+		return reply{result: balancer.OK}
+	})
+	l.handle(balancer.Members{Kind: balancer.Saved, Entries: []balancer.Member{member("s", balancer.Active)}})
+	r := l.newRequest("1", "search")
+	l.event(arrival{r})
+	l.event(<-l.events)
+	l.event(<-l.events)
+	if a := <-r.answer; a.kind != served || n != 2 {
+		t.Errorf("answered %+v after %d attempts", a, n)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -30,17 +30,22 @@
 	dir            *directory
 	connectTimeout time.Duration
 	maxIdle        time.Duration
-	most           int // connections
+	lateMost       time.Duration // for how long a connection waits for an answer that comes too late
+	most           int           // connections
 
 	mu     sync.Mutex
 	open   int
 	opened int             // since the last line of counts
 	idle   []*upstreamConn // the one idle for longest first
+	late   []*upstreamConn // they carry an answer that nobody waits for; the oldest first
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
 	u := &upstreams{connectTimeout: c.Settings.ConnectTimeout, most: most,
 		maxIdle: time.Duration(float64(c.Settings.ConnIdle) * idlePart)}
+	for _, class := range c.Settings.Classes {
+		u.lateMost = max(u.lateMost, class.Deadline)
+	}
 	u.dir = newDirectory(clk, u.drop)
 	return u
 }
@@ -55,13 +60,18 @@
 	retire *time.Timer
 	uses   int       // requests that it was taken for
 	since  time.Time // when it was put back last
+	closed bool      // under the pool's lock
 
 	allowed  func() bool // may the request that comes next still be written?
 	begun    atomic.Bool // its first byte was
 	stopped  atomic.Bool // it was not allowed
+	encoded  atomic.Bool // the whole request was, as far as the library knows
 	writeErr atomic.Bool // a write failed, so its last byte was not written
 }
 
+// errAnswered ends an attempt whose request has its final answer: no other attempt will follow.
+var errAnswered = errors.New("the request has its final answer")
+
 var (
 	errNotAllowed = errors.New("the upstream drains or is gone")
 	errSaturated  = errors.New("all upstream connections that the limits allow are busy")
@@ -88,6 +98,8 @@
 	body   []byte
 	use    connUse
 	err    error // what broke the attempt, for the log
+
+	abandon func() // closes the connection, which still waits for the answer; nil: it does not
 }
 
 // attempt sends a request to an upstream once, and waits for its end or that of ctx.
@@ -114,22 +126,72 @@
 	if c.uses > 1 {
 		use.idle = time.Since(c.since)
 	}
-	rep, reusable := u.exchange(ctx, c, r)
-	rep.use = use
-	if reusable {
-		u.put(c)
-	} else {
-		u.discard(c)
+	// The exchange has a life of its own: it may outlast the attempt, see leave.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	settled := make(chan reply, 1)
+	go func() {
+		rep, reusable := u.exchange(ctx, life, c, r)
+		end()
+		if reusable {
+			u.put(c)
+		} else {
+			u.discard(c)
+		}
+		rep.use = use
+		settled <- rep
+	}()
+	select {
+	case rep := <-settled:
+		return rep
+	case <-ctx.Done():
+	}
+	timeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if !(timeout || context.Cause(ctx) == errAnswered) || !u.leave(c, life, end) {
+		end()
+		return <-settled
+	}
+	rep := reply{result: balancer.Cancelled, use: use, err: context.Cause(ctx), abandon: func() { u.abandon(c, life) }}
+	if timeout {
+		rep.result = balancer.Timeout
 	}
 	return rep
 }
 
-func (u *upstreams) exchange(ctx context.Context, c *upstreamConn, r *clientRequest) (rep reply, reusable bool) {
+// leave lets a connection wait for an answer that nobody else waits for, so that it can be used again: the
+// upstream works on it all the same, and the first request on a new connection would pay for a handshake with
+// time that it may not have. It does so only for a request that was sent whole.
+func (u *upstreams) leave(c *upstreamConn, life context.Context, end context.CancelFunc) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !c.encoded.Load() || c.writeErr.Load() || c.closed || life.Err() != nil {
+		return false
+	}
+	u.late = append(u.late, c)
+	patience := time.AfterFunc(u.lateMost, end)
+	context.AfterFunc(life, func() { patience.Stop() })
+	return true
+}
+
+// abandon closes c unless the exchange of that life is over: it may carry another by now.
+func (u *upstreams) abandon(c *upstreamConn, life context.Context) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if life.Err() == nil {
+		u.closeLocked(c)
+	}
+}
+
+// exchange sends r for an attempt that waits until ctx ends, and reads its answer until life does.
+func (u *upstreams) exchange(ctx, life context.Context, c *upstreamConn, r *clientRequest) (rep reply, reusable bool) {
 	c.allowed = func() bool { return u.dir.ready(c.name, c.at) }
 	c.begun.Store(false)
-	var encoded atomic.Bool
-	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { encoded.Store(i.Err == nil) }}
-	req := r.outgoing(httptrace.WithClientTrace(ctx, trace), c.at.address)
+	c.encoded.Store(false)
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { c.encoded.Store(i.Err == nil) }}
+	req := r.outgoing(httptrace.WithClientTrace(life, trace), c.at.address)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Microseconds(), 1)
+		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10)+"u")
+	}
 	broken := func(err error) reply {
 		switch {
 		case c.stopped.Load():
@@ -138,7 +200,7 @@
 			return reply{result: balancer.Timeout, err: err}
 		case ctx.Err() != nil:
 			return reply{result: balancer.Cancelled, err: err}
-		case !encoded.Load() || c.writeErr.Load():
+		case !c.encoded.Load() || c.writeErr.Load():
 			return reply{result: balancer.ConnectFailed, err: err}
 		}
 		return reply{result: balancer.Reset, err: err}
@@ -153,7 +215,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	whole := err == nil && len(body) <= maxBody
-	reusable = whole && !resp.Close && encoded.Load()
+	reusable = whole && !resp.Close && c.encoded.Load()
 	switch status := resp.StatusCode; {
 	case status == http.StatusOK:
 		// An answer that only the connection's end delimits can't be told from a broken one.
@@ -171,16 +233,21 @@
 	return reply{result: balancer.ServerError, err: fmt.Errorf("answered %s", resp.Status)}, reusable
 }
 
-// connect opens a connection. At the limit it closes the one idle for longest instead of failing.
+// connect opens a connection. At the limit it closes the oldest that waits for an answer in vain, or the one idle
+// for longest, instead of failing.
 func (u *upstreams) connect(ctx context.Context, name string, at place) (*upstreamConn, error) {
 	u.mu.Lock()
 	for u.open >= u.most {
-		if len(u.idle) == 0 {
+		switch {
+		case len(u.late) > 0:
+			u.closeLocked(u.late[0])
+		case len(u.idle) > 0:
+			u.closeLocked(u.idle[0])
+			u.idle = slices.Delete(u.idle, 0, 1)
+		default:
 			u.mu.Unlock()
 			return nil, errSaturated
 		}
-		u.closeLocked(u.idle[0])
-		u.idle = slices.Delete(u.idle, 0, 1)
 	}
 	u.open++
 	u.opened++
@@ -230,7 +297,8 @@
 func (u *upstreams) put(c *upstreamConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.dir.ready(c.name, c.at) || c.http.Err() != nil {
+	u.unlate(c)
+	if c.closed || !u.dir.ready(c.name, c.at) || c.http.Err() != nil {
 		u.closeLocked(c)
 		return
 	}
@@ -267,8 +335,18 @@
 	})
 }
 
-// closeLocked is called with mu held, once for each connection.
+func (u *upstreams) unlate(c *upstreamConn) {
+	u.late = slices.DeleteFunc(u.late, func(x *upstreamConn) bool { return x == c })
+}
+
+// closeLocked is called with mu held. A connection that is closed while it waits for a late answer is closed
+// again when the wait ends, to no effect.
 func (u *upstreams) closeLocked(c *upstreamConn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	u.unlate(c)
 	if c.retire != nil {
 		c.retire.Stop()
 	}
@@ -281,10 +359,6 @@
 	// Opaque keeps path and query byte for byte.
 	req := &http.Request{Method: r.method, URL: &url.URL{Scheme: "http", Host: address, Opaque: r.target},
 		Host: r.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.header.Clone()}
-	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Microseconds(), 1)
-		req.Header.Set("X-Timeout", strconv.FormatInt(left, 10)+"u")
-	}
 	if len(r.body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
 	}
@@ -297,5 +371,6 @@
 	defer u.mu.Unlock()
 	opened := u.opened
 	u.opened = 0
-	return fmt.Sprintf("; upstream connections %d (%d idle) of %d, %d opened", u.open, len(u.idle), u.most, opened)
+	return fmt.Sprintf("; upstream connections %d (%d idle, %d await late answers) of %d, %d opened",
+		u.open, len(u.idle), len(u.late), u.most, opened)
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -90,7 +90,7 @@
 	})
 }
 
-// Guards against attempts that outlive their time or are called off in name only: the upstream must see the
+// Guards against attempts that are called off in name only: where another may follow, the upstream must see the
 // connection end.
 func TestTimeoutAndCancelCloseTheConnection(t *testing.T) {
 	for _, want := range []balancer.Result{balancer.Timeout, balancer.Cancelled} {
@@ -106,9 +106,16 @@
 		if want == balancer.Cancelled {
 			cancel()
 		}
-		if rep := <-end; rep.result != want {
+		rep := <-end
+		if rep.result != want {
 			t.Errorf("result %d, want %d", rep.result, want)
 		}
+		if (rep.abandon != nil) != (want == balancer.Timeout) {
+			t.Fatalf("result %d: waits on: %v", rep.result, rep.abandon != nil)
+		}
+		if rep.abandon != nil {
+			rep.abandon()
+		}
 		cancel()
 		eventually(t, "connection closed", func() bool { return s.closed.Load() == 1 })
 		if u.open != 0 {
@@ -117,6 +124,119 @@
 	}
 }
 
+// Guards against a handshake after each time-out: with little time to each request, one that pays for a new
+// connection runs out of it too, and ends that connection. The late answer is taken in and goes to nobody, also
+// not to the request that uses the connection next.
+func TestLateAnswerKeepsItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(context.CancelCauseFunc, context.CancelFunc)
+		want balancer.Result
+	}{
+		{"its time is up", func(_ context.CancelCauseFunc, expire context.CancelFunc) { expire() }, balancer.Timeout},
+		{"the request was answered", func(cancel context.CancelCauseFunc, _ context.CancelFunc) { cancel(errAnswered) },
+			balancer.Cancelled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newUpstream(t, func(w net.Conn, g got) bool {
+				if g.body == "first" {
+					<-release
+				}
+				_, err := io.WriteString(w, ok200("for "+g.body))
+				return err == nil
+			})
+			u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			ctx, expire := newDeadline(ctx)
+			end := make(chan reply, 1)
+			go func() { end <- u.attempt(ctx, "s", testRequest("POST", "first")) }()
+			eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+			c.end(cancel, expire)
+			rep := <-end
+			if rep.result != c.want {
+				t.Fatalf("result %d, want %d", rep.result, c.want)
+			}
+			close(release)
+			eventually(t, "the connection is idle", func() bool {
+				u.mu.Lock()
+				defer u.mu.Unlock()
+				return len(u.idle) == 1 && len(u.late) == 0
+			})
+			rep.abandon() // comes too late to harm
+			next := u.attempt(t.Context(), "s", testRequest("POST", "second"))
+			if next.result != balancer.OK || string(next.body) != "for second" || next.use.nth != 2 {
+				t.Errorf("then: result %d, %q, use %d", next.result, next.body, next.use.nth)
+			}
+			if n := s.opened.Load(); n != 1 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
+// deadline is a context whose time is up when the test says so.
+type deadline struct {
+	context.Context
+	up chan struct{}
+}
+
+func newDeadline(parent context.Context) (context.Context, context.CancelFunc) {
+	d := &deadline{parent, make(chan struct{})}
+	context.AfterFunc(parent, func() { closeOnce(d.up) })
+	return d, func() { closeOnce(d.up) }
+}
+
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+func (d *deadline) Done() <-chan struct{} { return d.up }
+
+func (d *deadline) Err() error {
+	if err := d.Context.Err(); err != nil {
+		return err
+	}
+	select {
+	case <-d.up:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// Guards against connections that wait for ever, and against too many of them: they give way at the limit.
+func TestLateAnswerIsNotWaitedForLong(t *testing.T) {
+	a, b := newUpstream(t, silent), newUpstream(t, says(ok200("")))
+	u := testUpstreams(t, 1, entry("a", a.address, "Ready"), entry("b", b.address, "Ready"))
+	late := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if rep := u.attempt(ctx, "a", testRequest("GET", "")); rep.result != balancer.Timeout {
+			t.Fatalf("result %d", rep.result)
+		}
+	}
+	late()
+	if rep := u.attempt(t.Context(), "b", testRequest("GET", "")); rep.result != balancer.OK {
+		t.Errorf("result %d at the limit", rep.result)
+	}
+	eventually(t, "it gave way", func() bool { return a.closed.Load() == 1 })
+	u.lateMost = 50 * time.Millisecond
+	late()
+	eventually(t, "its wait ended", func() bool { return a.closed.Load() == 2 })
+	eventually(t, "none is counted", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open == 0 && len(u.late) == 0
+	})
+}
+
 // Guards against a refusal that is not safe, and a failure where one would be: what was never written whole
 // has not run. The library reports such a request as written, from its buffer.
 func TestBrokenBeforeTheLastByteNeverRan(t *testing.T) {
@@ -133,7 +253,7 @@
 	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil { // the write will fail
 		t.Fatal(err)
 	}
-	rep, reusable := u.exchange(t.Context(), c, testRequest("POST", "b"))
+	rep, reusable := u.exchange(t.Context(), t.Context(), c, testRequest("POST", "b"))
 	u.discard(c)
 	if rep.result != balancer.ConnectFailed || reusable {
 		t.Errorf("result %d, reusable %v", rep.result, reusable)
@@ -150,7 +270,7 @@
 			t.Fatal(err)
 		}
 		u.dir.apply(parsed(t, list(2, false, entry("s", s.address, status))))
-		if rep, _ := u.exchange(t.Context(), c, testRequest("GET", "")); rep.result != balancer.Moot {
+		if rep, _ := u.exchange(t.Context(), t.Context(), c, testRequest("GET", "")); rep.result != balancer.Moot {
 			t.Errorf("%s: result %d", status, rep.result)
 		}
 		u.discard(c)
