cmd/orchiddrift: SIGHUP moves the watch to where discovery is

Symptom: node n0 exits with 129 at 3 s and 17 requests are lost. Cause: main caught SIGTERM and SIGINT alone, so the platform's reload signal ended the process.

SIGHUP now reads the file again. A file that can't be used is named in the log and the configuration in use stays; of a good one the address of discovery is taken over: a watch, or the wait before the next one, ends at once, and goes on at the new address from the version that is held. To the module that is no failure, also where it asks for the list itself.

--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -27,49 +30,143 @@
 const settings = `{"Discovery":"ask","TickMs":5,"Classes":[{"Name":"search","Semantics":"retryable",
 	"AimMs":1000,"DeadlineMs":2000}]}`
 
-// Guards against a planned restart that looks like a crash: SIGTERM ends the program with 0. Its address is free
-// again at once.
-func TestTermEndsWithZero(t *testing.T) {
+// freeAddress is one on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func writeConfig(t *testing.T, path, listen, discovery, settings string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1f",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"index":1,"snapshot":true,"endpoints":[
-		{"name":"s","address":"127.0.0.1:1","status":"Ready"}]},"settings":%s}`, address, settings)
+		{"name":"s","address":"127.0.0.1:1","status":"Ready"}]},"settings":%s}`, listen, discovery, settings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for range 2 {
-		cmd := exec.Command(os.Args[0])
-		cmd.Env = append(os.Environ(), "ORCHIDDRIFT_MAIN=1", "GW_CONFIG="+path)
-		cmd.Stderr = os.Stderr
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = cmd.Process.Kill() }() // only if the test ends early
-		for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-			resp, err := http.Get("http://" + address + "/-/ready")
-			if err == nil {
-				resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					break
-				}
+}
+
+// startMain runs the program until it is ready.
+func startMain(t *testing.T, path, address string, stderr io.Writer) *exec.Cmd {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "ORCHIDDRIFT_MAIN=1", "GW_CONFIG="+path)
+	cmd.Stderr = stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill() }) // only if the test ends early
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		resp, err := http.Get("http://" + address + "/-/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return cmd
 			}
-			if time.Now().After(end) {
-				t.Fatalf("never ready: %v", err)
+		}
+		if time.Now().After(end) {
+			t.Fatalf("never ready: %v", err)
+		}
+	}
+}
+
+func term(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("SIGTERM ended it with %v", err)
+	}
+}
+
+// Guards against a planned restart that looks like a crash: SIGTERM ends the program with 0. Its address is free
+// again at once.
+func TestTermEndsWithZero(t *testing.T) {
+	address, path := freeAddress(t), filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, address, "127.0.0.1:1", settings)
+	for range 2 {
+		term(t, startMain(t, path, address, os.Stderr))
+	}
+}
+
+// Guards against a reload that ends the program, or goes by a file that can't be used: SIGHUP moves the watch to
+// where the file says that discovery is, and what is wrong with a file is logged.
+func TestHupMovesTheWatch(t *testing.T) {
+	address, path := freeAddress(t), filepath.Join(t.TempDir(), "config.json")
+	asked := make(chan string, 64)
+	discovery := func(name string) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name
+			fmt.Fprintln(w, `{"index":2,"snapshot":false,"endpoints":[]}`)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(srv.CloseClientConnections)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	wait := func(want string) {
+		t.Helper()
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Fatalf("%s was asked, not %s", got, want)
 			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s was never asked", want)
 		}
-		if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	}
+	pushed := strings.Replace(settings, `"ask"`, `"push"`, 1)
+	writeConfig(t, path, address, discovery("the old one"), pushed)
+	var stderr logText
+	cmd := startMain(t, path, address, &stderr)
+	wait("the old one")
+	hup := func() {
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
-		if err := cmd.Wait(); err != nil {
-			t.Errorf("SIGTERM ended it with %v", err)
+	}
+	writeConfig(t, path, address, discovery("the new one"), pushed)
+	hup()
+	wait("the new one")
+	if err := os.WriteFile(path, []byte(`{"name":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hup()
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(stderr.String(), keeps); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the unusable file is not named: %q", stderr.String())
 		}
 	}
+	writeConfig(t, path, address, discovery("the last one"), pushed)
+	hup()
+	wait("the last one")
+	term(t, cmd)
+}
+
+const keeps = "reload: the configuration in use stays: "
+
+// logText is a log that is read while it is written.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // Guards against a start that fails without saying why, or seems to succeed.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"granitehinge/balancer"
@@ -25,15 +26,22 @@
 // watcher follows discovery: one watch at a time, each on a connection of its own so that no library sends
 // a call again by itself.
 type watcher struct {
-	address string
 	dir     *directory
 	client  *http.Client
 	index   int64
 	silence time.Duration // after this without a line a watch is dead
 	report  func(balancer.Members)
 	asked   chan struct{} // holds one: the module asked for a watch
+
+	mu      sync.Mutex
+	address string
+	moved   context.CancelCauseFunc // ends what waits for the address in use, or on it; nil: nothing does
 }
 
+// errMoved ends a watch at an address that is discovery's no longer. It is no failure: the list stands, and the
+// watch goes on at the new address.
+var errMoved = errors.New("discovery has moved")
+
 func newWatcher(c *Config, dir *directory, report func(balancer.Members)) *watcher {
 	w := &watcher{address: c.Discovery, dir: dir, silence: watchSilence, report: report,
 		asked: make(chan struct{}, 1)}
@@ -57,41 +65,69 @@
 	}
 }
 
+// move goes on with the watch at another address.
+func (w *watcher) move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address == w.address {
+		return
+	}
+	w.address = address
+	if w.moved != nil {
+		w.moved(errMoved)
+	}
+}
+
+// here is the address of discovery, and a context that ends when it moves.
+func (w *watcher) here(ctx context.Context) (address string, at context.Context, end context.CancelCauseFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, w.moved = context.WithCancelCause(ctx)
+	return w.address, at, w.moved
+}
+
 // run watches until ctx ends. Where the module asks for the list, it also decides when to ask again; where
 // lists are pushed, the agent's watch is opened again with a growing wait.
 func (w *watcher) run(ctx context.Context, moduleAsks bool) {
 	wait := rewatchFirst
+	standing := false // a watch that the module asked for goes on elsewhere
 	for ctx.Err() == nil {
-		if moduleAsks {
+		if moduleAsks && !standing {
 			select {
 			case <-w.asked:
 			case <-ctx.Done():
 				return
 			}
 		}
-		told, err := w.watch(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if moduleAsks {
+		address, at, end := w.here(ctx)
+		told, err := w.watch(at, address)
+		standing = errors.Is(context.Cause(at), errMoved)
+		switch {
+		case ctx.Err() != nil:
+		case standing:
 			log.Printf("watch ended: %v", err)
-			w.report(balancer.Members{Kind: balancer.Failed})
-			continue
-		}
-		if told {
 			wait = rewatchFirst
+		case moduleAsks:
+			log.Printf("watch ended: %v", err)
+			w.report(balancer.Members{Kind: balancer.Failed})
+		default:
+			if told {
+				wait = rewatchFirst
+			}
+			log.Printf("watch ended, next in %v: %v", wait, err)
+			select {
+			case <-time.After(wait):
+				wait = min(2*wait, rewatchMost)
+			case <-at.Done(): // discovery has moved, or all ends
+				wait = rewatchFirst
+			}
 		}
-		log.Printf("watch ended, next in %v: %v", wait, err)
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-		wait = min(2*wait, rewatchMost)
+		end(nil)
 	}
 }
 
 // watch follows one watch to its end, and tells whether it brought anything.
-func (w *watcher) watch(ctx context.Context) (told bool, err error) {
+func (w *watcher) watch(ctx context.Context, address string) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer func() {
@@ -102,7 +138,7 @@
 	// A dead network is silent, so whatever is waited for has a limit.
 	silence := time.AfterFunc(answerPatience, func() { cancel(errors.New("discovery is silent")) })
 	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", w.address, w.index)
+	url := fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", address, w.index)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -184,3 +185,50 @@
 		t.Errorf("1970 is %v", got)
 	}
 }
+
+// Guards against a list that stands still after discovery has moved: the watch goes on at the new address from the
+// version that it had, whether it was standing or waiting to be opened again, and no failure is told.
+func TestMovedDiscoveryIsFollowed(t *testing.T) {
+	for _, asks := range []bool{true, false} {
+		for _, stood := range []bool{true, false} {
+			before := newDiscovery(t, func(_ int, send func(string), done <-chan struct{}) {
+				send(list(5, false))
+				if stood || asks {
+					<-done
+				}
+			})
+			after := newDiscovery(t, func(_ int, send func(string), done <-chan struct{}) {
+				send(list(6, false, entry("b", "127.0.0.2:2", "Ready")))
+				<-done
+			})
+			told := make(chan balancer.Members, 64)
+			u := testUpstreams(t, 4)
+			w := newWatcher(testConfig(t, before.address), u.dir, func(m balancer.Members) { told <- m })
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				w.run(ctx, asks)
+				close(done)
+			}()
+			w.ask()
+			if m := next(t, told); m.Kind != balancer.Change {
+				t.Errorf("told %+v", m)
+			}
+			w.move(after.address)
+			for {
+				m := next(t, told)
+				if m.Kind == balancer.Failed {
+					t.Error("a move was told as a failure")
+				}
+				if len(m.Entries) == 1 {
+					break
+				}
+			}
+			if from := after.watches(); from[0] != "5" {
+				t.Errorf("asked at the new address from %s", from[0])
+			}
+			cancel()
+			<-done
+		}
+	}
+}
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -223,6 +223,7 @@
 	ended   chan struct{}
 	err     error
 	client  *http.Client
+	reloads chan *Config
 }
 
 func start(t *testing.T, c *Config, listen string) *running {
@@ -233,9 +234,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{address: l.Addr().String(), stop: cancel, ended: make(chan struct{}),
-		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}}
+		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan *Config)}
 	go func() {
-		r.err = serve(ctx, c, l)
+		r.err = serve(ctx, c, l, r.reloads)
 		close(r.ended)
 	}()
 	t.Cleanup(func() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"math"
 	"net"
 	"net/http"
@@ -30,18 +31,19 @@
 	clientIdle  = 2 * time.Minute
 )
 
-// Run serves until ctx ends, then finishes what it has taken.
-func Run(ctx context.Context, c *Config) error {
+// Run serves until ctx ends, then finishes what it has taken. Of a configuration that comes from reloads it takes
+// over where discovery is; the rest is for the next start.
+func Run(ctx context.Context, c *Config, reloads <-chan *Config) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryPart * (1 << 20)))
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return serve(ctx, c, listener)
+	return serve(ctx, c, listener, reloads)
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener) error {
+func serve(ctx context.Context, c *Config, listener net.Listener, reloads <-chan *Config) error {
 	defer listener.Close()
 	b, err := balancer.New(c.Settings.Settings, c.Seed)
 	if err != nil {
@@ -75,10 +77,15 @@
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(conns) }()
-	select {
-	case err := <-ended:
-		return fmt.Errorf("serving: %w", err)
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-ended:
+			return fmt.Errorf("serving: %w", err)
+		case fresh := <-reloads:
+			log.Printf("reload: discovery is at %s", fresh.Discovery)
+			w.move(fresh.Discovery)
+		case <-ctx.Done():
+		}
 	}
 	return drain(srv, s, conns, l)
 }
