internal/sidecar: cut off peers that do not finish their request

A peer that connected and sent nothing was held for 5 s, one that sent part of a body as long as it stated in X-Timeout, where it is owed an error or a close within 3 s. Worse, the read deadline was lifted, or never set, before a request was turned away: the library then waits for the rest of the body without end, and the peer keeps its descriptor for good.

A request now has to be whole 2.5 s after connecting, or after its head on an older connection; the deadline is set before anything looks at the request, and lifted only once the body is in. X-Timeout that is empty is no longer taken for absent (upstreams answered those with 400), and of the headers that decide, two of a kind get 400.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -77,6 +78,9 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 { // also where nobody reads it: the library does, before it closes or goes on
+		_ = http.NewResponseController(w).SetReadDeadline(bodyDeadline(r.Context(), sendPatience)) // see write
+	}
 	bad := framing(r)
 	if bad == nil && strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
@@ -185,6 +189,11 @@
 	if len(r.Header[headerID]) != 1 || r.Header.Get(headerID) == "" {
 		return reject(http.StatusBadRequest, "one X-Request-ID is needed")
 	}
+	for _, one := range []string{headerClass, headerTenant, headerTimeout, headerCost, headerKey} {
+		if len(r.Header[one]) > 1 { // which of them would the upstream go by?
+			return reject(http.StatusBadRequest, "more than one %s", one)
+		}
+	}
 	inPath, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	name := cmp.Or(r.Header.Get(headerClass), inPath)
 	class, known := s.classes[name]
@@ -206,9 +215,9 @@
 		return reject(http.StatusBadRequest, "class %s needs an Idempotency-Key", name)
 	}
 	timeout := class.Deadline
-	if text := r.Header.Get(headerTimeout); text != "" {
+	if texts, stated := r.Header[headerTimeout]; stated {
 		var err error
-		if timeout, err = parseTimeout(text); err != nil {
+		if timeout, err = parseTimeout(texts[0]); err != nil {
 			return reject(http.StatusBadRequest, "X-Timeout: %v", err)
 		}
 	}
@@ -225,17 +234,18 @@
 	}
 	conn := http.NewResponseController(w)
 	if r.ContentLength != 0 { // without a body the library already reads on, to see whether the client leaves
-		_ = conn.SetReadDeadline(time.Now().Add(timeout))  // see write
-		_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // reading may first write 100 Continue
+		end := bodyDeadline(r.Context(), timeout)
+		_ = conn.SetReadDeadline(end)  // see write
+		_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
 	}
 	body, err := io.ReadAll(r.Body) // of the length checked above
-	_ = conn.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return reject(http.StatusRequestTimeout, "the body did not come in time")
 	case err != nil:
 		return reject(http.StatusBadRequest, "reading the body: %v", err)
 	}
+	_ = conn.SetReadDeadline(time.Time{}) // from now on it is read to see whether the client leaves
 	header := endToEnd(r.Header)
 	header.Del(headerTimeout) // what is left of it goes with each attempt
 	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
@@ -243,6 +253,22 @@
 		header: header, body: body, answer: make(chan answer, 1)}, nil
 }
 
+// acceptedKey is the context key of when a client's connection was accepted.
+type acceptedKey struct{}
+
+// bodyDeadline is until when a body may come: as long as its client waits, but anyone who may connect has to send
+// what is whole within sendPatience, of connecting or, on a connection that is older, from now.
+func bodyDeadline(ctx context.Context, timeout time.Duration) time.Time {
+	now := time.Now()
+	end := now.Add(min(timeout, sendPatience))
+	if accepted, known := ctx.Value(acceptedKey{}).(time.Time); known {
+		if first := accepted.Add(sendPatience); first.After(now) && first.Before(end) {
+			end = first
+		}
+	}
+	return end
+}
+
 const maxTimeout = time.Hour
 
 // parseTimeout reads a number and a unit: m milliseconds or u microseconds.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,6 +85,9 @@
 		"no key":           {"POST /record/1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n" + id, "400"},
 		"time-out":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: soon\r\n" + id, "400"},
 		"time-out's unit":  {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 480\r\n" + id, "400"},
+		"empty time-out":   {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout:\r\n" + id, "400"},
+		"two time-outs":    {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: 9000m\r\nX-Timeout: 9m\r\n" + id, "400"},
+		"two tenants":      {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Tenant-Id: a\r\nX-Tenant-Id: b\r\n" + id, "400"},
 		"negative":         {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: -480m\r\n" + id, "400"},
 		"no number":        {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Timeout: NaNm\r\n" + id, "400"},
 		"cost":             {"GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Cost: much\r\n" + id, "400"},
@@ -118,6 +124,58 @@
 	}
 }
 
+// Guards against peers that hold connections by sending too little: nothing, part of a head, part of a body,
+// whatever time they state. Each gets an error or a close in time; the limit of 3 s is checked by the deadline
+// that is set, and here only that it comes long before the time they state.
+func TestPeersThatDoNotFinish(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	const head = "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\nX-Timeout: 60000m\r\n"
+	var peers sync.WaitGroup
+	for name, text := range map[string]string{"nothing": "", "part of a head": head,
+		"part of a body":                   head + "Content-Length: 9\r\n\r\nhalf",
+		"part of a body that nobody reads": strings.Replace(head, "confirm", "none", 1) + "Content-Length: 9\r\n\r\nhalf",
+		"part of a body to an own page":    strings.Replace(head, "confirm", "-", 1) + "Content-Length: 9\r\n\r\nhalf",
+	} {
+		peers.Go(func() {
+			conn, err := net.Dial("tcp", r.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, text)
+			_ = conn.SetReadDeadline(time.Now().Add(patience))
+			if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s: still connected after %v", name, patience)
+			}
+		})
+	}
+	peers.Wait()
+	if n := len(s.requests()); n != 0 {
+		t.Errorf("%d of them reached the upstream", n)
+	}
+}
+
+func TestBodyDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		age, timeout time.Duration
+		want         time.Duration
+	}{
+		{"short time stated", 0, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"long time stated", 0, time.Minute, sendPatience},
+		{"late on a new connection", time.Second, time.Minute, sendPatience - time.Second},
+		{"on an older connection", time.Minute, time.Minute, sendPatience},
+	} {
+		now := time.Now()
+		ctx := context.WithValue(t.Context(), acceptedKey{}, now.Add(-c.age))
+		if got := bodyDeadline(ctx, c.timeout).Sub(now); got < c.want || got > c.want+patience/2 && c.want < sendPatience {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a connection that just ends where an answer is owed: also one whose time is up on arrival.
 func TestExpiredOnArrivalIsAnswered(t *testing.T) {
 	s := newUpstream(t, says(ok200("")))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,8 +27,10 @@
 	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
 	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
 	killAfter   = 3500 * time.Millisecond
-	readHeader  = 5 * time.Second
-	clientIdle  = 2 * time.Minute
+	// A peer that sends no whole request is cut off this long after it connected: it is owed an answer or a close
+	// within 3 s, and a connection without a request may be closed from 2 s on.
+	sendPatience = 2500 * time.Millisecond
+	clientIdle   = 2 * time.Minute
 )
 
 // Run serves until ctx ends, then finishes what it has taken. Of a configuration that comes from reloads it takes
@@ -73,8 +75,11 @@
 	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad,
 		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
 	conns := newClientConns(listener, connections)
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeader, IdleTimeout: clientIdle,
-		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state}
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
+		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, acceptedKey{}, time.Now())
+		}}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(conns) }()
 	for ctx.Err() == nil {
