balancer: do not take a shock of lost answers for an overload

Symptom: from 8 s to 19 s 60 to 85% of the orders are refused at once, while those that are let in are answered with a median of 45 ms of an aim of 190.

Evidence: the counts show 25 to 40 time-outs per 5 s and sidecar, not a byte of any of those answers in 2.7 s, on used and new connections of all servers, while the same servers answered others; about as many as connections opened. The terms of the pressure beside them: 22 in hand and 320 served a second before, 41 in hand at the shock, then the limit at its least, 6 in hand (most of them waiting in vain), 20 served a second, and a pressure of 2 for ten seconds. Refusals lower what is served, and what is served is what the pressure is measured by.

Lines at fault: balancer.pressure compared what is in hand with the rate served down to one request for each upstream of the sidecar's share, where both are mostly its own refusals and what hangs. Up to eight for each it now goes by how long recent attempts took, as it did below five in all. An attempt whose upstream has served what it was sent 1.5 aims later is lost: it does not count there, nor as a slow attempt.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -53,6 +53,8 @@
 	subsetEvery  = 2 * time.Second  // each upstream of the subset is heard about this often
 	subsetMin    = 4                // two to compare, and spares while some are out
 	fewInHand    = 5.0              // below, what is served tells too little
+	fewEach      = 8.0              // nor below so many for each upstream of its share: none is crowded
+	lostAims     = 1.5              // what an upstream was sent so much later and has served tells of a loss
 	crowdWeight  = 0.12             // weight of an attempt in the crowding seen: about the last eight
 	crowdFrom    = 0.62             // shed from this share on, early as it is late by some attempts
 	crowdMost    = 1.5              // aims: a hung upstream is not a crowd
@@ -80,6 +82,7 @@
 	out      []*attempt // attempts without outcome, oldest first
 
 	heard       time.Duration // when it last answered
+	answered    time.Duration // when the latest of the attempts that it served was sent
 	fails       int           // attempts sent since then that failed
 	silentSince time.Duration // when the first of them was sent
 	errors      int           // error answers in a row
@@ -116,6 +119,7 @@
 	out      int
 	stale    bool // a repeat whose aim has passed
 	done     bool
+	lost     bool          // nothing will come of its attempt
 	stream   bool          // the answer has begun
 	lateAt   time.Duration // when its latest attempt is late
 }
@@ -150,6 +154,7 @@
 	ranked   int
 	limit    float64       // share of their aim that requests in hand may wait
 	waiting  int           // requests in hand
+	lost     int           // of them, those of which nothing will come
 	crowd    float64       // mean share of their aim that recent attempts took
 	crowdAt  time.Duration // when the latest of them ended
 	inHand   float64       // sum of their 1/aim
@@ -235,6 +240,7 @@
 	b.reqs[r.id] = r
 	b.hold(r, 1)
 	b.after(r.end, timerEnd, r)
+	b.after(b.now+seconds(lostAims*b.meanAim), timerLost, r)
 	if b.now >= r.end || !b.admit(r) {
 		b.giveUp(r)
 		return
@@ -442,6 +448,9 @@
 	}
 	r.done = true
 	b.hold(r, -1)
+	if r.lost {
+		b.lost--
+	}
 	b.forget(r)
 }
 
@@ -752,19 +761,36 @@
 // above 1 they would take more than the limit of their aim on average. Guards against queues that grow
 // faster than late answers tell of, and against jams that feed on themselves. What is in hand only since a
 // moment counts less, so that a burst on a calm day passes. With few in hand a rate of answers is noise:
-// there it is the share of their aim that recent attempts took.
+// there, and while no upstream can be crowded, it is the share of their aim that recent attempts took: what
+// is served falls with what we refuse, and would keep us refusing after a shock.
 func (b *Balancer) pressure() float64 {
 	n := float64(b.waiting)
-	if n < float64(len(b.list))/float64(b.set.Balancers) { // less than one for each upstream of its share
+	each := (n - float64(b.lost)) * float64(b.set.Balancers) / float64(len(b.list)) // of its share
+	if each < 1 {
 		return 0
 	}
-	if n < fewInHand {
+	if n < fewInHand || each < fewEach {
 		return b.crowd * math.Exp(-float64(b.now-b.crowdAt)/float64(crowdMemory)) / crowdFrom
 	}
 	age := (time.Duration(b.waiting)*b.now - b.arrivals).Seconds() / n // mean
 	return min(1, age*b.inHand/n/limitAge) * min(pressureMax, b.inHand/(b.limit*max(b.served.per(b.now), 1e-3)))
 }
 
+// lookLost looks now and then whether a request's attempt is lost: its upstream has served what it was sent
+// long after it, which no queue does. Guards against answers that never come, on a path that goes silent,
+// say: a few would fill what is in hand, and the rest be refused for them.
+func (b *Balancer) lookLost(r *request) {
+	if n := len(r.attempts); n > 0 {
+		last := r.attempts[n-1]
+		if last.u.answered-last.sent > seconds(lostAims*b.meanAim) {
+			r.lost = true
+			b.lost++
+			return
+		}
+	}
+	b.after(b.now+seconds(b.meanAim/2), timerLost, r)
+}
+
 // learnLimit narrows the limit for a request that ended late under pressure, and widens it for one in time.
 // Guards against upstreams that slow down when crowded; one not heard since is hung, not crowded.
 func (b *Balancer) learnLimit(r *request) {
@@ -842,12 +868,13 @@
 	if res == Overloaded {
 		took = crowdMost
 	}
-	if res != Moot && res != ConnectFailed && (res != Cancelled || took > b.crowd) {
+	if res != Moot && res != ConnectFailed && !a.r.lost && (res != Cancelled || took > b.crowd) {
 		b.crowd += crowdWeight * (took - b.crowd)
 		b.crowdAt = b.now
 	}
 	switch res {
 	case OK:
+		a.u.answered = max(a.u.answered, a.sent)
 		b.served.add(1, b.now)
 		c := a.r.class
 		c.mean += meanWeight * (x - c.mean)
@@ -902,6 +929,8 @@
 			b.giveUp(t.r)
 		case t.kind == timerLate:
 			b.lateAttempt(t.r)
+		case t.kind == timerLost:
+			b.lookLost(t.r)
 		case t.r.out == 0:
 			b.move(t.r)
 		}
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -13,6 +13,7 @@
 	timerEnd timerKind = iota
 	timerLate
 	timerHeld
+	timerLost
 	timerAsk
 )
 
