--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -328,6 +328,11 @@
 	} else {
 		b.retries = max(b.retries-1, 0) // refused connections cost nothing and are not held to it
 	}
+	if r.lost { // by the attempt before
+		r.lost = false
+		b.lost--
+		b.after(b.now+seconds(lostAims*b.meanAim), timerLost, r)
+	}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	u.out = append(u.out, a)
--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -321,6 +321,31 @@
 	}
 }
 
+// A request counts as lost for as long as its attempt is: not when it is sent again, and not when it has ended.
+func TestLostIsTheAttemptNotTheRequest(t *testing.T) {
+	s := testSettings()
+	s.SecondCopies = false
+	r := newRig(t, s)
+	r.fleet(1)
+	r.wantSend(r.request("lost", "c", time.Second))
+	r.now += 350 * ms
+	r.wantSend(r.request("later", "c", time.Second))
+	r.now += 20 * ms
+	r.result("later", 0, OK, 20*ms)
+	r.pass(150 * ms)
+	if r.b.lost != 1 {
+		t.Fatalf("%d lost, where one was overtaken by more than an aim and a half", r.b.lost)
+	}
+	r.wantSend(r.result("lost", 0, Reset, 500*ms))
+	if r.b.lost != 0 {
+		t.Errorf("%d lost after it was sent again", r.b.lost)
+	}
+	r.pass(time.Second)
+	if r.b.lost != 0 || r.b.waiting != 0 {
+		t.Errorf("%d lost, %d in hand after all has ended", r.b.lost, r.b.waiting)
+	}
+}
+
 // A cut zone with the list lost: work stays home, the cut zone is left alone but for trials, and comes back.
 func TestZoneCutWithListLost(t *testing.T) {
 	s := testSettings()
