--- a/balancer/trouble_test.go
+++ b/balancer/trouble_test.go
@@ -324,7 +324,7 @@
 // A request counts as lost for as long as its attempt is: not when it is sent again, and not when it has ended.
 func TestLostIsTheAttemptNotTheRequest(t *testing.T) {
 	s := testSettings()
-	s.SecondCopies = false
+	s.SecondCopies, s.Classes[0].LateShare = false, 0.5 // it is worth waiting for after its aim
 	r := newRig(t, s)
 	r.fleet(1)
 	r.wantSend(r.request("lost", "c", time.Second))
