sidecar: a door for operators, figures, and upstreams taken out by hand

The module holds the ban as a set of ids (Ban events); the directory holds it too, so a write that was decided on before is stopped. What comes back is cold from then, first in its list and owed one request.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -75,7 +75,7 @@
 	FallTime     time.Duration // when kept up for this long
 }
 
-// Event is anything a sidecar reports: Members, Request, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Ban, Request, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
@@ -115,6 +115,13 @@
 	Entries []Member
 }
 
+// Ban takes an upstream out of use by hand, whatever lists say of it, until one with Lifted brings it back. It is
+// cold from then, or from a later start: operators restart upstreams meanwhile.
+type Ban struct {
+	Upstream string
+	Lifted   bool
+}
+
 // Request is a client's request, to be answered exactly once before Expires.
 type Request struct {
 	ID, Class, Tenant string
@@ -172,6 +179,7 @@
 }
 
 func (Members) event()     {}
+func (Ban) event()         {}
 func (Request) event()     {}
 func (FirstByte) event()   {}
 func (Outcome) event()     {}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,12 +9,13 @@
 // What the file guards:
 //   - one final answer for each request, in time: every request has an end timer (arrive, giveUp);
 //   - no effect twice: every attempt passes mayTry, every refusal mayRefuse;
-//   - drains: mayTry turns down what the list does not show active;
+//   - drains: mayTry turns down what the list does not show active, or what was banned by hand;
 //   - cold upstreams: mayTry draws on the cold upstream's budget (see "cold starts").
 
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -78,10 +79,12 @@
 
 type upstream struct {
 	id, zone string
+	machine  string
 	mean     *float64 // mean normalised latency of its kind of machine, seconds
 	weight   float64  // stated size
 	cell     int
 	listed   bool // active in the list
+	banned   bool // by hand
 	cameUp   time.Duration
 	est      estimate
 	out      []*attempt // attempts without outcome, oldest first
@@ -140,6 +143,9 @@
 	ups     map[string]*upstream
 	list    []*upstream // in an order drawn by this sidecar; see subset
 	homes   int         // of them, those in the home zone
+	banned  map[string]bool
+	lifted  map[string]time.Duration // when bans were lifted, while what they held back may be cold
+	owed    map[string]bool          // of them, those that were sent nothing since
 	reqs    map[string]*request
 	timers  timerHeap
 	armed   time.Duration // the earliest SetTimer out, 0: none
@@ -181,6 +187,7 @@
 	}
 	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
 		ups: map[string]*upstream{}, means: map[string]*float64{}, reqs: map[string]*request{},
+		banned: map[string]bool{}, lifted: map[string]time.Duration{}, owed: map[string]bool{},
 		limit: limitMax, atHome: 0.5,
 		tenants: make([]rate, len(s.Tenants)), retries: retryBurst, offered: rate{memory: rateMemory},
 		served: rate{memory: servedMemory}}
@@ -202,6 +209,8 @@
 	switch e := e.(type) {
 	case Members:
 		b.members(e)
+	case Ban:
+		b.ban(e)
 	case Request:
 		b.arrive(e)
 	case FirstByte:
@@ -286,7 +295,8 @@
 		b.send(r, u)
 		return
 	}
-	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) {
+	allBanned := len(b.list) > 0 && !slices.ContainsFunc(b.list, func(u *upstream) bool { return !u.banned })
+	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) || allBanned {
 		b.giveUp(r)
 		return
 	}
@@ -295,7 +305,10 @@
 
 // mayTry is the gate that every attempt passes.
 func (b *Balancer) mayTry(r *request, u *upstream) bool {
-	if r.done || r.stream || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires || !u.listed {
+	if r.done || r.stream || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires {
+		return false
+	}
+	if !u.listed || u.banned {
 		return false
 	}
 	if r.out > 0 && (!b.set.SecondCopies || r.class.Effect == Unsafe) {
@@ -346,6 +359,7 @@
 	r.out++
 	u.out = append(u.out, a)
 	u.tokens -= r.cost
+	delete(b.owed, u.id)
 	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
 	if r.class.Effect != Unsafe {
 		r.lateAt = b.now + b.patience(r)
@@ -478,8 +492,16 @@
 // ---- pick ----
 
 // pick returns the upstream for r's next attempt, or nil. The ordinary case is the lower load of two
-// random ready upstreams. Upstreams already tried are left out while another is ready.
+// random ready upstreams. Upstreams already tried are left out while another is ready. One that came back
+// from a ban gets its first request here: cold, it would lose every comparison while there is little to do.
 func (b *Balancer) pick(r *request) *upstream {
+	if len(b.owed) > 0 {
+		for _, u := range b.list {
+			if b.owed[u.id] && b.ready(u, r) && b.mayTry(r, u) {
+				return u
+			}
+		}
+	}
 	home, away, size := b.scratchA[:0], b.scratchB[:0], b.subset()
 	collect := func(ok func(*upstream) bool) {
 		for _, u := range b.list {
@@ -755,21 +777,7 @@
 		return
 	}
 	if u == nil || u.cameUp != m.CameUp { // a new process: what was learnt of the old one is void
-		old := u
-		if b.means[m.Machine] == nil {
-			b.means[m.Machine] = new(b.fleet)
-		}
-		u = &upstream{id: m.Upstream, mean: b.means[m.Machine], cameUp: m.CameUp}
-		u.est = estimate{*u.mean, b.now}
-		if m.CameUp > 0 && b.now-m.CameUp < b.set.WarmUp {
-			b.chill(u, m.CameUp)
-		}
-		b.ups[u.id] = u
-		if i := slices.Index(b.list, old); old != nil && i >= 0 {
-			b.list[i] = u
-		} else {
-			b.list = slices.Insert(b.list, b.rng.IntN(len(b.list)+1), u)
-		}
+		u = b.renew(u, m)
 	}
 	u.listed, u.zone, u.cell, u.weight = true, m.Zone, m.Cell, 1
 	if m.Weight > 0 && !math.IsInf(m.Weight, 0) {
@@ -777,6 +785,71 @@
 	}
 }
 
+// renew puts a new upstream in the place of old, or where chance says. One whose ban was lifted of late is
+// cold from then at the least, and stands first, so that its subset holds it.
+func (b *Balancer) renew(old *upstream, m Member) *upstream {
+	if b.means[m.Machine] == nil {
+		b.means[m.Machine] = new(b.fleet)
+	}
+	u := &upstream{id: m.Upstream, machine: m.Machine, mean: b.means[m.Machine], cameUp: m.CameUp}
+	u.est, u.banned = estimate{*u.mean, b.now}, b.banned[u.id]
+	at, from := slices.Index(b.list, old), m.CameUp
+	when, back := b.lifted[u.id]
+	if from = max(from, when); from > 0 && b.now-from < b.set.WarmUp {
+		b.chill(u, from)
+	}
+	if b.owed[u.id] {
+		u.tokens = 1 // one request alone pushes nothing over
+	}
+	if at >= 0 {
+		b.list = slices.Delete(b.list, at, at+1)
+	} else {
+		at = b.rng.IntN(len(b.list) + 1)
+	}
+	if back {
+		at = 0
+	}
+	b.list = slices.Insert(b.list, at, u)
+	b.ups[u.id] = u
+	return u
+}
+
+// ban keeps work from an upstream, or lifts that. What comes back is cold and its estimates are void:
+// operators restart it meanwhile, and discovery may tell so late or never.
+func (b *Balancer) ban(e Ban) {
+	maps.DeleteFunc(b.lifted, func(_ string, at time.Duration) bool { return b.now-at > b.set.WarmUp })
+	maps.DeleteFunc(b.owed, func(id string, _ bool) bool { return b.lifted[id] == 0 })
+	u := b.ups[e.Upstream]
+	if !e.Lifted {
+		b.banned[e.Upstream] = true
+		delete(b.lifted, e.Upstream)
+		delete(b.owed, e.Upstream)
+		if u != nil {
+			u.banned = true
+		}
+		return
+	}
+	if !b.banned[e.Upstream] {
+		return
+	}
+	delete(b.banned, e.Upstream)
+	b.lifted[e.Upstream], b.owed[e.Upstream] = b.now, true
+	if u != nil {
+		back := b.renew(u, Member{Upstream: u.id, Machine: u.machine, CameUp: u.cameUp})
+		back.listed, back.zone, back.cell, back.weight = true, u.zone, u.cell, u.weight
+	}
+}
+
+// Ejected names the upstreams that are left out now for their failures.
+func (b *Balancer) Ejected(now time.Duration) (ids []string) {
+	for _, u := range b.list {
+		if now < u.until {
+			ids = append(ids, u.id)
+		}
+	}
+	return ids
+}
+
 func (b *Balancer) ask() {
 	b.asking = true
 	b.act(Action{Kind: Subscribe})
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -18,6 +18,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string
+	Ops       string // where operators connect; empty: nowhere
 	Seed      uint64
 	Limits    Limits
 	Known     *listing // the list of upstreams as last held; nil: none
@@ -51,6 +52,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if own := os.Getenv("GW_OPS"); own != "" { // each process of an upgrade has its own; the file may be shared
+		if err := checkAddress(own); err != nil {
+			return nil, fmt.Errorf("GW_OPS: %w", err)
+		}
+		c.Ops = own
+	}
 	return c, nil
 }
 
@@ -59,6 +66,7 @@
 func parseConfig(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
+		Ops                           string
 		Limits                        *Limits
 		Known                         json.RawMessage
 		Settings                      json.RawMessage
@@ -66,8 +74,11 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery}
-	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops}
+	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"ops", c.Ops}} {
+		if a.key == "ops" && a.address == "" {
+			continue // no door
+		}
 		if err := checkAddress(a.address); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +74,10 @@
 	return max(0, clockStart+time.UnixMilli(int64(min(ms, 1e15))).Sub(c.start))
 }
 
-// directory holds where upstreams are and whether they want requests. Discovery's reader updates it as soon as
+// goneMost is how many upstreams that left the list stay known: operators may call one out that is just restarting.
+const goneMost = 256
+
+// directory holds where upstreams are and whether they want requests, and which are banned by hand. Discovery's reader updates it as soon as
 // a message is in, ahead of the loop, so that a request decided on before is still stopped at its write.
 type directory struct {
 	clock  clock
@@ -82,6 +86,9 @@
 	mu     sync.RWMutex
 	places map[string]place // of the upstreams that want requests, by name
 	zones  map[string]string
+	listed map[string]bool // by discovery, those that drain too
+	banned map[string]bool // by hand, whatever the list says
+	gone   []string        // left the list; the latest last, bounded
 }
 
 // place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
@@ -91,7 +98,8 @@
 }
 
 func newDirectory(c clock, onDrop func(string)) *directory {
-	return &directory{clock: c, onDrop: onDrop, places: map[string]place{}, zones: map[string]string{}}
+	return &directory{clock: c, onDrop: onDrop, places: map[string]place{}, zones: map[string]string{},
+		listed: map[string]bool{}, banned: map[string]bool{}}
 }
 
 // apply takes in a message and translates it for the module.
@@ -104,6 +112,9 @@
 		m.Kind = balancer.Full
 		before, d.places = d.places, map[string]place{}
 		clear(d.zones)
+		for name := range d.listed {
+			d.leaveLocked(name)
+		}
 	}
 	for _, e := range l.Endpoints {
 		if !l.Snapshot {
@@ -113,13 +124,16 @@
 		switch e.Status {
 		case statusReady:
 			state = balancer.Active
+			d.listed[e.Name] = true
 			d.places[e.Name] = place{e.Address, e.SinceMs}
 			d.zones[e.Name] = e.Zone
 		case statusTerminating:
 			state = balancer.Leaving
+			d.listed[e.Name] = true
 			delete(d.places, e.Name)
 		default:
 			delete(d.places, e.Name)
+			d.leaveLocked(e.Name)
 		}
 		m.Entries = append(m.Entries, balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type,
 			Cell: e.Group, State: state, CameUp: d.clock.unixMs(e.SinceMs), Weight: e.Weight})
@@ -136,12 +150,54 @@
 	return m
 }
 
-// place is where an upstream takes requests now; nowhere while it drains or is gone.
+// leaveLocked is called with mu held.
+func (d *directory) leaveLocked(name string) {
+	if !d.listed[name] {
+		return
+	}
+	delete(d.listed, name)
+	d.gone = append(slices.DeleteFunc(d.gone, func(x string) bool { return x == name }), name)
+	if len(d.gone) > goneMost {
+		d.gone = slices.Delete(d.gone, 0, 1)
+	}
+}
+
+// ban takes an upstream out of use by hand, or with lifted back; false where nobody has that id. It holds at once for
+// what was decided before: the write looks, see upstreamConn.
+func (d *directory) ban(name string, lifted bool) bool {
+	d.mu.Lock()
+	known := d.listed[name] || d.banned[name] || slices.Contains(d.gone, name)
+	switch {
+	case lifted:
+		delete(d.banned, name)
+	case known:
+		d.banned[name] = true
+	}
+	d.mu.Unlock()
+	if known && !lifted {
+		d.onDrop(name)
+	}
+	return known
+}
+
+// avoided counts the listed upstreams, and those of them that are banned or among the ejected.
+func (d *directory) avoided(ejected []string) (listed, avoided int) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for name := range d.listed {
+		if d.banned[name] || slices.Contains(ejected, name) {
+			avoided++
+		}
+	}
+	return len(d.listed), avoided
+}
+
+// place is where an upstream takes requests now; nowhere while it drains, is gone or is banned.
 func (d *directory) place(name string) (place, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	at, ok := d.places[name]
-	return at, ok
+	return at, ok && !d.banned[name]
 }
 
 // zone is where an upstream stands, or "gone".
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -22,11 +22,14 @@
 	bad     *lines                           // on requests that ended badly
 	slow    *lines                           // on those served late
 	late    func(class string) time.Duration // after which an answer is late
-	counts  counts
-	sockets func() string // words the connections' state for the line of counts
+	counts  counts                           // of attempts
+	stats   *stats
+	told    figures                // as of the last line of counts
+	look    func(ejected []string) // feeds the figures on upstreams; nil: nobody reads them
+	sockets func() string          // words the connections' state for the line of counts
 	zone    func(upstream string) string
 
-	lists  chan balancer.Members
+	news   chan any // balancer.Members, ban: what comes before requests
 	events chan any // arrival, gone, ended, abort
 	stop   <-chan struct{}
 
@@ -35,7 +38,10 @@
 	timer   *time.Timer
 }
 
-const countsEvery = 5 * time.Second
+const (
+	countsEvery = 5 * time.Second
+	lookEvery   = 200 * time.Millisecond // figures may lag by 0.5 s
+)
 
 // flight is a request that the module knows. It stays until it has its final answer and all outcomes.
 type flight struct {
@@ -68,6 +74,7 @@
 	refused
 	failed
 	duplicate // another request of this id is in hand
+	left      // none: the client went before
 )
 
 type arrival struct{ request *clientRequest }
@@ -82,11 +89,17 @@
 	reply   reply
 }
 
+// ban brings a call of operators; done is closed once the module has it.
+type ban struct {
+	balancer.Ban
+	done chan struct{}
+}
+
 // abort fails all requests in hand: the process is about to be killed.
 type abort struct{}
 
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
-	l := &loop{clock: clk, b: b, lists: make(chan balancer.Members, 16), events: make(chan any, 256), stop: stop,
+	l := &loop{clock: clk, b: b, news: make(chan any, 16), stats: newStats(), events: make(chan any, 256), stop: stop,
 		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(badLines), slow: newLines(lateLines), counts: newCounts(),
 		sockets: func() string { return "" }, zone: func(string) string { return "" }, late: func(string) time.Duration { return math.MaxInt64 }}
 	l.timer.Stop()
@@ -103,46 +116,69 @@
 	}
 }
 
-func (l *loop) postList(m balancer.Members) {
+func (l *loop) postList(m balancer.Members) { l.postNews(m) }
+
+// postNews reports what comes before requests that wait: it may forbid what they would be sent to.
+func (l *loop) postNews(e any) {
 	select {
-	case l.lists <- m:
+	case l.news <- e:
 	case <-l.stop:
 	}
 }
 
-// run handles events until stop, beginning with the list as it was last known. News of the list comes before
-// requests that wait: it may forbid what they would be sent to.
+// run handles events until stop, beginning with the list as it was last known.
 func (l *loop) run(known balancer.Members) {
 	l.handle(known)
 	l.started.Store(true)
 	tell := time.NewTicker(countsEvery)
 	defer tell.Stop()
+	var look <-chan time.Time
+	if l.look != nil {
+		ticker := time.NewTicker(lookEvery)
+		defer ticker.Stop()
+		look = ticker.C
+		l.look(nil)
+	}
 	for {
 		select {
-		case m := <-l.lists:
-			l.handle(m)
+		case e := <-l.news:
+			l.urgent(e)
 			continue
 		default:
 		}
 		select {
-		case m := <-l.lists:
-			l.handle(m)
+		case e := <-l.news:
+			l.urgent(e)
 		case e := <-l.events:
 			l.event(e)
 		case <-l.timer.C:
 			l.handle(balancer.Wake{})
 		case <-tell.C:
-			log.Printf("%v; in hand %d%s", &l.counts, len(l.flights), l.sockets())
+			now := l.stats.snapshot()
+			log.Printf("%s; %v; in hand %d%s", now.since(&l.told), &l.counts, len(l.flights), l.sockets())
+			l.told = now
 			if len(l.counts.upstreams) > 0 {
 				log.Printf("by upstream:%s", l.counts.byUpstream(l.zone))
 			}
 			l.counts = newCounts()
+		case <-look:
+			l.look(l.b.Ejected(l.clock.now()))
 		case <-l.stop:
 			return
 		}
 	}
 }
 
+func (l *loop) urgent(e any) {
+	switch e := e.(type) {
+	case balancer.Members:
+		l.handle(e)
+	case ban:
+		l.handle(e.Ban)
+		close(e.done)
+	}
+}
+
 func (l *loop) event(e any) {
 	switch e := e.(type) {
 	case arrival:
@@ -151,14 +187,12 @@
 			r.answer <- answer{kind: duplicate}
 			return
 		}
-		l.counts.taken++
 		l.flights[r.id] = &flight{request: r, taken: l.clock.now()}
 		l.handle(balancer.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Expires: r.expires, Hint: r.hint})
 		l.forget(r.id)
 	case gone:
 		if f := l.flights[e.request.id]; f != nil && f.request == e.request && !f.done {
 			f.done = true
-			l.counts.gone++
 			l.bad.printf("%s %s client gone after %v%s", short(f.request.id), f.request.class,
 				ms(l.clock.now()-f.taken), f.trail(l.clock.now()))
 			l.handle(balancer.Gone{ID: e.request.id})
@@ -263,7 +297,6 @@
 	if f := l.flights[id]; f != nil && !f.done {
 		f.done = true
 		f.request.answer <- a
-		l.counts.answers[a.kind]++
 		now := l.clock.now()
 		to := l.bad
 		if a.kind == served {
--- /dev/null
+++ b/internal/sidecar/ops.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	doorConns    = 12                     // callers at once; their descriptors are set aside
+	doorLine     = 512                    // bytes in a call; an id is a short word
+	doorPatience = 5 * time.Second        // for a line: longer than callers are known to hold a connection without one
+	doorAnswer   = time.Second            // for a caller to take its answer
+	doorWait     = 800 * time.Millisecond // for the loop to take a ban in: an answer is owed in 1 s
+	doorLinger   = 100 * time.Millisecond // for what a caller still sends, so that its answer is not lost to a reset
+	acceptRest   = 20 * time.Millisecond  // after an accept that failed, for want of descriptors, say
+)
+
+// door is the second listener, for operators: one call a connection, one line a call. Calls never wait for requests.
+type door struct {
+	listener net.Listener
+	ready    func() bool
+	figures  func() string
+	ban      func(id string, lifted bool) error
+
+	mu      sync.Mutex
+	callers []net.Conn // that have not sent their line yet, the oldest first
+	open    sync.WaitGroup
+	slots   chan struct{} // one for each caller
+}
+
+func newDoor(l net.Listener) *door { return &door{listener: l, slots: make(chan struct{}, doorConns)} }
+
+// run serves callers until close.
+func (d *door) run() {
+	for {
+		c, err := d.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptRest)
+			continue
+		}
+		select {
+		case d.slots <- struct{}{}:
+		default: // full: the caller that has been silent for longest gives way
+			d.mu.Lock()
+			if len(d.callers) > 0 {
+				d.callers[0].Close()
+				d.callers = slices.Delete(d.callers, 0, 1)
+			}
+			d.mu.Unlock()
+			d.slots <- struct{}{} // the others answer within doorWait
+		}
+		d.mu.Lock()
+		d.callers = append(d.callers, c)
+		d.mu.Unlock()
+		d.open.Add(1)
+		go func() {
+			defer d.open.Done()
+			defer func() { <-d.slots }()
+			defer c.Close()
+			d.serve(c)
+		}()
+	}
+}
+
+// close ends the listener and all callers.
+func (d *door) close() {
+	d.listener.Close()
+	d.mu.Lock()
+	for _, c := range d.callers {
+		c.Close()
+	}
+	d.mu.Unlock()
+	d.open.Wait()
+}
+
+func (d *door) serve(c net.Conn) {
+	// Deadlines can't fail on an open connection; on one that gave way the read shows it.
+	_ = c.SetReadDeadline(time.Now().Add(doorPatience))
+	line, err := bufio.NewReaderSize(c, doorLine).ReadSlice('\n')
+	d.mu.Lock()
+	d.callers = slices.DeleteFunc(d.callers, func(x net.Conn) bool { return x == c })
+	d.mu.Unlock()
+	var answer string
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		answer = "NO the line is too long\n"
+	case errors.Is(err, io.EOF) && len(line) > 0: // the caller ended its sending with its last line
+		answer = d.call(string(line))
+	case err != nil:
+		answer = "NO a call is one line, and none came\n"
+	default:
+		answer = d.call(string(line))
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(doorAnswer))
+	if _, err := io.WriteString(c, answer); err != nil {
+		return // the caller has gone
+	}
+	if half, ok := c.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(doorLinger))
+		_, _ = io.CopyN(io.Discard, c, 16*doorLine)
+	}
+}
+
+// call answers one line.
+func (d *door) call(line string) string {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return "NO the line is empty\n"
+	}
+	name, args := words[0], words[1:]
+	switch name {
+	case "READY", "STATS":
+		if len(args) > 0 {
+			return fmt.Sprintf("NO %s takes nothing more\n", name)
+		}
+		if name == "STATS" {
+			return d.figures() + "END\n"
+		}
+		if !d.ready() {
+			return "NO this process takes no clients\n"
+		}
+		return "YES\n"
+	case "DISABLE", "ENABLE":
+		if len(args) != 1 {
+			return fmt.Sprintf("NO %s takes one id\n", name)
+		}
+		if err := d.ban(args[0], name == "ENABLE"); err != nil {
+			return fmt.Sprintf("NO %v\n", err)
+		}
+		return "YES\n"
+	}
+	return fmt.Sprintf("NO no such call: %s\n", short(name))
+}
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -97,12 +97,10 @@
 
 func ms(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
-// counts is what happened since the last line on it. The loop owns it.
+// counts is what became of attempts since the last line on it. The loop owns it; for requests, see stats.
 type counts struct {
-	taken, gone int
-	answers     map[answerKind]int // served counts those in time too
-	results     map[balancer.Result]int
-	upstreams   map[string]*upstreamCounts // those with an attempt that ended; at most as many as are listed
+	results   map[balancer.Result]int
+	upstreams map[string]*upstreamCounts // those with an attempt that ended; at most as many as are listed
 }
 
 // upstreamCounts is what became of the attempts at one upstream.
@@ -112,7 +110,7 @@
 }
 
 func newCounts() counts {
-	return counts{answers: map[answerKind]int{}, results: map[balancer.Result]int{}, upstreams: map[string]*upstreamCounts{}}
+	return counts{results: map[balancer.Result]int{}, upstreams: map[string]*upstreamCounts{}}
 }
 
 // ended counts an attempt. One that was never sent tells nothing of its upstream.
@@ -152,8 +150,7 @@
 }
 
 func (c *counts) String() string {
-	return fmt.Sprintf("taken %d, served %d, refused %d, failed %d, gone %d; attempts ok %d error %d full %d timeout %d "+
-		"connect %d reset %d cancelled %d moot %d", c.taken, c.answers[served], c.answers[refused], c.answers[failed], c.gone,
+	return fmt.Sprintf("attempts ok %d error %d full %d timeout %d connect %d reset %d cancelled %d moot %d",
 		c.results[balancer.OK], c.results[balancer.ServerError], c.results[balancer.Overloaded], c.results[balancer.Timeout],
 		c.results[balancer.ConnectFailed], c.results[balancer.Reset], c.results[balancer.Cancelled], c.results[balancer.Moot])
 }
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -224,6 +224,7 @@
 	err     error
 	client  *http.Client
 	reloads chan *Config
+	ops     net.Listener // nil: no door
 }
 
 func start(t *testing.T, c *Config, listen string) *running {
@@ -235,8 +236,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{address: l.Addr().String(), stop: cancel, ended: make(chan struct{}),
 		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan *Config)}
+	if c.Ops != "" {
+		if r.ops, err = net.Listen("tcp", c.Ops); err != nil {
+			t.Fatal(err)
+		}
+	}
 	go func() {
-		r.err = serve(ctx, c, l, r.reloads)
+		r.err = serve(ctx, c, l, r.ops, r.reloads)
 		close(r.ended)
 	}()
 	t.Cleanup(func() {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -67,7 +67,8 @@
 	post     func(any) bool
 	stop     <-chan struct{}
 	ready    func() bool
-	bad      *lines      // on requests that are turned away
+	bad      *lines // on requests that are turned away
+	stats    *stats
 	stopping atomic.Bool // connections are to end with their next answer
 }
 
@@ -97,17 +98,23 @@
 		s.say(w, bad.status, bad.text)
 		return
 	}
+	how := left
+	s.stats.begin()
+	defer func() { s.stats.end(req.class, how) }()
 	if !s.post(arrival{req}) {
+		how = failed
 		s.say(w, http.StatusInternalServerError, "stopped")
 		return
 	}
 	select {
 	case a := <-req.answer:
+		how = a.kind
 		s.finish(w, a)
 	case <-r.Context().Done():
 		s.post(gone{req})
 		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
 	case <-s.stop:
+		how = failed
 		s.say(w, http.StatusInternalServerError, "stopped")
 	}
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -220,7 +220,7 @@
 // Guards against work for clients that have left.
 func TestClientGone(t *testing.T) {
 	events := make(chan any, 2)
-	s := &server{clock: newClock(), classes: map[string]balancer.Class{"search": {Deadline: patience}},
+	s := &server{stats: newStats(), clock: newClock(), classes: map[string]balancer.Class{"search": {Deadline: patience}},
 		post: func(e any) bool { events <- e; return true }}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: patience}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,11 +10,13 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"math"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"granitehinge/balancer"
@@ -42,11 +44,22 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	return serve(ctx, c, listener, reloads)
+	var ops net.Listener
+	if c.Ops != "" {
+		if ops, err = net.Listen("tcp", c.Ops); err != nil {
+			listener.Close()
+			return fmt.Errorf("listening for operators: %w", err)
+		}
+	}
+	return serve(ctx, c, listener, ops, reloads)
 }
 
-func serve(ctx context.Context, c *Config, listener net.Listener, reloads <-chan *Config) error {
+// serve owns both listeners; ops may be nil.
+func serve(ctx context.Context, c *Config, listener, ops net.Listener, reloads <-chan *Config) error {
 	defer listener.Close()
+	if ops != nil {
+		defer ops.Close()
+	}
 	b, err := balancer.New(c.Settings.Settings, c.Seed)
 	if err != nil {
 		return err
@@ -54,7 +67,11 @@
 	clk := newClock()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	connections := (c.Limits.Sockets - ownSockets) / 2
+	own := ownSockets
+	if ops != nil {
+		own += doorConns + 2 // the listener, and the caller that another gives way to
+	}
+	connections := (c.Limits.Sockets - own) / 2
 	up := newUpstreams(c, clk, connections)
 	l := newLoop(b, clk, running.Done())
 	w := newWatcher(c, up.dir, l.postList)
@@ -69,11 +86,24 @@
 		known = up.dir.apply(c.Known)
 	}
 	known.Kind = balancer.Saved
+	up.dispatched = l.stats.dispatched
+	l.stats.name(slices.Collect(maps.Keys(classes)))
+	if ops != nil {
+		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
+	}
 	go l.run(known)
 	go w.run(running, c.Settings.MustSubscribe)
 
-	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad,
+	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats,
 		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
+	if ops != nil {
+		d := newDoor(ops)
+		d.ready = func() bool { return s.ready() && !s.stopping.Load() }
+		d.figures = func() string { now := l.stats.snapshot(); return now.lines() }
+		d.ban = func(id string, lifted bool) error { return banned(up.dir, l, id, lifted) }
+		go d.run()
+		defer d.close()
+	}
 	conns := newClientConns(listener, connections)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state,
@@ -95,6 +125,26 @@
 	return drain(srv, s, conns, l)
 }
 
+// banned takes an upstream out of use by hand, or with lifted back: in the directory, which what is decided already
+// is held to, and then in the module.
+func banned(dir *directory, l *loop, id string, lifted bool) error {
+	if !dir.ban(id, lifted) {
+		return fmt.Errorf("no upstream is called %s", short(id))
+	}
+	b := ban{balancer.Ban{Upstream: id, Lifted: lifted}, make(chan struct{})}
+	late := time.NewTimer(doorWait)
+	defer late.Stop()
+	go l.postNews(b) // ends with the loop
+	select {
+	case <-b.done:
+		return nil
+	case <-late.C:
+		return errors.New("too busy to confirm it in time, call again")
+	case <-l.stop:
+		return errors.New("this process ends")
+	}
+}
+
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
 // process is killed.
 func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -32,6 +32,7 @@
 	maxIdle        time.Duration
 	lateMost       time.Duration // for how long a connection waits for an answer that comes too late
 	most           int           // connections
+	dispatched     func()        // an attempt was written whole
 
 	mu     sync.Mutex
 	open   int
@@ -41,7 +42,7 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{connectTimeout: c.Settings.ConnectTimeout, most: most,
+	u := &upstreams{dispatched: func() {}, connectTimeout: c.Settings.ConnectTimeout, most: most,
 		maxIdle: time.Duration(float64(c.Settings.ConnIdle) * idlePart)}
 	for _, class := range c.Settings.Classes {
 		u.lateMost = max(u.lateMost, class.Deadline)
@@ -186,7 +187,12 @@
 	c.allowed = func() bool { return u.dir.ready(c.name, c.at) }
 	c.begun.Store(false)
 	c.encoded.Store(false)
-	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { c.encoded.Store(i.Err == nil) }}
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		c.encoded.Store(i.Err == nil)
+		if i.Err == nil && !c.writeErr.Load() {
+			u.dispatched()
+		}
+	}}
 	req := r.outgoing(httptrace.WithClientTrace(life, trace), c.at.address)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Microseconds(), 1)
