sidecar: an upgrade under load: the socket handed on, a link between both processes

Built as the design says; what the old process still holds is told every 20 ms.

Open: more client connections are opened than the upgrades explain (4,000 to 5,000 for 15,000 requests), and refusals while upstreams are released at the same time.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -16,6 +18,7 @@
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
+	paused bool                   // another process takes clients
 	quiet  map[net.Conn]time.Time // between requests, since when; zero: busy
 }
 
@@ -26,13 +29,66 @@
 }
 
 func (c *clientConns) Accept() (net.Conn, error) {
+	for {
+		c.mu.Lock()
+		for (c.paused || len(c.quiet) >= c.most) && !c.closed {
+			if !c.paused {
+				c.closeQuietest()
+			}
+			c.room.Wait()
+		}
+		c.mu.Unlock()
+		conn, err := c.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) { // see pause
+			return conn, err
+		}
+	}
+}
+
+// pause ends accepting until pause(false), and leaves the listener open: another process may hold it too.
+func (c *clientConns) pause(on bool) {
 	c.mu.Lock()
-	for len(c.quiet) >= c.most && !c.closed {
-		c.closeQuietest()
-		c.room.Wait()
+	c.paused = on
+	c.mu.Unlock()
+	var at time.Time
+	if on {
+		at = time.Unix(1, 0) // long ago: it wakes an Accept that waits
+	}
+	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = l.SetDeadline(at) // fails on a closed listener only, which accepts nothing
 	}
+	c.room.Broadcast()
+}
+
+// limit bounds the connections anew.
+func (c *clientConns) limit(most int) {
+	c.mu.Lock()
+	c.most = max(most, 1)
 	c.mu.Unlock()
-	return c.Listener.Accept()
+	c.room.Broadcast()
+}
+
+func (c *clientConns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.quiet)
+}
+
+// awaitNone waits until no connection is left, but not longer than that.
+func (c *clientConns) awaitNone(most time.Duration) {
+	late := false
+	timer := time.AfterFunc(most, func() {
+		c.mu.Lock()
+		late = true
+		c.mu.Unlock()
+		c.room.Broadcast()
+	})
+	defer timer.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.quiet) > 0 && !late {
+		c.room.Wait()
+	}
 }
 
 func (c *clientConns) closeQuietest() {
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,18 +78,18 @@
 // goneMost is how many upstreams that left the list stay known: operators may call one out that is just restarting.
 const goneMost = 256
 
-// directory holds where upstreams are and whether they want requests, and which are banned by hand. Discovery's reader updates it as soon as
-// a message is in, ahead of the loop, so that a request decided on before is still stopped at its write.
+// directory holds where upstreams are and whether they want requests, and which are banned by hand.
+// Discovery's reader updates it as soon as a message is in, ahead of the loop, so that a request decided on before
+// is still stopped at its write.
 type directory struct {
 	clock  clock
 	onDrop func(name string) // an upstream's connections are no longer wanted
 
-	mu     sync.RWMutex
-	places map[string]place // of the upstreams that want requests, by name
-	zones  map[string]string
-	listed map[string]bool // by discovery, those that drain too
-	banned map[string]bool // by hand, whatever the list says
-	gone   []string        // left the list; the latest last, bounded
+	mu      sync.RWMutex
+	index   int64
+	entries map[string]endpoint // the list, those that drain too
+	banned  map[string]bool     // by hand, whatever the list says
+	gone    []string            // left the list; the latest last, bounded
 }
 
 // place tells the processes of an upstream apart: connections to an earlier one are worth nothing.
@@ -98,51 +99,56 @@
 }
 
 func newDirectory(c clock, onDrop func(string)) *directory {
-	return &directory{clock: c, onDrop: onDrop, places: map[string]place{}, zones: map[string]string{},
-		listed: map[string]bool{}, banned: map[string]bool{}}
+	return &directory{clock: c, onDrop: onDrop, entries: map[string]endpoint{}, banned: map[string]bool{}}
+}
+
+// where is the place of an entry that wants requests; none is the zero place.
+func (e endpoint) where() place {
+	if e.Status != statusReady {
+		return place{}
+	}
+	return place{e.Address, e.SinceMs}
 }
 
 // apply takes in a message and translates it for the module.
 func (d *directory) apply(l *listing) balancer.Members {
 	m := balancer.Members{Kind: balancer.Change, Entries: make([]balancer.Member, 0, len(l.Endpoints))}
 	d.mu.Lock()
-	var dropped []string
-	before := map[string]place{}
+	d.index = *l.Index
+	before := map[string]endpoint{}
 	if l.Snapshot {
 		m.Kind = balancer.Full
-		before, d.places = d.places, map[string]place{}
-		clear(d.zones)
-		for name := range d.listed {
-			d.leaveLocked(name)
-		}
+		before, d.entries = d.entries, map[string]endpoint{}
 	}
 	for _, e := range l.Endpoints {
-		if !l.Snapshot {
-			before[e.Name] = d.places[e.Name]
+		if old, listed := d.entries[e.Name]; listed {
+			before[e.Name] = old
 		}
 		state := balancer.Left
 		switch e.Status {
 		case statusReady:
 			state = balancer.Active
-			d.listed[e.Name] = true
-			d.places[e.Name] = place{e.Address, e.SinceMs}
-			d.zones[e.Name] = e.Zone
+			d.entries[e.Name] = e
 		case statusTerminating:
 			state = balancer.Leaving
-			d.listed[e.Name] = true
-			delete(d.places, e.Name)
+			d.entries[e.Name] = e
 		default:
-			delete(d.places, e.Name)
-			d.leaveLocked(e.Name)
+			delete(d.entries, e.Name)
 		}
 		m.Entries = append(m.Entries, balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type,
 			Cell: e.Group, State: state, CameUp: d.clock.unixMs(e.SinceMs), Weight: e.Weight})
 	}
-	for name, at := range before {
-		if d.places[name] != at {
+	var dropped []string
+	for name, old := range before {
+		now, listed := d.entries[name]
+		if now.where() != old.where() {
 			dropped = append(dropped, name)
 		}
+		if !listed {
+			d.gone = append(slices.DeleteFunc(d.gone, func(x string) bool { return x == name }), name)
+		}
 	}
+	d.gone = slices.Delete(d.gone, 0, max(0, len(d.gone)-goneMost))
 	d.mu.Unlock()
 	for _, name := range dropped {
 		d.onDrop(name)
@@ -150,64 +156,80 @@
 	return m
 }
 
-// leaveLocked is called with mu held.
-func (d *directory) leaveLocked(name string) {
-	if !d.listed[name] {
-		return
-	}
-	delete(d.listed, name)
-	d.gone = append(slices.DeleteFunc(d.gone, func(x string) bool { return x == name }), name)
-	if len(d.gone) > goneMost {
-		d.gone = slices.Delete(d.gone, 0, 1)
+// whole is the list as it stands.
+func (d *directory) whole() *listing {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	index := d.index
+	l := &listing{Index: &index, Snapshot: true}
+	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
+		l.Endpoints = append(l.Endpoints, d.entries[name])
 	}
+	return l
 }
 
 // ban takes an upstream out of use by hand, or with lifted back; false where nobody has that id. It holds at once for
 // what was decided before: the write looks, see upstreamConn.
 func (d *directory) ban(name string, lifted bool) bool {
 	d.mu.Lock()
-	known := d.listed[name] || d.banned[name] || slices.Contains(d.gone, name)
-	switch {
-	case lifted:
+	_, known := d.entries[name]
+	known = known || d.banned[name] || slices.Contains(d.gone, name)
+	d.mu.Unlock()
+	if known {
+		d.setBan(name, lifted)
+	}
+	return known
+}
+
+// setBan is ban for a call that was checked, by another process of this sidecar perhaps.
+func (d *directory) setBan(name string, lifted bool) {
+	d.mu.Lock()
+	if lifted {
 		delete(d.banned, name)
-	case known:
+	} else {
 		d.banned[name] = true
 	}
 	d.mu.Unlock()
-	if known && !lifted {
+	if !lifted {
 		d.onDrop(name)
 	}
-	return known
+}
+
+// bans are the ids that are banned.
+func (d *directory) bans() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.banned))
 }
 
 // avoided counts the listed upstreams, and those of them that are banned or among the ejected.
 func (d *directory) avoided(ejected []string) (listed, avoided int) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	for name := range d.listed {
+	for name := range d.entries {
 		if d.banned[name] || slices.Contains(ejected, name) {
 			avoided++
 		}
 	}
-	return len(d.listed), avoided
+	return len(d.entries), avoided
 }
 
 // place is where an upstream takes requests now; nowhere while it drains, is gone or is banned.
 func (d *directory) place(name string) (place, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	at, ok := d.places[name]
-	return at, ok && !d.banned[name]
+	at := d.entries[name].where()
+	return at, at != place{} && !d.banned[name]
 }
 
 // zone is where an upstream stands, or "gone".
 func (d *directory) zone(name string) string {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if _, ok := d.places[name]; !ok {
-		return "gone"
+	if e := d.entries[name]; e.Status == statusReady {
+		return e.Zone
 	}
-	return d.zones[name]
+	return "gone"
 }
 
 // ready tells whether an upstream takes requests, and still does so at that place.
@@ -219,5 +241,10 @@
 func (d *directory) empty() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return len(d.places) == 0
+	for _, e := range d.entries {
+		if e.Status == statusReady {
+			return false
+		}
+	}
+	return true
 }
--- /dev/null
+++ b/internal/sidecar/handover.go
@@ -0,0 +1,389 @@
+package sidecar
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// An upgrade: a new process takes over from the one that serves, see docs/ONCALL.md. Both hold one end of a link, a
+// Unix socket in TMPDIR, and each lives on without the other when the link ends.
+
+const (
+	linkName     = "handover.sock"
+	bansName     = "bans.json"
+	linkPatience = time.Second            // for the other process's first answer: a start has 6 s in all
+	banPatience  = 500 * time.Millisecond // for a ban to be taken over there: operators are owed an answer in 1 s
+	usesEvery    = 20 * time.Millisecond  // the old process tells what it still holds: connections move as requests end
+)
+
+// uses is what a process holds of the limits that both share.
+type uses struct{ Clients, Upstreams int }
+
+// message is a line on the link; one field is set.
+type message struct {
+	State *state `json:",omitempty"` // old to new: what it begins with
+	Ready bool   `json:",omitempty"` // new to old: it can take clients
+	Uses  *uses  `json:",omitempty"` // old to new, once it accepts no more
+	Ban   *call  `json:",omitempty"`
+	Ack   int    `json:",omitempty"` // the call of this number is taken over
+}
+
+// state is what outlives a process.
+type state struct {
+	List   *listing
+	Banned []string
+}
+
+type call struct {
+	Number int
+	ID     string
+	Lifted bool
+}
+
+// link is one end of the line between the two processes.
+type link struct {
+	conn net.Conn
+	in   *bufio.Scanner
+	ban  func(call) // takes over a ban that came to the other process
+
+	mu    sync.Mutex
+	calls int
+	acks  map[int]chan struct{}
+}
+
+func newLink(conn net.Conn) *link {
+	l := &link{conn: conn, in: bufio.NewScanner(conn), acks: map[int]chan struct{}{}}
+	l.in.Buffer(make([]byte, 0, 4096), maxLine)
+	return l
+}
+
+func (l *link) send(m message) error {
+	text, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.conn.SetWriteDeadline(time.Now().Add(linkPatience)); err != nil {
+		return err
+	}
+	_, err = l.conn.Write(append(text, '\n'))
+	return err
+}
+
+// next reads a message.
+func (l *link) next() (m message, err error) {
+	if !l.in.Scan() {
+		if err = l.in.Err(); err == nil {
+			err = errors.New("the other process ended it")
+		}
+		return m, err
+	}
+	return m, json.Unmarshal(l.in.Bytes(), &m)
+}
+
+// follow handles what comes until the link ends; more handles what is not about bans.
+func (l *link) follow(more func(message)) error {
+	for {
+		m, err := l.next()
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.Ban != nil:
+			l.ban(*m.Ban)
+			if err := l.send(message{Ack: m.Ban.Number}); err != nil {
+				return err
+			}
+		case m.Ack > 0:
+			l.mu.Lock()
+			if done := l.acks[m.Ack]; done != nil {
+				close(done)
+				delete(l.acks, m.Ack)
+			}
+			l.mu.Unlock()
+		default:
+			more(m)
+		}
+	}
+}
+
+// pass hands a ban on, and waits until the other process has it. A link that has ended needs none.
+func (l *link) pass(id string, lifted bool) error {
+	done := make(chan struct{})
+	l.mu.Lock()
+	l.calls++
+	n := l.calls
+	l.acks[n] = done
+	l.mu.Unlock()
+	if l.send(message{Ban: &call{n, id, lifted}}) != nil {
+		return nil
+	}
+	select {
+	case <-done:
+		return nil
+	case <-time.After(banPatience):
+		return errors.New("the other process of the upgrade has not confirmed it, call again")
+	}
+}
+
+// handover is a process's part in upgrades: as the new one first, as the old one later.
+type handover struct {
+	dir     string // TMPDIR
+	state   func() state
+	ban     func(call)         // takes a ban in, for good
+	yield   func()             // accept no more clients, and hold no more than now
+	resume  func()             // take clients again: the new process died
+	holds   func() uses        // of this process
+	bounded func(others *uses) // what is left beside the process before; nil: it is gone
+	halved  func(bool)         // memory is shared, or no longer
+
+	yielded chan struct{} // the process before accepts no more, or there is none
+
+	mu     sync.Mutex
+	peer   *link // nil: no other process
+	listen net.Listener
+	closed bool
+}
+
+// passedListener is the clients' socket that the platform holds, or nil where it passes none.
+func passedListener() (net.Listener, error) {
+	text, passed := os.LookupEnv("GW_PASSED_SOCKET")
+	if !passed || text == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("GW_PASSED_SOCKET: %q is not the number of a descriptor above 2", text)
+	}
+	file := os.NewFile(uintptr(fd), "passed socket")
+	defer file.Close()
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("GW_PASSED_SOCKET: descriptor %d: %w", fd, err)
+	}
+	return l, nil
+}
+
+// find asks the process that serves for what it holds. Without one, or where it says nothing usable, the bans come
+// from their file; a start never fails for it.
+func (h *handover) find() (s state) {
+	conn, err := net.DialTimeout("unix", filepath.Join(h.dir, linkName), linkPatience)
+	if err == nil {
+		l := newLink(conn)
+		_ = conn.SetReadDeadline(time.Now().Add(linkPatience)) // see next
+		var m message
+		if m, err = l.next(); err == nil && m.State == nil {
+			err = errors.New("it began with something else")
+		}
+		_ = conn.SetReadDeadline(time.Time{})
+		if err == nil {
+			l.ban = h.ban
+			h.peer = l
+			return *m.State
+		}
+		conn.Close()
+	}
+	if !errors.Is(err, os.ErrNotExist) {
+		log.Printf("hand-over: starting without the process before: %v", err)
+	}
+	text, err := os.ReadFile(filepath.Join(h.dir, bansName))
+	if err == nil {
+		err = json.Unmarshal(text, &s.Banned)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		log.Printf("hand-over: the file of bans is of no use: %v", err)
+	}
+	return s
+}
+
+// join follows the link to the process before, if there is one, until it ends.
+func (h *handover) join() {
+	l := h.peer // nobody else has h yet
+	if l == nil {
+		close(h.yielded)
+		return
+	}
+	var once sync.Once
+	go func() {
+		err := l.follow(func(m message) {
+			if m.Uses != nil {
+				h.bounded(m.Uses)
+				once.Do(func() { close(h.yielded) })
+			}
+		})
+		log.Printf("hand-over: the process before is gone: %v", err)
+		l.conn.Close()
+		h.forget(l)
+		h.bounded(nil)
+		once.Do(func() { close(h.yielded) })
+	}()
+}
+
+// take waits until the process before accepts no more.
+func (h *handover) take() {
+	h.mu.Lock()
+	l := h.peer
+	h.mu.Unlock()
+	if l != nil {
+		if err := l.send(message{Ready: true}); err != nil {
+			log.Printf("hand-over: telling the process before: %v", err)
+		}
+	}
+	select {
+	case <-h.yielded:
+	case <-time.After(linkPatience):
+	}
+}
+
+// serve waits for the process that comes next, until close.
+func (h *handover) serve() error {
+	own := filepath.Join(h.dir, fmt.Sprintf("handover-%d.sock", os.Getpid()))
+	_ = os.Remove(own) // of an earlier process of this number
+	l, err := net.Listen("unix", own)
+	if err != nil {
+		return err
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false) // by then the name may be the next process's
+	if err := os.Rename(own, filepath.Join(h.dir, linkName)); err != nil {
+		l.Close()
+		return err
+	}
+	h.mu.Lock()
+	h.listen = l
+	h.mu.Unlock()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(acceptRest)
+				continue
+			}
+			h.next(conn)
+		}
+	}()
+	return nil
+}
+
+// next stands beside the next process until it ends, or this one does. One at a time; the others wait.
+func (h *handover) next(conn net.Conn) {
+	l := newLink(conn)
+	l.ban = h.ban
+	h.mu.Lock()
+	closed := h.closed
+	before := h.peer
+	h.peer = l
+	h.mu.Unlock()
+	defer conn.Close()
+	if closed {
+		return
+	}
+	s := h.state() // after peer: a ban from now on is passed on
+	if err := l.send(message{State: &s}); err != nil {
+		log.Printf("hand-over: %v", err)
+	}
+	log.Printf("hand-over: a new process has come")
+	h.halved(true)
+	defer h.halved(false)
+	yielded := make(chan struct{})
+	end := make(chan struct{})
+	told := make(chan struct{})
+	go func() { // tells what is held, while the new process needs to know
+		defer close(told)
+		select {
+		case <-yielded:
+		case <-end:
+			return
+		}
+		last := uses{-1, -1}
+		for {
+			if u := h.holds(); u != last {
+				if l.send(message{Uses: &u}) != nil {
+					return
+				}
+				last = u
+			}
+			select {
+			case <-time.After(usesEvery):
+			case <-end:
+				return
+			}
+		}
+	}()
+	ready := false
+	err := l.follow(func(m message) {
+		if m.Ready && !ready {
+			ready = true
+			h.yield()
+			close(yielded)
+		}
+	})
+	close(end)
+	<-told
+	h.mu.Lock()
+	if h.peer == l {
+		h.peer = before
+	}
+	closed = h.closed
+	h.mu.Unlock()
+	if !closed {
+		log.Printf("hand-over: the new process is gone: %v", err)
+		if ready {
+			h.resume()
+		}
+	}
+}
+
+func (h *handover) forget(l *link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.peer == l {
+		h.peer = nil
+	}
+}
+
+// banned makes a ban outlive this process: it goes to the other one, if there is one, and to the file.
+func (h *handover) banned(id string, lifted bool, all []string) error {
+	text, err := json.Marshal(all)
+	if err == nil {
+		fresh := filepath.Join(h.dir, fmt.Sprintf("bans-%d", os.Getpid()))
+		if err = os.WriteFile(fresh, text, 0o600); err == nil {
+			err = os.Rename(fresh, filepath.Join(h.dir, bansName))
+		}
+	}
+	if err != nil {
+		log.Printf("hand-over: keeping the bans: %v", err)
+	}
+	h.mu.Lock()
+	l := h.peer
+	h.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	return l.pass(id, lifted)
+}
+
+// close ends the link and the wait for another process. The new one learns so that this one is gone.
+func (h *handover) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	if h.listen != nil {
+		h.listen.Close()
+	}
+	if h.peer != nil {
+		h.peer.conn.Close()
+	}
+}
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -225,6 +225,7 @@
 	client  *http.Client
 	reloads chan *Config
 	ops     net.Listener // nil: no door
+	tmp     string       // where processes of a sidecar meet; empty: nowhere
 }
 
 func start(t *testing.T, c *Config, listen string) *running {
@@ -242,7 +243,7 @@
 		}
 	}
 	go func() {
-		r.err = serve(ctx, c, l, r.ops, r.reloads)
+		r.err = serve(ctx, c, l, r.ops, r.tmp, r.reloads)
 		close(r.ended)
 	}()
 	t.Cleanup(func() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,9 +14,11 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"granitehinge/balancer"
@@ -28,20 +30,28 @@
 	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
 	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
 	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
-	killAfter   = 3500 * time.Millisecond
+	killMost    = 3 * time.Second        // SIGKILL comes this long after SIGTERM, or the longest deadline if that is less,
+	killBefore  = 500 * time.Millisecond // and 0.7 s: what is left then is failed before
 	// A peer that sends no whole request is cut off this long after it connected: it is owed an answer or a close
 	// within 3 s, and a connection without a request may be closed from 2 s on.
 	sendPatience = 2500 * time.Millisecond
 	clientIdle   = 2 * time.Minute
+	mayClose     = 2 * time.Second // a connection may be closed once no request came on it for so long
+	startLook    = 5 * time.Millisecond // how often a new process looks whether it could take clients
 )
 
 // Run serves until ctx ends, then finishes what it has taken. Of a configuration that comes from reloads it takes
 // over where discovery is; the rest is for the next start.
 func Run(ctx context.Context, c *Config, reloads <-chan *Config) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryPart * (1 << 20)))
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := passedListener()
 	if err != nil {
+		return err
+	}
+	tmp := ""
+	if listener != nil {
+		tmp = os.TempDir()
+	} else if listener, err = net.Listen("tcp", c.Listen); err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
 	var ops net.Listener
@@ -51,11 +61,12 @@
 			return fmt.Errorf("listening for operators: %w", err)
 		}
 	}
-	return serve(ctx, c, listener, ops, reloads)
+	return serve(ctx, c, listener, ops, tmp, reloads)
 }
 
-// serve owns both listeners; ops may be nil.
-func serve(ctx context.Context, c *Config, listener, ops net.Listener, reloads <-chan *Config) error {
+// serve owns both listeners; ops may be nil. Where tmp is set, the clients' listener is shared with the process before
+// and the one after, which are found there.
+func serve(ctx context.Context, c *Config, listener, ops net.Listener, tmp string, reloads <-chan *Config) error {
 	defer listener.Close()
 	if ops != nil {
 		defer ops.Close()
@@ -71,6 +82,9 @@
 	if ops != nil {
 		own += doorConns + 2 // the listener, and the caller that another gives way to
 	}
+	if tmp != "" {
+		own *= 2 // the next process begins beside this one
+	}
 	connections := (c.Limits.Sockets - own) / 2
 	up := newUpstreams(c, clk, connections)
 	l := newLoop(b, clk, running.Done())
@@ -81,30 +95,96 @@
 		classes[class.Name] = class
 	}
 	l.late = func(class string) time.Duration { return classes[class].Aim }
-	known := balancer.Members{}
-	if c.Known != nil {
-		known = up.dir.apply(c.Known)
-	}
-	known.Kind = balancer.Saved
 	up.dispatched = l.stats.dispatched
 	l.stats.name(slices.Collect(maps.Keys(classes)))
 	if ops != nil {
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
+	var taking atomic.Bool
+	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats,
+		ready: func() bool { return taking.Load() && l.started.Load() && !up.dir.empty() }}
+	conns := newClientConns(listener, connections)
+
+	memory := func(shared bool) {
+		limit := c.Limits.MemoryMB * memoryPart * (1 << 20)
+		if shared {
+			limit /= 2
+		}
+		debug.SetMemoryLimit(int64(limit))
+	}
+	memory(false)
+	h := &handover{dir: tmp, yielded: make(chan struct{}), halved: memory}
+	take := func(id string, lifted bool) error { return confirm(up.dir, l, id, lifted) }
+	ban := func(id string, lifted bool) error {
+		if !up.dir.ban(id, lifted) {
+			return fmt.Errorf("no upstream is called %s", short(id))
+		}
+		if err := take(id, lifted); err != nil || tmp == "" {
+			return err
+		}
+		return h.banned(id, lifted, up.dir.bans())
+	}
+	h.ban = func(b call) {
+		if err := take(b.ID, b.Lifted); err != nil {
+			log.Printf("hand-over: a ban on %s: %v", short(b.ID), err)
+		}
+	}
+	h.state = func() state { return state{up.dir.whole(), up.dir.bans()} }
+	h.holds = func() uses { return uses{conns.count(), up.count()} }
+	h.bounded = func(others *uses) {
+		memory(others != nil)
+		if others == nil {
+			others = &uses{}
+		}
+		conns.limit(connections - others.Clients)
+		up.limit(connections - others.Upstreams)
+	}
+	h.yield = func() {
+		s.stopping.Store(true)
+		conns.pause(true)
+		conns.closeQuiet(mayClose)
+		up.keep(false, 0)
+	}
+	h.resume = func() {
+		if ctx.Err() == nil {
+			s.stopping.Store(false)
+			up.keep(true, connections)
+			conns.pause(false)
+		}
+	}
+	first := c.Known
+	if tmp != "" {
+		before := h.find()
+		if list := before.List; list != nil && list.Index != nil && (first == nil || *list.Index >= *first.Index) {
+			first = list
+		}
+		for _, id := range before.Banned {
+			up.dir.setBan(id, false)
+			l.handle(balancer.Ban{Upstream: id})
+		}
+	}
+	known := balancer.Members{}
+	if first != nil {
+		known = up.dir.apply(first)
+		w.index = *first.Index
+	}
+	known.Kind = balancer.Saved
+	waits := h.peer != nil
+	if waits {
+		memory(true)
+		conns.pause(true)
+	}
 	go l.run(known)
 	go w.run(running, c.Settings.MustSubscribe)
-
-	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats,
-		ready: func() bool { return l.started.Load() && !up.dir.empty() }}
+	h.join()
 	if ops != nil {
 		d := newDoor(ops)
 		d.ready = func() bool { return s.ready() && !s.stopping.Load() }
 		d.figures = func() string { now := l.stats.snapshot(); return now.lines() }
-		d.ban = func(id string, lifted bool) error { return banned(up.dir, l, id, lifted) }
+		d.ban = ban
 		go d.run()
 		defer d.close()
 	}
-	conns := newClientConns(listener, connections)
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
@@ -112,6 +192,23 @@
 		}}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(conns) }()
+	go func() { // ends with the start, or with the process
+		for waits && (up.dir.empty() || !l.started.Load()) && running.Err() == nil {
+			time.Sleep(startLook)
+		}
+		if waits {
+			h.take()
+			conns.pause(false)
+		}
+		taking.Store(true)
+		if tmp == "" {
+			return
+		}
+		if err := h.serve(); err != nil {
+			log.Printf("hand-over: no other process will find this one: %v", err)
+		}
+	}()
+	defer h.close()
 	for ctx.Err() == nil {
 		select {
 		case err := <-ended:
@@ -122,15 +219,12 @@
 		case <-ctx.Done():
 		}
 	}
-	return drain(srv, s, conns, l)
+	return drain(srv, s, conns, l, c)
 }
 
-// banned takes an upstream out of use by hand, or with lifted back: in the directory, which what is decided already
-// is held to, and then in the module.
-func banned(dir *directory, l *loop, id string, lifted bool) error {
-	if !dir.ban(id, lifted) {
-		return fmt.Errorf("no upstream is called %s", short(id))
-	}
+// confirm takes a ban in: in the directory, which what is decided already is held to, and then in the module.
+func confirm(dir *directory, l *loop, id string, lifted bool) error {
+	dir.setBan(id, lifted)
 	b := ban{balancer.Ban{Upstream: id, Lifted: lifted}, make(chan struct{})}
 	late := time.NewTimer(doorWait)
 	defer late.Stop()
@@ -146,15 +240,25 @@
 }
 
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
-// process is killed.
-func drain(srv *http.Server, s *server, conns *clientConns, l *loop) error {
+// process is killed. Where another process takes clients already, it accepts none: each connection ends with its next
+// answer, and what is between requests is closed only when another request could not be answered within its aim.
+func drain(srv *http.Server, s *server, conns *clientConns, l *loop, c *Config) error {
 	begun := time.Now()
-	s.stopping.Store(true)
+	replaced := s.stopping.Swap(true)
+	longest, aim := time.Duration(0), time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest, aim = max(longest, class.Deadline), max(aim, class.Aim)
+	}
+	killAfter := min(longest, killMost) + killBefore
 	last := time.AfterFunc(killAfter, func() { l.post(abort{}) })
 	defer last.Stop()
-	time.Sleep(quietAfter)
-	conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
-	time.Sleep(acceptAfter - quietAfter)
+	if replaced {
+		conns.awaitNone(max(killAfter-aim, quietAfter))
+	} else {
+		time.Sleep(quietAfter)
+		conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
+		time.Sleep(acceptAfter - quietAfter)
+	}
 	conns.closeQuiet(0)
 	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
 	defer cancel()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,7 +22,8 @@
 const (
 	maxBody   = 64 << 10 // of requests and answers
 	maxHeader = 16 << 10
-	idlePart  = 0.6 // idle connections are retired after this part of the time after which upstreams close them
+	idleLast  = 500 * time.Millisecond // for the last requests that clients bring to a process that is replaced
+	idlePart  = 0.6                    // idle connections are retired after this part of the time after which upstreams close them
 )
 
 // upstreams carries out attempts, over connections that carry one request at a time.
@@ -31,10 +32,11 @@
 	connectTimeout time.Duration
 	maxIdle        time.Duration
 	lateMost       time.Duration // for how long a connection waits for an answer that comes too late
-	most           int           // connections
 	dispatched     func()        // an attempt was written whole
 
 	mu     sync.Mutex
+	most   int  // connections
+	lasts  bool // idle connections are kept; not once another process takes the clients
 	open   int
 	opened int             // since the last line of counts
 	idle   []*upstreamConn // the one idle for longest first
@@ -42,7 +44,7 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{dispatched: func() {}, connectTimeout: c.Settings.ConnectTimeout, most: most,
+	u := &upstreams{dispatched: func() {}, connectTimeout: c.Settings.ConnectTimeout, most: most, lasts: true,
 		maxIdle: time.Duration(float64(c.Settings.ConnIdle) * idlePart)}
 	for _, class := range c.Settings.Classes {
 		u.lateMost = max(u.lateMost, class.Deadline)
@@ -304,7 +306,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.unlate(c)
-	if c.closed || !u.dir.ready(c.name, c.at) || c.http.Err() != nil {
+	if c.closed || !u.lasts || !u.dir.ready(c.name, c.at) || c.http.Err() != nil {
 		u.closeLocked(c)
 		return
 	}
@@ -329,6 +331,34 @@
 	u.closeLocked(c)
 }
 
+// limit bounds the connections anew.
+func (u *upstreams) limit(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.most = max(most, 1)
+}
+
+// keep says whether idle connections are kept. Where not, none is opened beyond those that there are, each ends with
+// its next request, and those that get none within idleLast end then.
+func (u *upstreams) keep(on bool, most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lasts, u.most = on, max(most, 1)
+	if on {
+		return
+	}
+	u.most = max(u.open, 1)
+	for _, c := range u.idle {
+		c.retire.Reset(idleLast)
+	}
+}
+
+func (u *upstreams) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
 // drop closes an upstream's idle connections; those in use end with what they carry, see put.
 func (u *upstreams) drop(name string) {
 	u.mu.Lock()
