--- a/balancer/api.go
+++ b/balancer/api.go
@@ -75,7 +75,7 @@
 	FallTime     time.Duration // when kept up for this long
 }
 
-// Event is anything a sidecar reports: Members, Ban, Request, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Ban, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
@@ -127,6 +127,13 @@
 	ID, Class, Tenant string
 	Expires           time.Duration // clock time
 	Hint              time.Duration // expected work; 0: unknown
+	Open              bool          // its body is still coming: its time counts from Whole
+}
+
+// Whole says that the body of an open request has come to its end, and sets when the client stops waiting.
+type Whole struct {
+	ID      string
+	Expires time.Duration // clock time
 }
 
 // FirstByte says that a streamed answer has begun.
@@ -157,6 +164,7 @@
 	Result   Result
 	Elapsed  time.Duration
 	Finished bool // the request has its final answer
+	Spent    bool // the request's body can't be sent again
 }
 
 // Gone says that the client left: no answer is owed any more.
@@ -181,6 +189,7 @@
 func (Members) event()     {}
 func (Ban) event()         {}
 func (Request) event()     {}
+func (Whole) event()       {}
 func (FirstByte) event()   {}
 func (Outcome) event()     {}
 func (Gone) event()        {}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -126,6 +126,8 @@
 	cost     float64       // expected work, relative to the mean request
 	attempts []*attempt
 	out      int
+	hint     time.Duration
+	open     bool // its body is still coming
 	stale    bool // a repeat whose aim has passed
 	done     bool
 	lost     bool          // nothing will come of its attempt
@@ -213,6 +215,8 @@
 		b.ban(e)
 	case Request:
 		b.arrive(e)
+	case Whole:
+		b.whole(e)
 	case FirstByte:
 		if r := b.reqs[e.ID]; r != nil {
 			r.stream = true
@@ -243,22 +247,15 @@
 		b.act(Action{Kind: Refuse, ID: e.ID})
 		return
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, expires: e.Expires, cost: b.cost(c, e.Hint)}
+	r := &request{id: e.ID, class: c, cost: b.cost(c, e.Hint), hint: e.Hint, open: e.Open}
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
-	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
-	r.aim = b.now + min(aim, c.Deadline)
-	worthUntil := r.aim + c.firstTry(b.now, e.Expires, b.set.Tick) - b.now
-	r.stale = worthUntil <= b.now
-	// The last answer must land before the deadline, also when the next batch comes a tick late. Past its
-	// aim a request without late worth costs work and earns nothing.
-	r.end = r.expires - 2*b.set.Tick
-	if c.LateShare == 0 {
-		r.end = min(r.end, worthUntil-b.set.Tick)
-	}
+	b.clock(r, e.Expires)
 	b.reqs[r.id] = r
-	b.hold(r, 1)
 	b.after(r.end, timerEnd, r)
-	b.after(b.now+seconds(lostAims*b.meanAim), timerLost, r)
+	if !r.open {
+		b.hold(r, 1)
+		b.after(b.now+seconds(lostAims*b.meanAim), timerLost, r)
+	}
 	if b.now >= r.end || !b.admit(r) {
 		b.giveUp(r)
 		return
@@ -267,6 +264,42 @@
 	b.move(r)
 }
 
+// whole begins the time of a request whose body has come to its end. Guards against slow clients that make
+// upstreams look slow and the sidecar full: upstreams begin with the last byte, too.
+func (b *Balancer) whole(e Whole) {
+	r := b.reqs[e.ID]
+	if r == nil || r.done || !r.open {
+		return
+	}
+	r.open = false
+	b.clock(r, e.Expires)
+	b.hold(r, 1)
+	b.after(r.end, timerEnd, r)
+	b.after(b.now+seconds(lostAims*b.meanAim), timerLost, r)
+	for _, a := range r.attempts {
+		if a.out {
+			a.sent = b.now
+			b.watch(r)
+		}
+	}
+}
+
+// clock sets when r's answer is worth what.
+func (b *Balancer) clock(r *request, expires time.Duration) {
+	c := r.class
+	r.arrived, r.expires = b.now, expires
+	aim := c.Aim + time.Duration(c.AimStretch*float64(r.hint))
+	r.aim = b.now + min(aim, c.Deadline)
+	worthUntil := r.aim + c.firstTry(b.now, expires, b.set.Tick) - b.now
+	r.stale = worthUntil <= b.now
+	// The last answer must land before the deadline, also when the next batch comes a tick late. Past its
+	// aim a request without late worth costs work and earns nothing.
+	r.end = r.expires - 2*b.set.Tick
+	if c.LateShare == 0 {
+		r.end = min(r.end, worthUntil-b.set.Tick)
+	}
+}
+
 // firstTry is when the client's first try for this request came, as far as its end tells. Guards against
 // work for repeats whose aim has passed. First tries of a class, most requests, have the same time left; any
 // other was cut short by the end of all tries, a Deadline after the first.
@@ -361,6 +394,13 @@
 	u.tokens -= r.cost
 	delete(b.owed, u.id)
 	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
+	if !r.open {
+		b.watch(r)
+	}
+}
+
+// watch sees to r's attempt being late, where something may follow it.
+func (b *Balancer) watch(r *request) {
 	if r.class.Effect != Unsafe {
 		r.lateAt = b.now + b.patience(r)
 		b.after(r.lateAt, timerLate, r)
@@ -411,8 +451,10 @@
 	r.out--
 	a.mayRun = e.Result != Overloaded && e.Result != ConnectFailed && e.Result != Moot
 	a.u.out = slices.DeleteFunc(a.u.out, func(x *attempt) bool { return x == a })
-	b.observe(a, e.Result, e.Elapsed)
-	b.health(a, e.Result, e.Elapsed)
+	if !r.open || e.Result != Cancelled { // a client that left its body unfinished tells nothing of the upstream
+		b.observe(a, e.Result, e.Elapsed)
+		b.health(a, e.Result, e.Elapsed)
+	}
 	if e.Finished && !r.done {
 		if won := 0.0; r.out > 0 { // two copies raced
 			if e.Attempt > 0 && b.now < r.aim {
@@ -431,7 +473,7 @@
 	if r.out > 0 || r.stream {
 		return // another copy is still out, or the stream's end is the client's
 	}
-	if e.Result != ConnectFailed && b.retries < 1 {
+	if e.Spent || e.Result != ConnectFailed && b.retries < 1 {
 		b.giveUp(r)
 		return
 	}
@@ -475,7 +517,9 @@
 		return
 	}
 	r.done = true
-	b.hold(r, -1)
+	if !r.open {
+		b.hold(r, -1)
+	}
 	if r.lost {
 		b.lost--
 	}
@@ -652,9 +696,8 @@
 func (b *Balancer) load(u *upstream) float64 {
 	w := u.est.weight(b.now, b.decay())
 	latency := u.est.value*w + *u.mean*(1-w)
-	if len(u.out) > 0 {
-		a := u.out[0]
-		latency = max(latency, (b.now-a.sent).Seconds()/a.r.cost)
+	if i := slices.IndexFunc(u.out, func(a *attempt) bool { return !a.r.open }); i >= 0 {
+		latency = max(latency, (b.now-u.out[i].sent).Seconds()/u.out[i].r.cost)
 	}
 	return latency * float64(len(u.out)+1)
 }
@@ -1126,7 +1169,9 @@
 			}
 		case t.r.done || t.r.stream:
 		case t.kind == timerEnd:
-			b.giveUp(t.r)
+			if b.now >= t.r.end && (!t.r.open || t.r.out == 0) { // else the body came, or still does
+				b.giveUp(t.r)
+			}
 		case t.kind == timerLate:
 			b.lateAttempt(t.r)
 		case t.kind == timerLost:
--- /dev/null
+++ b/internal/sidecar/answers.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	holdMost  = 100 * time.Millisecond // for an answer of unknown length to show that it is small
+	copyBytes = 32 << 10               // at a time, of an answer that is passed on as it comes
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// answerRest is what is still to come of an answer whose beginning is passed on. Whoever has it drops it.
+type answerRest struct {
+	body   io.ReadCloser
+	length int64         // of the whole answer; -1: not stated
+	stall  time.Duration // for the upstream to go on
+	end    func()        // breaks a read off
+	finish func(reusable bool)
+	again  bool // the connection may be used again after it
+	once   sync.Once
+	whole  bool
+}
+
+// read reads what comes next, for as long as something does.
+func (a *answerRest) read(p []byte) (int, error) {
+	stalled := time.AfterFunc(a.stall, a.end)
+	defer stalled.Stop()
+	n, err := a.body.Read(p)
+	a.whole = a.whole || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// drop frees the connection, for another request if the answer was read to its end.
+func (a *answerRest) drop() {
+	a.once.Do(func() {
+		a.body.Close()
+		a.finish(a.whole && a.again)
+	})
+}
+
+// drop frees what a reply that is not passed on holds.
+func (r *reply) drop() {
+	if r.rest != nil {
+		r.rest.drop()
+	}
+}
+
+// readAnswer reads a 200 answer: all of a small one, or else its beginning, and the rest is to come. Where only the
+// connection's end delimits one, an end in order is taken for it, as HTTP/1.1 has it; a reset is an error.
+func (u *upstreams) readAnswer(resp *http.Response) (body []byte, whole bool, err error) {
+	most := int64(keepMost)
+	if resp.ContentLength >= 0 {
+		most = min(most, resp.ContentLength)
+	}
+	took := u.budget.take(most)
+	defer u.budget.give(took) // the answer goes on at once
+	large := resp.ContentLength > took
+	begun := time.Now()
+	body = make([]byte, 0, min(took, keepLeast))
+	for {
+		if int64(len(body)) == took {
+			if resp.ContentLength >= 0 {
+				if !large { // its end shows with the next read
+					_, err = io.ReadFull(resp.Body, make([]byte, 1))
+					return body, errors.Is(err, io.EOF), notEOF(err)
+				}
+			}
+			return body, false, nil
+		}
+		if len(body) == cap(body) {
+			grown := make([]byte, len(body), min(took, int64(2*cap(body))))
+			copy(grown, body)
+			body = grown
+		}
+		var n int
+		n, err = resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case n > 0 && large, n > 0 && resp.ContentLength < 0 && time.Since(begun) > holdMost:
+			return body, false, nil
+		}
+	}
+}
+
+func notEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sidecar/bodies.go
@@ -0,0 +1,253 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	keepMost   = 64 << 10 // of a body or an answer: kept, so that another attempt can be made
+	keepLeast  = 4 << 10  // where the budget is spent
+	bodyMost   = 32 << 20 // what a request or an answer may hold
+	budgetPart = 0.25     // of the memory limit, for what is kept of all bodies and answers
+	bodyRate   = 48 << 10 // bytes a second; clients that send slowly owe 64 kB, and a machine may be late by a quarter
+	// A body's first bytes are owed this long after its head, and at most this much of a peer's 3 s is used up.
+	bodyPatience = 700 * time.Millisecond
+)
+
+// budget bounds the bytes that are kept of all bodies and answers together.
+type budget struct {
+	mu   sync.Mutex
+	left int64
+}
+
+// take allows as many bytes as are left, up to most, and keepLeast at the least: connections are bounded, too.
+func (b *budget) take(most int64) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := min(most, max(keepLeast, b.left))
+	b.left -= n
+	return n
+}
+
+func (b *budget) give(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += n
+}
+
+var (
+	errBodyCut   = errors.New("the attempt that the body was for has ended")
+	errBodyLarge = errors.New("the body is too large")
+)
+
+// clientBody is a request's body: what is kept of it, and what is still to come from the client.
+type clientBody struct {
+	kept   []byte
+	length int64 // -1: not stated
+	took   int64 // of the budget
+	budget *budget
+
+	from  io.Reader // of the rest; nil: all is kept
+	whole func()    // the last byte has come
+	broke func(error)
+
+	reading sync.Mutex // held while the rest is read
+	mu      sync.Mutex
+	spent   bool  // an attempt has taken some of the rest
+	ended   bool  // the rest has come to its end
+	err     error // or was broken off by the client
+	seen    int64
+	turn    int // which attempt may read
+}
+
+// open tells whether some of the body is still to come.
+func (b *clientBody) open() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.from != nil && !b.ended
+}
+
+// used tells whether no other attempt can be made.
+func (b *clientBody) used() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spent
+}
+
+// failed is what broke the body off on the client's side, or nil.
+func (b *clientBody) failed() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// reader is the body for another attempt; the one before reads no more.
+func (b *clientBody) reader() io.ReadCloser {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+	return &bodyReader{b: b, turn: b.turn, kept: b.kept}
+}
+
+// cut ends reading for attempts: the request has its answer.
+func (b *clientBody) cut() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turn++
+}
+
+// drain reads away what the client still sends: it may not look for its answer before. Patience is up to the source.
+func (b *clientBody) drain() {
+	b.cut()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	_, _ = io.CopyN(io.Discard, b.from, bodyMost) // an end of any kind is as good
+}
+
+// release gives back the budget.
+func (b *clientBody) release() {
+	b.budget.give(b.took)
+	b.took = 0
+}
+
+// bodyReader is one attempt's view of a body.
+type bodyReader struct {
+	b    *clientBody
+	turn int
+	kept []byte
+}
+
+func (r *bodyReader) Close() error { return nil }
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if len(r.kept) > 0 {
+		n := copy(p, r.kept)
+		r.kept = r.kept[n:]
+		return n, nil
+	}
+	b := r.b
+	if b.from == nil {
+		return 0, io.EOF
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	b.mu.Lock()
+	switch {
+	case b.turn != r.turn:
+		b.mu.Unlock()
+		return 0, errBodyCut
+	case b.err != nil || b.ended:
+		err := b.err
+		b.mu.Unlock()
+		if err == nil {
+			err = io.EOF
+		}
+		return 0, err
+	}
+	b.spent = true
+	b.mu.Unlock()
+	n, err := b.from.Read(p)
+	b.mu.Lock()
+	b.seen += int64(n)
+	if b.seen+int64(len(b.kept)) > bodyMost && err == nil {
+		err = errBodyLarge
+	}
+	cut := b.turn != r.turn
+	switch {
+	case errors.Is(err, io.EOF):
+		b.ended = true
+	case err != nil:
+		b.err = err
+	}
+	b.mu.Unlock()
+	switch {
+	case errors.Is(err, io.EOF):
+		b.whole()
+	case err != nil:
+		b.broke(err)
+	}
+	if cut {
+		return 0, errBodyCut
+	}
+	return n, err
+}
+
+// patientReader reads a client's body for as long as it makes progress. What an upstream makes us wait does not count.
+type patientReader struct {
+	body   io.Reader
+	conn   *http.ResponseController
+	left   time.Duration // patience, before what the bytes to come add
+	failed error
+}
+
+// newPatience begins a body's patience. A peer that never sent a request is owed an answer or a close within 3 s of
+// connecting: accepted is when that was, or the zero time for one that did.
+func newPatience(body io.Reader, conn *http.ResponseController, accepted time.Time) *patientReader {
+	left := sendPatience
+	if !accepted.IsZero() {
+		left = max(bodyPatience, sendPatience-time.Since(accepted))
+	}
+	return &patientReader{body: body, conn: conn, left: left}
+}
+
+func (r *patientReader) Read(p []byte) (int, error) {
+	begun := time.Now()
+	_ = r.conn.SetReadDeadline(begun.Add(r.left)) // can't fail on the server's own connection; a read would show it
+	n, err := r.body.Read(p)
+	r.left += time.Duration(n)*time.Second/bodyRate - time.Since(begun)
+	if errors.Is(err, io.EOF) {
+		_ = r.conn.SetReadDeadline(time.Time{}) // from now on it is read to see whether the client leaves
+	}
+	return n, err
+}
+
+// takeBody reads a body up to what is kept. A rest, if there is one, is to be read by attempts.
+func takeBody(r *http.Request, conn *http.ResponseController, accepted time.Time, all *budget) (*clientBody, error) {
+	b := &clientBody{length: r.ContentLength, budget: all}
+	if r.ContentLength == 0 {
+		return b, nil
+	}
+	most := int64(keepMost)
+	if b.length > 0 {
+		most = min(most, b.length)
+	}
+	b.took = all.take(most)
+	from := newPatience(r.Body, conn, accepted)
+	buf := make([]byte, 0, min(b.took, keepLeast))
+	for {
+		if int64(len(buf)) == b.length { // the library has seen the end with its last byte, or does now
+			b.kept = buf
+			_, err := from.Read(make([]byte, 1))
+			if !errors.Is(err, io.EOF) {
+				return nil, errors.Join(errors.New("the body does not end with its length"), err)
+			}
+			return b, nil
+		}
+		if int64(len(buf)) == b.took {
+			b.kept, b.from = buf, from
+			return b, nil
+		}
+		if len(buf) == cap(buf) { // grown by halves, so that small bodies of unknown length stay small
+			grown := make([]byte, len(buf), min(b.took, int64(2*cap(buf))))
+			copy(grown, buf)
+			buf = grown
+		}
+		n, err := from.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			b.kept, b.length = buf, int64(len(buf))
+			return b, nil
+		case err != nil:
+			b.release()
+			return nil, err
+		}
+	}
+}
+
+func tooSlow(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/internal/sidecar/bodies_test.go
@@ -0,0 +1,193 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against large bodies that are held whole, or changed: they pass in chunks and with a length, both ways.
+func TestLargeBodiesPass(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 64<<10) // 1 MiB
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		_, err := io.WriteString(c, ok200(g.body))
+		return err == nil
+	})
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	for _, chunked := range []bool{false, true} {
+		req := request(t, r.address, "confirm", body)
+		if chunked {
+			req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), -1
+		}
+		if resp, text := r.do(t, req); resp.StatusCode != 200 || text != body {
+			t.Errorf("chunked %v: %s, %d bytes", chunked, resp.Status, len(text))
+		}
+	}
+	if n := s.opened.Load(); n != 1 {
+		t.Errorf("%d connections, where one could be used again", n)
+	}
+}
+
+// Guards against chunks that are turned down, or passed on with what belongs to the client's connection: extensions and
+// trailers end here, and what is small goes on with its length.
+func TestChunkedRequest(t *testing.T) {
+	s := newUpstream(t, says(ok200("done")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(conn)
+	const head = "POST /confirm/%d HTTP/1.1\r\nHost: s\r\nX-Request-ID: 00000000000000e%d\r\n"
+	for n, rest := range []string{
+		"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n3;ext=\"a b\"\r\nabc\r\n2\r\nde\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"Content-Length: 5\r\n\r\nabcde", // the connection is used again
+		"Expect: 100-continue\r\nContent-Length: 5\r\n\r\n",
+	} {
+		for _, piece := range strings.SplitAfter(fmt.Sprintf(head, n, n)+rest, "\r") { // cut anywhere
+			if _, err := io.WriteString(conn, piece); err != nil {
+				t.Fatal(err)
+			}
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err == nil && resp.StatusCode == http.StatusContinue {
+			if _, err = io.WriteString(conn, "abcde"); err == nil {
+				resp, err = http.ReadResponse(in, nil)
+			}
+		}
+		if err != nil {
+			t.Fatalf("%d: %v", n, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != 200 {
+			t.Fatalf("%d: %s", n, resp.Status)
+		}
+		g := s.requests()[n]
+		if g.body != "abcde" || g.header.Get("Trailer") != "" || g.header.Get("Expect") != "" {
+			t.Errorf("%d: went on as %q with %v", n, g.body, g.header)
+		}
+	}
+}
+
+// Guards against half a body that an upstream takes for a request: where the client breaks off, the upstream sees no end.
+func TestBodyBrokenOffGoesNowhere(t *testing.T) {
+	s := newUpstream(t, says(ok200("")))
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	for _, framing := range []string{"Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nf4240\r\n"} {
+		before := s.opened.Load()
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 00000000000000d1\r\n"+framing)
+		_, _ = io.WriteString(conn, strings.Repeat("x", 200<<10))
+		eventually(t, "the attempt", func() bool { return s.opened.Load() > before })
+		conn.Close()
+		eventually(t, "the end of the attempt", func() bool { return s.closed.Load() == s.opened.Load() })
+	}
+	if n := len(s.requests()); n != 0 {
+		t.Errorf("%d requests reached the upstream", n)
+	}
+}
+
+// Guards against a second attempt with half a body, and against one that is lost: what was sent in part is refused, as
+// it never ran, though its client still sends.
+func TestNoSecondAttemptOnceTheBodyIsSpent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	attempts := make(chan int, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n, _ := io.CopyN(io.Discard, c, 100<<10) // past what is kept
+			attempts <- int(n)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	r := start(t, testConfig(t, quiet(t).address, entry("s", l.Addr().String(), "Ready")), "127.0.0.1:0")
+	resp, _ := r.do(t, request(t, r.address, "confirm", strings.Repeat("x", 4<<20)))
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("%s, close %v", resp.Status, resp.Close)
+	}
+	if n := len(attempts); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// Guards against large answers that wait until they are whole, and against one cut off that looks whole.
+func TestLargeAnswerGoesOnAtOnce(t *testing.T) {
+	for name, c := range map[string]struct{ head, end string }{
+		"with a length": {"Content-Length: 1000000\r\n\r\n", ""}, "in chunks": {"Transfer-Encoding: chunked\r\n\r\n40000\r\n", "\r\n0\r\n\r\n"},
+	} {
+		for _, whole := range []bool{true, false} {
+			release := make(chan struct{})
+			s := newUpstream(t, func(conn net.Conn, _ got) bool {
+				size := 1000000
+				if c.end != "" {
+					size = 0x40000
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.head+strings.Repeat("a", size/2))
+				<-release
+				if !whole {
+					return false
+				}
+				_, err := io.WriteString(conn, strings.Repeat("b", size/2)+c.end)
+				return err == nil
+			})
+			r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+			resp, err := r.client.Do(request(t, r.address, "confirm", ""))
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, keepMost)); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			close(release) // only now does the upstream go on
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if whole != (err == nil) {
+				t.Errorf("%s, whole %v: %v", name, whole, err)
+			}
+		}
+	}
+}
+
+// Guards against memory that grows with bodies: what is kept of all together is bounded, and none waits for it.
+func TestBudget(t *testing.T) {
+	b := &budget{left: 100 << 10}
+	for i, want := range []int64{64 << 10, 36 << 10, keepLeast} {
+		if got := b.take(keepMost); got != want {
+			t.Errorf("%d: %d", i, got)
+		}
+	}
+	b.give(64 << 10)
+	if got := b.take(keepMost); got != 60<<10 {
+		t.Errorf("given back, %d", got)
+	}
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		_, err := io.WriteString(c, ok200(g.body))
+		return err == nil
+	})
+	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+	c.Limits.MemoryMB = 0 // for what is kept, too
+	r := start(t, c, "127.0.0.1:0")
+	body := strings.Repeat("x", 50000)
+	if resp, text := r.do(t, request(t, r.address, "confirm", body)); resp.StatusCode != 200 || text != body {
+		t.Errorf("without a budget: %s, %d bytes", resp.Status, len(text))
+	}
+}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -39,8 +39,11 @@
 		}
 		c.mu.Unlock()
 		conn, err := c.Listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) { // see pause
-			return conn, err
+		switch {
+		case err == nil:
+			return &framedConn{Conn: conn, accepted: time.Now()}, nil
+		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
+			return nil, err
 		}
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -47,6 +47,7 @@
 type flight struct {
 	request  *clientRequest
 	taken    time.Duration
+	expires  time.Duration // 0: its body is still coming
 	attempts []flightAttempt
 	out      int
 	done     bool
@@ -55,9 +56,11 @@
 type flightAttempt struct {
 	upstream string
 	sent     time.Duration
-	ended    time.Duration // 0: still out
-	reply    reply         // its result, connection and error
-	cancel   context.CancelCauseFunc
+	ended    time.Duration           // 0: still out
+	reply    reply                   // its result, connection and error
+	cancel   context.CancelCauseFunc // ends it; nil ends nothing but frees what it holds
+	end      context.CancelCauseFunc // the same with a cause, for its time being over
+	ctx      context.Context
 }
 
 // answer is the final answer to a request.
@@ -79,6 +82,12 @@
 
 type arrival struct{ request *clientRequest }
 
+// whole says that the body of an open request has come to its end, and when its client stops waiting.
+type whole struct {
+	request *clientRequest
+	expires time.Duration
+}
+
 // gone says that the client of a request has left.
 type gone struct{ request *clientRequest }
 
@@ -187,9 +196,15 @@
 			r.answer <- answer{kind: duplicate}
 			return
 		}
-		l.flights[r.id] = &flight{request: r, taken: l.clock.now()}
-		l.handle(balancer.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Expires: r.expires, Hint: r.hint})
+		f := &flight{request: r, taken: l.clock.now()}
+		if !r.opened {
+			f.expires = r.expires
+		}
+		l.flights[r.id] = f
+		l.handle(balancer.Request{ID: r.id, Class: r.class, Tenant: r.tenant, Expires: r.expires, Hint: r.hint, Open: r.opened})
 		l.forget(r.id)
+	case whole:
+		l.whole(e)
 	case gone:
 		if f := l.flights[e.request.id]; f != nil && f.request == e.request && !f.done {
 			f.done = true
@@ -198,6 +213,11 @@
 			l.handle(balancer.Gone{ID: e.request.id})
 			l.forget(e.request.id)
 		}
+		select { // an answer that its handler did not wait for
+		case a := <-e.request.answer:
+			a.reply.drop()
+		default:
+		}
 	case ended:
 		l.ended(e)
 	case abort:
@@ -220,14 +240,33 @@
 	a.ended = e.at
 	a.reply = reply{result: e.reply.result, use: e.reply.use, err: e.reply.err, abandon: e.reply.abandon}
 	l.counts.ended(a.upstream, e.reply.result, e.at-a.sent)
-	if e.reply.result == balancer.OK {
-		l.finish(id, answer{kind: served, reply: e.reply})
+	if e.reply.result == balancer.OK && !l.finish(id, answer{kind: served, reply: e.reply}) {
+		e.reply.drop()
 	}
 	l.handle(balancer.Outcome{ID: id, Attempt: e.attempt, Result: e.reply.result,
-		Elapsed: e.at - a.sent, Finished: f.done})
+		Elapsed: e.at - a.sent, Finished: f.done, Spent: f.request.body.used()})
 	l.forget(id)
 }
 
+// whole begins a request's time: with the attempt that is out, too, whose upstream begins only now.
+func (l *loop) whole(e whole) {
+	f := l.flights[e.request.id]
+	if f == nil || f.request != e.request || f.done {
+		return
+	}
+	now := l.clock.now()
+	f.taken, f.expires = now, e.expires
+	for i := range f.attempts {
+		if a := &f.attempts[i]; a.ended == 0 {
+			a.sent = now
+			over := time.AfterFunc(e.expires-now, func() { a.end(context.DeadlineExceeded) })
+			context.AfterFunc(a.ctx, func() { over.Stop() })
+		}
+	}
+	l.handle(balancer.Whole{ID: f.request.id, Expires: e.expires})
+	l.forget(f.request.id)
+}
+
 // handle runs one decision.
 func (l *loop) handle(e balancer.Event) {
 	l.acts = l.b.Handle(l.clock.now(), e, l.acts[:0])
@@ -268,23 +307,26 @@
 		return
 	}
 	now := l.clock.now()
-	limit := f.request.expires - now
-	if a.Timeout > 0 {
-		limit = min(limit, a.Timeout)
-	}
 	for i := range f.attempts { // never two at once: the upstream must not see an earlier one wait
 		if abandon := f.attempts[i].reply.abandon; abandon != nil {
 			abandon()
 		}
 	}
 	ctx, end := context.WithCancelCause(context.Background())
-	ctx, stop := context.WithTimeout(ctx, limit)
+	stop := func() {}
+	if f.expires > 0 { // else the attempt's time begins with the body's end, see whole
+		limit := f.expires - now
+		if a.Timeout > 0 {
+			limit = min(limit, a.Timeout)
+		}
+		ctx, stop = context.WithTimeout(ctx, limit)
+	}
 	cancel := func(cause error) {
 		end(cause)
 		stop()
 	}
 	n, upstream := len(f.attempts), a.Upstream
-	f.attempts = append(f.attempts, flightAttempt{upstream: upstream, sent: now, cancel: cancel})
+	f.attempts = append(f.attempts, flightAttempt{upstream: upstream, sent: now, cancel: cancel, end: end, ctx: ctx})
 	f.out++
 	go func() {
 		rep := l.send(ctx, upstream, f.request)
@@ -292,22 +334,25 @@
 	}()
 }
 
-// finish gives a request its final answer, unless it has one or its client has gone.
-func (l *loop) finish(id string, a answer) {
-	if f := l.flights[id]; f != nil && !f.done {
-		f.done = true
-		f.request.answer <- a
-		now := l.clock.now()
-		to := l.bad
-		if a.kind == served {
-			if now-f.taken <= l.late(f.request.class) {
-				return
-			}
-			to = l.slow
+// finish gives a request its final answer; false where it has one or its client has gone.
+func (l *loop) finish(id string, a answer) bool {
+	f := l.flights[id]
+	if f == nil || f.done {
+		return false
+	}
+	f.done = true
+	f.request.answer <- a
+	now := l.clock.now()
+	to := l.bad
+	if a.kind == served {
+		if now-f.taken <= l.late(f.request.class) {
+			return true
 		}
-		to.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
-			len(f.request.body), f.trail(now))
+		to = l.slow
 	}
+	to.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
+		f.request.body.length, f.trail(now))
+	return true
 }
 
 func (l *loop) forget(id string) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -2,16 +2,15 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +25,12 @@
 
 	method, target, host string
 	header               http.Header // what goes on to an upstream
-	body                 []byte
+	body                 *clientBody
+	timeout              time.Duration // what the client states, or its class does
+	opened               bool          // the body was not whole when the request was taken
 
 	answer chan answer // holds the final answer
+	broke  chan error  // holds what broke the body off
 }
 
 const (
@@ -69,6 +71,7 @@
 	ready    func() bool
 	bad      *lines // on requests that are turned away
 	stats    *stats
+	budget   *budget
 	stopping atomic.Bool // connections are to end with their next answer
 }
 
@@ -79,10 +82,11 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(*framedConn)
 	if r.ContentLength != 0 { // also where nobody reads it: the library does, before it closes or goes on
-		_ = http.NewResponseController(w).SetReadDeadline(bodyDeadline(r.Context(), sendPatience)) // see write
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyPatience)) // see write
 	}
-	bad := framing(r)
+	bad := framed(r, conn == nil || conn.f.doubtful())
 	if bad == nil && strings.HasPrefix(r.URL.Path, "/-/") {
 		s.own(w, r)
 		return
@@ -92,15 +96,23 @@
 		req, bad = s.read(w, r)
 	}
 	if bad != nil {
-		s.bad.printf("%s from %s turned away, %s %s, length %d: %d %s", short(r.Header.Get(headerID)), r.RemoteAddr, r.Method,
-			short(r.RequestURI), r.ContentLength, bad.status, bad.text)
-		w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
-		s.say(w, bad.status, bad.text)
+		s.reject(w, r, bad)
 		return
 	}
 	how := left
-	s.stats.begin()
-	defer func() { s.stats.end(req.class, how) }()
+	var begun sync.Once
+	begin := func() { begun.Do(s.stats.begin) }
+	defer func() { begin(); s.stats.end(req.class, how) }()
+	defer req.body.release()
+	if req.opened {
+		req.body.whole = func() {
+			begin()
+			s.post(whole{req, s.clock.now() + req.timeout})
+		}
+		req.body.broke = func(err error) { req.broke <- err }
+	} else {
+		begin()
+	}
 	if !s.post(arrival{req}) {
 		how = failed
 		s.say(w, http.StatusInternalServerError, "stopped")
@@ -109,7 +121,26 @@
 	select {
 	case a := <-req.answer:
 		how = a.kind
-		s.finish(w, a)
+		defer a.reply.drop()
+		if req.body.open() {
+			s.early(w, req, a)
+			return
+		}
+		if err := s.finish(w, a); err != nil {
+			how = failed                // by the upstream, or by a client that does not take its answer
+			panic(http.ErrAbortHandler) // the client can tell that the answer is not whole
+		}
+	case err := <-req.broke:
+		s.post(gone{req})
+		if !tooSlow(err) && !errors.Is(err, errBodyLarge) {
+			panic(http.ErrAbortHandler)
+		}
+		how = failed
+		bad := &rejection{http.StatusRequestTimeout, "the body did not come in time"}
+		if !tooSlow(err) {
+			bad = &rejection{http.StatusRequestEntityTooLarge, tooLarge}
+		}
+		s.reject(w, r, bad)
 	case <-r.Context().Done():
 		s.post(gone{req})
 		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
@@ -119,16 +150,33 @@
 	}
 }
 
-// framing turns down a request whose end two readers may see in different places, so that nothing that stands
-// inside a body is ever read as a request. The library drops a Content-Length that stands beside
-// Transfer-Encoding, so the two can't be told from chunks alone: the application states lengths, and chunks are
-// not taken at all. HTTP/1.0 knows no chunks, and what is safe to repeat has no body.
-func framing(r *http.Request) *rejection {
+// reject answers a malformed request, and ends its connection.
+func (s *server) reject(w http.ResponseWriter, r *http.Request, bad *rejection) {
+	s.bad.printf("%s from %s turned away, %s %s, length %d: %d %s", short(r.Header.Get(headerID)), r.RemoteAddr, r.Method,
+		short(r.RequestURI), r.ContentLength, bad.status, bad.text)
+	w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
+	s.say(w, bad.status, bad.text)
+}
+
+// early answers a request whose body is still coming, and reads the rest away: a client may look for its answer only
+// when it has sent all.
+func (s *server) early(w http.ResponseWriter, req *clientRequest, a answer) {
+	conn := http.NewResponseController(w)
+	_ = conn.EnableFullDuplex() // the library would read the body first; it is HTTP/1.1 always, see framed
+	w.Header().Set("Connection", "close")
+	_ = s.finish(w, a) // nothing is left to do for a client that has gone
+	_ = conn.Flush()
+	req.body.drain()
+}
+
+// framed turns down a request whose end two readers may see in different places, see framing.go, so that nothing that
+// stands inside a body is ever read as a request. HTTP/1.0 knows no chunks, and what is safe to repeat has no body.
+func framed(r *http.Request, doubtful bool) *rejection {
 	switch {
 	case !r.ProtoAtLeast(1, 1):
 		return &rejection{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is spoken here"}
-	case len(r.TransferEncoding) > 0:
-		return &rejection{http.StatusLengthRequired, "a body needs a Content-Length, and no Transfer-Encoding"}
+	case doubtful:
+		return &rejection{http.StatusBadRequest, "one Content-Length, or chunks, must tell where the body ends"}
 	case r.Method == http.MethodGet && r.ContentLength != 0:
 		return &rejection{http.StatusBadRequest, "GET has no body"}
 	}
@@ -148,10 +196,13 @@
 }
 
 // finish words the final answer as the protocol says.
-func (s *server) finish(w http.ResponseWriter, a answer) {
+func (s *server) finish(w http.ResponseWriter, a answer) error {
 	switch a.kind {
 	case served:
 		maps.Copy(w.Header(), a.reply.header)
+		if a.reply.rest != nil {
+			return s.stream(w, &a.reply)
+		}
 		s.write(w, http.StatusOK, a.reply.body)
 	case refused:
 		if a.retryIn > 0 {
@@ -163,6 +214,40 @@
 	default:
 		s.say(w, http.StatusBadGateway, "failed")
 	}
+	return nil
+}
+
+// stream passes an answer on as it comes. An error says that the client did not get it whole.
+func (s *server) stream(w http.ResponseWriter, rep *reply) error {
+	length := ""
+	if rep.rest.length >= 0 {
+		length = strconv.FormatInt(rep.rest.length, 10)
+	}
+	s.begin(w, http.StatusOK, length)
+	conn := http.NewResponseController(w)
+	buf := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buf)
+	part, err := rep.body, error(nil)
+	for {
+		if len(part) > 0 {
+			_ = conn.SetWriteDeadline(time.Now().Add(writePatience)) // see write
+			if _, err := w.Write(part); err != nil {
+				return fmt.Errorf("passing an answer on: %w", err)
+			}
+			if err := conn.Flush(); err != nil {
+				return fmt.Errorf("passing an answer on: %w", err)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("reading the rest of an answer: %w", err)
+		}
+		var n int
+		n, err = rep.rest.read(buf[:])
+		part = buf[:n]
+	}
 }
 
 // say answers with a line of the sidecar's own.
@@ -174,15 +259,23 @@
 func (s *server) write(w http.ResponseWriter, status int, body []byte) {
 	// Deadlines can't fail on a server's own connections; should they, the write shows it.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writePatience))
+	s.begin(w, status, strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // a client that does not take its answer has gone
+}
+
+// begin writes the head of an answer; one without a length goes in chunks.
+func (s *server) begin(w http.ResponseWriter, status int, length string) {
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if w.Header().Get("Content-Type") == "" {
 		w.Header()["Content-Type"] = nil // none is guessed
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Del("Content-Length")
+	if length != "" {
+		w.Header().Set("Content-Length", length)
+	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a client that does not take its answer has gone
 }
 
 // read takes in a whole request and checks what the module and the upstreams rely on.
@@ -236,45 +329,34 @@
 		}
 		hint = time.Duration(us * float64(time.Microsecond))
 	}
-	if r.ContentLength > maxBody {
-		return reject(http.StatusRequestEntityTooLarge, "a body holds %d bytes at most", maxBody)
+	if r.ContentLength > bodyMost {
+		return reject(http.StatusRequestEntityTooLarge, tooLarge)
 	}
 	conn := http.NewResponseController(w)
-	if r.ContentLength != 0 { // without a body the library already reads on, to see whether the client leaves
-		end := bodyDeadline(r.Context(), timeout)
-		_ = conn.SetReadDeadline(end)  // see write
-		_ = conn.SetWriteDeadline(end) // reading may first write 100 Continue
+	var accepted time.Time
+	if c, ok := r.Context().Value(connKey{}).(*framedConn); ok && c.f.first() {
+		accepted = c.accepted
 	}
-	body, err := io.ReadAll(r.Body) // of the length checked above
+	_ = conn.SetWriteDeadline(time.Now().Add(writePatience)) // reading may first write 100 Continue
+	body, err := takeBody(r, conn, accepted, s.budget)
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case tooSlow(err):
 		return reject(http.StatusRequestTimeout, "the body did not come in time")
 	case err != nil:
 		return reject(http.StatusBadRequest, "reading the body: %v", err)
 	}
-	_ = conn.SetReadDeadline(time.Time{}) // from now on it is read to see whether the client leaves
 	header := endToEnd(r.Header)
 	header.Del(headerTimeout) // what is left of it goes with each attempt
 	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
 		expires: s.clock.now() + timeout, hint: hint, method: r.Method, target: r.RequestURI, host: r.Host,
-		header: header, body: body, answer: make(chan answer, 1)}, nil
+		header: header, body: body, timeout: timeout, opened: body.from != nil,
+		answer: make(chan answer, 1), broke: make(chan error, 1)}, nil
 }
 
-// acceptedKey is the context key of when a client's connection was accepted.
-type acceptedKey struct{}
+// connKey is the context key of a client's connection.
+type connKey struct{}
 
-// bodyDeadline is until when a body may come: as long as its client waits, but anyone who may connect has to send
-// what is whole within sendPatience, of connecting or, on a connection that is older, from now.
-func bodyDeadline(ctx context.Context, timeout time.Duration) time.Time {
-	now := time.Now()
-	end := now.Add(min(timeout, sendPatience))
-	if accepted, known := ctx.Value(acceptedKey{}).(time.Time); known {
-		if first := accepted.Add(sendPatience); first.After(now) && first.Before(end) {
-			end = first
-		}
-	}
-	return end
-}
+const tooLarge = "a body holds 32 MB at most" // bodyMost
 
 const maxTimeout = time.Hour
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,7 +36,7 @@
 	// within 3 s, and a connection without a request may be closed from 2 s on.
 	sendPatience = 2500 * time.Millisecond
 	clientIdle   = 2 * time.Minute
-	mayClose     = 2 * time.Second // a connection may be closed once no request came on it for so long
+	mayClose     = 2 * time.Second      // a connection may be closed once no request came on it for so long
 	startLook    = 5 * time.Millisecond // how often a new process looks whether it could take clients
 )
 
@@ -101,7 +101,7 @@
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
 	var taking atomic.Bool
-	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats,
+	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats, budget: up.budget,
 		ready: func() bool { return taking.Load() && l.started.Load() && !up.dir.empty() }}
 	conns := newClientConns(listener, connections)
 
@@ -187,8 +187,8 @@
 	}
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, acceptedKey{}, time.Now())
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
 		}}
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(conns) }()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -20,7 +19,6 @@
 )
 
 const (
-	maxBody   = 64 << 10 // of requests and answers
 	maxHeader = 16 << 10
 	idleLast  = 500 * time.Millisecond // for the last requests that clients bring to a process that is replaced
 	idlePart  = 0.6                    // idle connections are retired after this part of the time after which upstreams close them
@@ -33,6 +31,7 @@
 	maxIdle        time.Duration
 	lateMost       time.Duration // for how long a connection waits for an answer that comes too late
 	dispatched     func()        // an attempt was written whole
+	budget         *budget
 
 	mu     sync.Mutex
 	most   int  // connections
@@ -44,7 +43,7 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{dispatched: func() {}, connectTimeout: c.Settings.ConnectTimeout, most: most, lasts: true,
+	u := &upstreams{dispatched: func() {}, budget: &budget{left: int64(c.Limits.MemoryMB * budgetPart * (1 << 20))}, connectTimeout: c.Settings.ConnectTimeout, most: most, lasts: true,
 		maxIdle: time.Duration(float64(c.Settings.ConnIdle) * idlePart)}
 	for _, class := range c.Settings.Classes {
 		u.lateMost = max(u.lateMost, class.Deadline)
@@ -65,11 +64,12 @@
 	since  time.Time // when it was put back last
 	closed bool      // under the pool's lock
 
-	allowed  func() bool // may the request that comes next still be written?
-	begun    atomic.Bool // its first byte was
-	stopped  atomic.Bool // it was not allowed
-	encoded  atomic.Bool // the whole request was, as far as the library knows
-	writeErr atomic.Bool // a write failed, so its last byte was not written
+	patience time.Duration // for a write
+	allowed  func() bool   // may the request that comes next still be written?
+	begun    atomic.Bool   // its first byte was
+	stopped  atomic.Bool   // it was not allowed
+	encoded  atomic.Bool   // the whole request was, as far as the library knows
+	writeErr atomic.Bool   // a write failed, so its last byte was not written
 }
 
 // errAnswered ends an attempt whose request has its final answer: no other attempt will follow.
@@ -87,6 +87,7 @@
 		c.stopped.Store(true)
 		return 0, errNotAllowed
 	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.patience)) // can't fail on an open connection
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.writeErr.Store(true)
@@ -99,6 +100,7 @@
 	result balancer.Result
 	header http.Header
 	body   []byte
+	rest   *answerRest // nil: body is all
 	use    connUse
 	err    error // what broke the attempt, for the log
 
@@ -131,35 +133,59 @@
 	}
 	// The exchange has a life of its own: it may outlast the attempt, see leave.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	settled := make(chan reply, 1)
+	settled, left := make(chan reply), make(chan struct{})
 	go func() {
 		rep, reusable := u.exchange(ctx, life, c, r)
-		end()
-		if reusable {
-			u.put(c)
+		finish := func(reusable bool) {
+			end()
+			if reusable {
+				u.put(c)
+			} else {
+				u.discard(c)
+			}
+		}
+		if rep.rest != nil {
+			rep.rest.end, rep.rest.finish = end, finish
 		} else {
-			u.discard(c)
+			finish(reusable)
 		}
 		rep.use = use
-		settled <- rep
+		select {
+		case settled <- rep:
+		case <-left: // nobody waits for it
+			rep.drop()
+		}
 	}()
 	select {
 	case rep := <-settled:
 		return rep
 	case <-ctx.Done():
 	}
-	timeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	if !(timeout || context.Cause(ctx) == errAnswered) || !u.leave(c, life, end) {
-		end()
-		return <-settled
-	}
-	rep := reply{result: balancer.Cancelled, use: use, err: context.Cause(ctx), abandon: func() { u.abandon(c, life) }}
+	rep := reply{result: balancer.Cancelled, use: use, err: context.Cause(ctx)}
+	timeout := timedOut(ctx)
 	if timeout {
 		rep.result = balancer.Timeout
 	}
+	if !(timeout || context.Cause(ctx) == errAnswered) || !u.leave(c, life, end) {
+		end()
+		ended := <-settled
+		if ended.rest == nil {
+			return ended
+		}
+		ended.drop() // it began just too late
+		return rep
+	}
+	close(left)
+	rep.abandon = func() { u.abandon(c, life) }
 	return rep
 }
 
+// timedOut tells whether what ended ctx is that its time is up; that of a request whose body comes slowly is set late,
+// see loop.whole.
+func timedOut(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // leave lets a connection wait for an answer that nobody else waits for, so that it can be used again: the
 // upstream works on it all the same, and the first request on a new connection would pay for a handshake with
 // time that it may not have. It does so only for a request that was sent whole.
@@ -196,15 +222,20 @@
 		}
 	}}
 	req := r.outgoing(httptrace.WithClientTrace(life, trace), c.at.address)
+	left := r.timeout.Microseconds()
 	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Microseconds(), 1)
+		left = max(time.Until(deadline).Microseconds(), 1)
+	}
+	if left > 0 {
 		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10)+"u")
 	}
 	broken := func(err error) reply {
 		switch {
 		case c.stopped.Load():
 			return reply{result: balancer.Moot, err: err}
-		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		case !c.encoded.Load() && r.body.failed() != nil: // by its client; the upstream has no part in it
+			return reply{result: balancer.Moot, err: r.body.failed()}
+		case timedOut(ctx):
 			return reply{result: balancer.Timeout, err: err}
 		case ctx.Err() != nil:
 			return reply{result: balancer.Cancelled, err: err}
@@ -217,23 +248,32 @@
 	if err != nil {
 		return broken(err), false
 	}
-	defer resp.Body.Close()
+	defer func() {
+		if rep.rest == nil {
+			resp.Body.Close()
+		}
+	}()
 	if resp.StatusCode == http.StatusSwitchingProtocols { // asked for by nobody; its body has no end
 		return reply{result: balancer.ServerError}, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	whole := err == nil && len(body) <= maxBody
-	reusable = whole && !resp.Close && c.encoded.Load()
-	switch status := resp.StatusCode; {
-	case status == http.StatusOK:
-		// An answer that only the connection's end delimits can't be told from a broken one.
-		if err != nil || resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") {
+	if resp.StatusCode == http.StatusOK {
+		body, whole, err := u.readAnswer(resp)
+		if err != nil {
 			return broken(err), false
 		}
-		if !whole {
-			return reply{result: balancer.ServerError}, false
+		rep = reply{result: balancer.OK, header: endToEnd(resp.Header), body: body}
+		if whole {
+			return rep, !resp.Close && c.encoded.Load()
+		}
+		if ctx.Err() != nil { // too late to begin
+			return broken(ctx.Err()), false
 		}
-		return reply{result: balancer.OK, header: endToEnd(resp.Header), body: body}, reusable
+		rep.rest = &answerRest{body: resp.Body, length: resp.ContentLength, stall: u.lateMost, again: !resp.Close && c.encoded.Load()}
+		return rep, false
+	}
+	_, err = io.CopyN(io.Discard, resp.Body, keepLeast) // few words; a connection with more to come is not used again
+	reusable = errors.Is(err, io.EOF) && !resp.Close && c.encoded.Load()
+	switch status := resp.StatusCode; {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
 		return reply{result: balancer.Overloaded}, reusable
@@ -260,7 +300,7 @@
 	u.open++
 	u.opened++
 	u.mu.Unlock()
-	c := &upstreamConn{name: name, at: at}
+	c := &upstreamConn{name: name, at: at, patience: u.lateMost}
 	var err error
 	dialer := net.Dialer{Timeout: u.connectTimeout}
 	if c.Conn, err = dialer.DialContext(ctx, "tcp", at.address); err == nil {
@@ -395,8 +435,8 @@
 	// Opaque keeps path and query byte for byte.
 	req := &http.Request{Method: r.method, URL: &url.URL{Scheme: "http", Host: address, Opaque: r.target},
 		Host: r.host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.header.Clone()}
-	if len(r.body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
+	if r.body.length != 0 {
+		req.Body, req.ContentLength = r.body.reader(), r.body.length
 	}
 	return req.WithContext(ctx)
 }
