--- a/balancer/api.go
+++ b/balancer/api.go
@@ -75,7 +75,7 @@
 	FallTime     time.Duration // when kept up for this long
 }
 
-// Event is anything a sidecar reports: Members, Ban, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Ban, Retune, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
@@ -122,6 +122,9 @@
 	Lifted   bool
 }
 
+// Retune brings other settings, from now on. Requests that came before keep their class.
+type Retune struct{ Settings Settings }
+
 // Request is a client's request, to be answered exactly once before Expires.
 type Request struct {
 	ID, Class, Tenant string
@@ -188,6 +191,7 @@
 
 func (Members) event()     {}
 func (Ban) event()         {}
+func (Retune) event()      {}
 func (Request) event()     {}
 func (Whole) event()       {}
 func (FirstByte) event()   {}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -126,6 +126,7 @@
 	cost     float64       // expected work, relative to the mean request
 	attempts []*attempt
 	out      int
+	most     int // attempts, when it came
 	hint     time.Duration
 	open     bool // its body is still coming
 	stale    bool // a repeat whose aim has passed
@@ -187,24 +188,48 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
 		ups: map[string]*upstream{}, means: map[string]*float64{}, reqs: map[string]*request{},
 		banned: map[string]bool{}, lifted: map[string]time.Duration{}, owed: map[string]bool{},
 		limit: limitMax, atHome: 0.5,
-		tenants: make([]rate, len(s.Tenants)), retries: retryBurst, offered: rate{memory: rateMemory},
-		served: rate{memory: servedMemory}}
-	for i := range b.tenants {
-		b.tenants[i].memory = rateMemory
-	}
-	for _, c := range s.Classes {
-		b.classes[c.Name] = &class{Class: c, mean: c.Aim.Seconds() / 4}
-		b.meanAim += c.Aim.Seconds() / float64(len(s.Classes))
-	}
+		retries: retryBurst, offered: rate{memory: rateMemory}, served: rate{memory: servedMemory}}
+	b.adopt(s)
 	b.fleet, b.mean = b.meanAim/4, b.meanAim/4
 	b.mid, b.late = quantile{0.5, b.meanAim / 4}, quantile{lateQuant, b.meanAim / 2}
 	return b, nil
 }
 
+// adopt takes settings that were checked, and what is derived from them. What was learnt of a class or a
+// tenant stays with its name; requests in hand hold the class that they came under.
+func (b *Balancer) adopt(s Settings) {
+	classes, tenants := map[string]*class{}, make([]rate, len(s.Tenants))
+	b.meanAim = 0
+	for _, c := range s.Classes {
+		classes[c.Name] = &class{Class: c, mean: c.Aim.Seconds() / 4}
+		if old := b.classes[c.Name]; old != nil {
+			classes[c.Name].mean = old.mean
+		}
+		b.meanAim += c.Aim.Seconds() / float64(len(s.Classes))
+	}
+	for i, t := range s.Tenants {
+		tenants[i].memory = rateMemory
+		if j := slices.IndexFunc(b.set.Tenants, func(x Tenant) bool { return x.Name == t.Name }); j >= 0 {
+			tenants[i] = b.tenants[j]
+		}
+	}
+	b.set, b.classes, b.tenants = s, classes, tenants
+}
+
+// retune changes the settings. How the list comes, and where this sidecar stands, is for the next start.
+func (b *Balancer) retune(s Settings) {
+	if err := s.check(); err != nil {
+		b.log("settings not taken: %v", err)
+		return
+	}
+	s.MustSubscribe, s.Zone = b.set.MustSubscribe, b.set.Zone
+	b.adopt(s)
+}
+
 // Handle takes what happened at now and appends the actions that answer it to acts.
 func (b *Balancer) Handle(now time.Duration, e Event, acts []Action) []Action {
 	b.now, b.acts = max(now, b.now), acts
@@ -213,6 +238,8 @@
 		b.members(e)
 	case Ban:
 		b.ban(e)
+	case Retune:
+		b.retune(e.Settings)
 	case Request:
 		b.arrive(e)
 	case Whole:
@@ -247,7 +274,8 @@
 		b.act(Action{Kind: Refuse, ID: e.ID})
 		return
 	}
-	r := &request{id: e.ID, class: c, cost: b.cost(c, e.Hint), hint: e.Hint, open: e.Open}
+	r := &request{id: e.ID, class: c, cost: b.cost(c, e.Hint), hint: e.Hint, open: e.Open,
+		most: b.set.MaxAttempts}
 	r.tenant = slices.IndexFunc(b.set.Tenants, func(t Tenant) bool { return t.Name == e.Tenant })
 	b.clock(r, e.Expires)
 	b.reqs[r.id] = r
@@ -329,7 +357,7 @@
 		return
 	}
 	allBanned := len(b.list) > 0 && !slices.ContainsFunc(b.list, func(u *upstream) bool { return !u.banned })
-	if len(r.attempts) >= b.set.MaxAttempts || b.stuck(r) || allBanned {
+	if b.used(r) || b.stuck(r) || allBanned {
 		b.giveUp(r)
 		return
 	}
@@ -338,7 +366,7 @@
 
 // mayTry is the gate that every attempt passes.
 func (b *Balancer) mayTry(r *request, u *upstream) bool {
-	if r.done || r.stream || len(r.attempts) >= b.set.MaxAttempts || b.now >= r.expires {
+	if r.done || r.stream || b.used(r) || b.now >= r.expires {
 		return false
 	}
 	if !u.listed || u.banned {
@@ -359,6 +387,9 @@
 	return b.coldAllows(u)
 }
 
+// used: r may have no further attempt, by the settings it came under or those of now.
+func (b *Balancer) used(r *request) bool { return len(r.attempts) >= min(r.most, b.set.MaxAttempts) }
+
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
 	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -1,11 +1,10 @@
 // Command orchiddrift is the sidecar: it reads its configuration from the file that GW_CONFIG names, and serves
-// until SIGTERM or SIGINT. On SIGHUP it reads the file again and follows discovery at the address that it names.
+// until SIGTERM or SIGINT. On SIGHUP it reads the file again and takes over its settings and the address of discovery.
 package main
 
 import (
 	"context"
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -30,14 +29,13 @@
 	if err != nil {
 		return err
 	}
-	reloads := make(chan *sidecar.Config)
+	reloads := make(chan sidecar.Reload)
 	go reload(ctx, hup, path, reloads)
 	return sidecar.Run(ctx, c, reloads)
 }
 
-// reload hands on the configuration each time that hup asks for it, until ctx ends. One that can't be used is
-// named in the log, and the one before stays.
-func reload(ctx context.Context, hup <-chan os.Signal, path string, to chan<- *sidecar.Config) {
+// reload hands on the configuration each time that hup asks for it, until ctx ends.
+func reload(ctx context.Context, hup <-chan os.Signal, path string, to chan<- sidecar.Reload) {
 	for {
 		select {
 		case <-hup:
@@ -45,12 +43,8 @@
 			return
 		}
 		c, err := sidecar.LoadConfig(path)
-		if err != nil {
-			log.Printf("reload: the configuration in use stays: %v", err)
-			continue
-		}
 		select {
-		case to <- c:
+		case to <- sidecar.Reload{Config: c, Err: err}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +25,8 @@
 	Limits    Limits
 	Known     *listing // the list of upstreams as last held; nil: none
 	Settings  wire.Settings
+
+	keys map[string]bool // that the file holds, see keysOf
 }
 
 // Limits is what the platform allows the process.
@@ -74,7 +78,11 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops}
+	keys, err := keysOf(text)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{keys: keys, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"ops", c.Ops}} {
 		if a.key == "ops" && a.address == "" {
 			continue // no door
@@ -83,7 +91,6 @@
 			return nil, fmt.Errorf("%s: %w", a.key, err)
 		}
 	}
-	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is not a 64-bit hexadecimal number", file.Seed)
 	}
@@ -110,6 +117,9 @@
 	if c.Settings, err = wire.DecodeSettings(file.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if c.keys["settings.Limits.SendCap"] && c.Settings.MaxAttempts < 1 {
+		return nil, fmt.Errorf("settings: Limits.SendCap: %d is not above 0", c.Settings.MaxAttempts)
+	}
 	if _, err = balancer.New(c.Settings.Settings, c.Seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -122,6 +132,55 @@
 	return c, nil
 }
 
+// keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
+// of them hold. What discovery words is left out: its entries hold what they need to.
+func keysOf(text []byte) (map[string]bool, error) {
+	var file map[string]any
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	keys := map[string]bool{}
+	var walk func(path string, v any, into map[string]bool)
+	walk = func(path string, v any, into map[string]bool) {
+		switch v := v.(type) {
+		case map[string]any:
+			for key, x := range v {
+				into[path+key] = true
+				if path+key != "known" {
+					walk(path+key+".", x, into)
+				}
+			}
+		case []any:
+			counts := map[string]int{}
+			for _, x := range v {
+				one := map[string]bool{}
+				walk(path, x, one)
+				for key := range one {
+					counts[key]++
+				}
+			}
+			for key, n := range counts {
+				if n == len(v) {
+					into[key] = true
+				}
+			}
+		}
+	}
+	walk("", file, keys)
+	return keys, nil
+}
+
+// follows tells why a file that was read anew can't take the place of the one in use: a key that is gone reads like a
+// limit or a price that was never set.
+func (c *Config) follows(old *Config) error {
+	for _, key := range slices.Sorted(maps.Keys(old.keys)) {
+		if !c.keys[key] {
+			return fmt.Errorf("lacks %s", key)
+		}
+	}
+	return nil
+}
+
 func checkAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +18,10 @@
 	ask     func()
 	started atomic.Bool // the known list is in
 
-	bad     *lines                           // on requests that ended badly
-	slow    *lines                           // on those served late
-	late    func(class string) time.Duration // after which an answer is late
-	counts  counts                           // of attempts
+	bad     *lines                    // on requests that ended badly
+	slow    *lines                    // on those served late
+	classes map[string]balancer.Class // as the module has them
+	counts  counts                    // of attempts
 	stats   *stats
 	told    figures                // as of the last line of counts
 	look    func(ejected []string) // feeds the figures on upstreams; nil: nobody reads them
@@ -104,13 +103,19 @@
 	done chan struct{}
 }
 
+// retune brings other settings; done is closed once the module has them.
+type retune struct {
+	settings balancer.Settings
+	done     chan struct{}
+}
+
 // abort fails all requests in hand: the process is about to be killed.
 type abort struct{}
 
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
 	l := &loop{clock: clk, b: b, news: make(chan any, 16), stats: newStats(), events: make(chan any, 256), stop: stop,
 		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(badLines), slow: newLines(lateLines), counts: newCounts(),
-		sockets: func() string { return "" }, zone: func(string) string { return "" }, late: func(string) time.Duration { return math.MaxInt64 }}
+		sockets: func() string { return "" }, zone: func(string) string { return "" }}
 	l.timer.Stop()
 	return l
 }
@@ -185,6 +190,10 @@
 	case ban:
 		l.handle(e.Ban)
 		close(e.done)
+	case retune:
+		l.handle(balancer.Retune{Settings: e.settings})
+		l.classes = classTable(e.settings)
+		close(e.done)
 	}
 }
 
@@ -196,6 +205,10 @@
 			r.answer <- answer{kind: duplicate}
 			return
 		}
+		if l.classes[r.class] != r.rules { // checked by rules that have changed meanwhile: nothing has run
+			r.answer <- answer{kind: refused}
+			return
+		}
 		f := &flight{request: r, taken: l.clock.now()}
 		if !r.opened {
 			f.expires = r.expires
@@ -345,7 +358,7 @@
 	now := l.clock.now()
 	to := l.bad
 	if a.kind == served {
-		if now-f.taken <= l.late(f.request.class) {
+		if now-f.taken <= f.request.rules.Aim {
 			return true
 		}
 		to = l.slow
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -223,7 +223,7 @@
 	ended   chan struct{}
 	err     error
 	client  *http.Client
-	reloads chan *Config
+	reloads chan Reload
 	ops     net.Listener // nil: no door
 	tmp     string       // where processes of a sidecar meet; empty: nowhere
 }
@@ -236,7 +236,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{address: l.Addr().String(), stop: cancel, ended: make(chan struct{}),
-		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan *Config)}
+		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan Reload)}
 	if c.Ops != "" {
 		if r.ops, err = net.Listen("tcp", c.Ops); err != nil {
 			t.Fatal(err)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -20,8 +20,9 @@
 // clientRequest is a request that was taken from the client and checked.
 type clientRequest struct {
 	id, class, tenant string
-	expires           time.Duration // clock time at which the client stops waiting
-	hint              time.Duration // expected work; 0: unknown
+	rules             balancer.Class // what class it was checked by
+	expires           time.Duration  // clock time at which the client stops waiting
+	hint              time.Duration  // expected work; 0: unknown
 
 	method, target, host string
 	header               http.Header // what goes on to an upstream
@@ -65,7 +66,7 @@
 // server takes the client's requests and gives the answers.
 type server struct {
 	clock    clock
-	classes  map[string]balancer.Class
+	classes  atomic.Pointer[map[string]balancer.Class]
 	post     func(any) bool
 	stop     <-chan struct{}
 	ready    func() bool
@@ -296,7 +297,7 @@
 	}
 	inPath, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	name := cmp.Or(r.Header.Get(headerClass), inPath)
-	class, known := s.classes[name]
+	class, known := (*s.classes.Load())[name]
 	if !known {
 		return reject(http.StatusNotFound, "unknown class %q", name)
 	}
@@ -347,7 +348,7 @@
 	}
 	header := endToEnd(r.Header)
 	header.Del(headerTimeout) // what is left of it goes with each attempt
-	return &clientRequest{id: r.Header.Get(headerID), class: name, tenant: r.Header.Get(headerTenant),
+	return &clientRequest{id: r.Header.Get(headerID), class: name, rules: class, tenant: r.Header.Get(headerTenant),
 		expires: s.clock.now() + timeout, hint: hint, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: header, body: body, timeout: timeout, opened: body.from != nil,
 		answer: make(chan answer, 1), broke: make(chan error, 1)}, nil
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -256,8 +256,9 @@
 // Guards against work for clients that have left.
 func TestClientGone(t *testing.T) {
 	events := make(chan any, 2)
-	s := &server{stats: newStats(), budget: &budget{}, clock: newClock(), classes: map[string]balancer.Class{"search": {Deadline: patience}},
+	s := &server{stats: newStats(), budget: &budget{}, clock: newClock(),
 		post: func(e any) bool { events <- e; return true }}
+	s.classes.Store(&map[string]balancer.Class{"search": {Deadline: patience}})
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: patience,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -40,9 +40,15 @@
 	startLook    = 5 * time.Millisecond // how often a new process looks whether it could take clients
 )
 
+// Reload is a configuration that was read anew, or why it can't be used.
+type Reload struct {
+	Config *Config
+	Err    error
+}
+
 // Run serves until ctx ends, then finishes what it has taken. Of a configuration that comes from reloads it takes
-// over where discovery is; the rest is for the next start.
-func Run(ctx context.Context, c *Config, reloads <-chan *Config) error {
+// over the settings and where discovery is; the rest is for the next start.
+func Run(ctx context.Context, c *Config, reloads <-chan Reload) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	listener, err := passedListener()
 	if err != nil {
@@ -66,7 +72,7 @@
 
 // serve owns both listeners; ops may be nil. Where tmp is set, the clients' listener is shared with the process before
 // and the one after, which are found there.
-func serve(ctx context.Context, c *Config, listener, ops net.Listener, tmp string, reloads <-chan *Config) error {
+func serve(ctx context.Context, c *Config, listener, ops net.Listener, tmp string, reloads <-chan Reload) error {
 	defer listener.Close()
 	if ops != nil {
 		defer ops.Close()
@@ -90,19 +96,17 @@
 	l := newLoop(b, clk, running.Done())
 	w := newWatcher(c, up.dir, l.postList)
 	l.send, l.ask, l.sockets, l.zone = up.attempt, w.ask, up.sockets, up.dir.zone
-	classes := map[string]balancer.Class{}
-	for _, class := range c.Settings.Classes {
-		classes[class.Name] = class
-	}
-	l.late = func(class string) time.Duration { return classes[class].Aim }
+	classes := classTable(c.Settings.Settings)
+	l.classes = classes
 	up.dispatched = l.stats.dispatched
 	l.stats.name(slices.Collect(maps.Keys(classes)))
 	if ops != nil {
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
 	var taking atomic.Bool
-	s := &server{clock: clk, classes: classes, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats, budget: up.budget,
+	s := &server{clock: clk, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats, budget: up.budget,
 		ready: func() bool { return taking.Load() && l.started.Load() && !up.dir.empty() }}
+	s.classes.Store(&classes)
 	conns := newClientConns(listener, connections)
 
 	memory := func(shared bool) {
@@ -213,15 +217,39 @@
 		select {
 		case err := <-ended:
 			return fmt.Errorf("serving: %w", err)
-		case fresh := <-reloads:
-			log.Printf("reload: discovery is at %s", fresh.Discovery)
-			w.move(fresh.Discovery)
+		case r := <-reloads:
+			if r.Err == nil {
+				r.Err = r.Config.follows(c)
+			}
+			l.stats.reload(r.Err == nil)
+			if r.Err != nil {
+				log.Printf("reload: the configuration in use stays: %v", r.Err)
+				continue
+			}
+			c = r.Config
+			fresh := retune{c.Settings.Settings, make(chan struct{})}
+			l.postNews(fresh)
+			<-fresh.done // the module first: what the table admits must be known to it
+			classes := classTable(c.Settings.Settings)
+			l.stats.name(slices.Collect(maps.Keys(classes)))
+			up.retune(c.Settings)
+			s.classes.Store(&classes)
+			log.Printf("reload: taken; classes %v, discovery at %s", slices.Sorted(maps.Keys(classes)), c.Discovery)
+			w.move(c.Discovery)
 		case <-ctx.Done():
 		}
 	}
 	return drain(srv, s, conns, l, c)
 }
 
+func classTable(s balancer.Settings) map[string]balancer.Class {
+	classes := map[string]balancer.Class{}
+	for _, class := range s.Classes {
+		classes[class.Name] = class
+	}
+	return classes
+}
+
 // confirm takes a ban in: in the directory, which what is decided already is held to, and then in the module.
 func confirm(dir *directory, l *loop, id string, lifted bool) error {
 	dir.setBan(id, lifted)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"granitehinge/balancer"
+	"granitehinge/internal/wire"
 )
 
 const (
@@ -26,14 +27,12 @@
 
 // upstreams carries out attempts, over connections that carry one request at a time.
 type upstreams struct {
-	dir            *directory
-	connectTimeout time.Duration
-	maxIdle        time.Duration
-	lateMost       time.Duration // for how long a connection waits for an answer that comes too late
-	dispatched     func()        // an attempt was written whole
-	budget         *budget
+	dir        *directory
+	dispatched func() // an attempt was written whole
+	budget     *budget
 
 	mu     sync.Mutex
+	times  connTimes
 	most   int  // connections
 	lasts  bool // idle connections are kept; not once another process takes the clients
 	open   int
@@ -43,15 +42,31 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{dispatched: func() {}, budget: &budget{left: int64(c.Limits.MemoryMB * budgetPart * (1 << 20))}, connectTimeout: c.Settings.ConnectTimeout, most: most, lasts: true,
-		maxIdle: time.Duration(float64(c.Settings.ConnIdle) * idlePart)}
-	for _, class := range c.Settings.Classes {
-		u.lateMost = max(u.lateMost, class.Deadline)
-	}
+	u := &upstreams{dispatched: func() {}, budget: &budget{left: int64(c.Limits.MemoryMB * budgetPart * (1 << 20))},
+		most: most, lasts: true}
+	u.retune(c.Settings)
 	u.dir = newDirectory(clk, u.drop)
 	return u
 }
 
+// connTimes are what the settings say of connections.
+type connTimes struct {
+	connect time.Duration
+	idle    time.Duration // after which a connection is retired
+	late    time.Duration // for how long one waits for an answer that comes too late, or for a stalled one
+}
+
+// retune takes other settings, for what begins from now on.
+func (u *upstreams) retune(s wire.Settings) {
+	t := connTimes{connect: s.ConnectTimeout, idle: time.Duration(float64(s.ConnIdle) * idlePart)}
+	for _, class := range s.Classes {
+		t.late = max(t.late, class.Deadline)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.times = t
+}
+
 // upstreamConn is one connection. It watches its own writes: the HTTP library reports a request as written
 // when it is still in a buffer.
 type upstreamConn struct {
@@ -196,7 +211,7 @@
 		return false
 	}
 	u.late = append(u.late, c)
-	patience := time.AfterFunc(u.lateMost, end)
+	patience := time.AfterFunc(u.times.late, end)
 	context.AfterFunc(life, func() { patience.Stop() })
 	return true
 }
@@ -268,7 +283,7 @@
 		if ctx.Err() != nil { // too late to begin
 			return broken(ctx.Err()), false
 		}
-		rep.rest = &answerRest{body: resp.Body, length: resp.ContentLength, stall: u.lateMost, again: !resp.Close && c.encoded.Load()}
+		rep.rest = &answerRest{body: resp.Body, length: resp.ContentLength, stall: c.patience, again: !resp.Close && c.encoded.Load()}
 		return rep, false
 	}
 	_, err = io.CopyN(io.Discard, resp.Body, keepLeast) // few words; a connection with more to come is not used again
@@ -299,10 +314,11 @@
 	}
 	u.open++
 	u.opened++
+	times := u.times
 	u.mu.Unlock()
-	c := &upstreamConn{name: name, at: at, patience: u.lateMost}
+	c := &upstreamConn{name: name, at: at, patience: times.late}
 	var err error
-	dialer := net.Dialer{Timeout: u.connectTimeout}
+	dialer := net.Dialer{Timeout: times.connect}
 	if c.Conn, err = dialer.DialContext(ctx, "tcp", at.address); err == nil {
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
@@ -351,7 +367,7 @@
 		return
 	}
 	c.since = time.Now()
-	c.retire = time.AfterFunc(u.maxIdle, func() { u.retire(c) })
+	c.retire = time.AfterFunc(u.times.idle, func() { u.retire(c) })
 	u.idle = append(u.idle, c)
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -231,7 +231,7 @@
 		t.Errorf("result %d at the limit", rep.result)
 	}
 	eventually(t, "it gave way", func() bool { return a.closed.Load() == 1 })
-	u.lateMost = 50 * time.Millisecond
+	u.times.late = 50 * time.Millisecond
 	late()
 	eventually(t, "its wait ended", func() bool { return a.closed.Load() == 2 })
 	eventually(t, "none is counted", func() bool {
@@ -343,12 +343,12 @@
 	}
 
 	// Retired while idle, before the upstream would.
-	u.maxIdle = time.Millisecond
+	u.times.idle = time.Millisecond
 	send(balancer.OK)
 	eventually(t, "idle connection retired", func() bool { return s.closed.Load() == 2 })
 
 	// Gone: the pool goes too.
-	u.maxIdle = time.Hour
+	u.times.idle = time.Hour
 	send(balancer.OK)
 	u.dir.apply(parsed(t, list(2, false, entry("s", s.address, "Gone"))))
 	eventually(t, "pool dropped", func() bool { return s.closed.Load() == 3 })
