--- a/balancer/api.go
+++ b/balancer/api.go
@@ -75,7 +75,7 @@
 	FallTime     time.Duration // when kept up for this long
 }
 
-// Event is anything a sidecar reports: Members, Ban, Retune, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Ban, Retune, Learnt, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -240,6 +240,10 @@
 		b.ban(e)
 	case Retune:
 		b.retune(e.Settings)
+	case Learnt:
+		if e.usable() {
+			b.resume(e)
+		}
 	case Request:
 		b.arrive(e)
 	case Whole:
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"granitehinge/balancer"
 )
 
 // An upgrade: a new process takes over from the one that serves, see docs/ONCALL.md. Both hold one end of a link, a
@@ -41,6 +43,7 @@
 type state struct {
 	List   *listing
 	Banned []string
+	Learnt *balancer.Learnt `json:",omitempty"`
 }
 
 type call struct {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -109,6 +109,9 @@
 	done     chan struct{}
 }
 
+// learning asks for what the module has learnt; learnt holds one.
+type learning struct{ learnt chan balancer.Learnt }
+
 // abort fails all requests in hand: the process is about to be killed.
 type abort struct{}
 
@@ -190,6 +193,10 @@
 	case ban:
 		l.handle(e.Ban)
 		close(e.done)
+	case balancer.Learnt:
+		l.handle(e)
+	case learning:
+		e.learnt <- l.b.Learnt(l.clock.now())
 	case retune:
 		l.handle(balancer.Retune{Settings: e.settings})
 		l.classes = classTable(e.settings)
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -234,9 +234,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := startOn(t, c, l, "")
+	eventually(t, "ready", func() bool {
+		resp, err := r.client.Get("http://" + r.address + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return r
+}
+
+// startOn is start on a listener that is there, for a process that finds others in tmp. It does not wait.
+func startOn(t *testing.T, c *Config, l net.Listener, tmp string) *running {
+	t.Helper()
+	var err error
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{address: l.Addr().String(), stop: cancel, ended: make(chan struct{}),
-		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan Reload)}
+		client: &http.Client{Timeout: patience, Transport: &http.Transport{}}, reloads: make(chan Reload), tmp: tmp}
 	if c.Ops != "" {
 		if r.ops, err = net.Listen("tcp", c.Ops); err != nil {
 			t.Fatal(err)
@@ -251,14 +267,6 @@
 		cancel()
 		<-r.ended
 	})
-	eventually(t, "ready", func() bool {
-		resp, err := r.client.Get("http://" + r.address + "/-/ready")
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
 	return r
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -133,7 +133,18 @@
 			log.Printf("hand-over: a ban on %s: %v", short(b.ID), err)
 		}
 	}
-	h.state = func() state { return state{up.dir.whole(), up.dir.bans()} }
+	h.state = func() state {
+		s := state{List: up.dir.whole(), Banned: up.dir.bans()}
+		ask := learning{make(chan balancer.Learnt, 1)}
+		l.postNews(ask)
+		select {
+		case learnt := <-ask.learnt:
+			s.Learnt = &learnt
+		case <-time.After(doorWait): // the new process begins without
+		case <-l.stop:
+		}
+		return s
+	}
 	h.holds = func() uses { return uses{conns.count(), up.count()} }
 	h.bounded = func(others *uses) {
 		memory(others != nil)
@@ -157,11 +168,13 @@
 		}
 	}
 	first := c.Known
+	var learnt *balancer.Learnt
 	if tmp != "" {
 		before := h.find()
 		if list := before.List; list != nil && list.Index != nil && (first == nil || *list.Index >= *first.Index) {
 			first = list
 		}
+		learnt = before.Learnt
 		for _, id := range before.Banned {
 			up.dir.setBan(id, false)
 			l.handle(balancer.Ban{Upstream: id})
@@ -178,6 +191,9 @@
 		memory(true)
 		conns.pause(true)
 	}
+	if learnt != nil {
+		l.postNews(*learnt) // holds more than one
+	}
 	go l.run(known)
 	go w.run(running, c.Settings.MustSubscribe)
 	h.join()
