balancer: while work is refused, cold budgets are a part of the work carried before

Cold budgets are a part of the work admitted, so each refusal shrinks them (coldAllows). What upstreams carried before the shedding began is as true a guide to their capacity then. Ruled out: the subset (12 upstreams, all in it).

The next process of an upgrade goes on from there (Learnt).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -167,6 +167,7 @@
 
 	atHome   float64       // share of the work that stays at home, see countHome
 	shedding time.Duration // when work was last refused for pressure, 0: not of late
+	carried  float64       // work a second when that began
 	ranks    [rankOver]float64
 	ranked   int
 	limit    float64       // share of their aim that requests in hand may wait
@@ -985,7 +986,11 @@
 	if b.set.FallMultiple > 0 {
 		f *= coldPart * b.set.FallMultiple
 	}
-	perSec := f * share * b.offered.per(b.now) / float64(size)
+	work := b.offered.per(b.now)
+	if b.shedding != 0 { // what is refused is missing there, and a cold upstream is needed most
+		work = max(work, b.carried)
+	}
+	perSec := f * share * work / float64(size)
 	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
 	u.tokens = min(depth, u.tokens+perSec*(b.now-u.filled).Seconds())
 	u.filled = b.now
@@ -1015,6 +1020,7 @@
 	ok := b.pressure() <= 1+rank/2
 	if !ok && b.shedding == 0 {
 		b.log("shedding begins: %d in hand, %.0f answers a second", b.waiting, b.served.per(b.now))
+		b.carried = b.offered.per(b.now)
 	} else if ok && b.shedding != 0 && b.now-b.shedding > servedMemory {
 		b.log("shedding ended")
 		b.shedding = 0
--- a/balancer/learnt.go
+++ b/balancer/learnt.go
@@ -17,6 +17,8 @@
 	Mid, Late                  float64
 	AtHome, Limit, Crowd, Wins float64
 	CrowdAge                   time.Duration
+	ShedAge                    time.Duration // 0: nothing is refused
+	Carried                    float64
 	Offered, Served            LearntRate
 }
 
@@ -52,8 +54,11 @@
 func (b *Balancer) Learnt(now time.Duration) Learnt {
 	l := Learnt{Upstreams: map[string]LearntUpstream{}, Kinds: map[string]float64{}, Classes: map[string]LearntClass{},
 		Tenants: map[string]LearntRate{}, Fleet: b.fleet, Mean: b.mean, HintMean: b.hintMean, Mid: b.mid.v, Late: b.late.v,
-		AtHome: b.atHome, Limit: b.limit, Crowd: b.crowd, CrowdAge: now - b.crowdAt, Wins: b.copyWins,
+		AtHome: b.atHome, Limit: b.limit, Crowd: b.crowd, CrowdAge: now - b.crowdAt, Carried: b.carried, Wins: b.copyWins,
 		Offered: b.offered.learnt(now), Served: b.served.learnt(now)}
+	if b.shedding != 0 {
+		l.ShedAge = max(now-b.shedding, 1)
+	}
 	for _, u := range b.list {
 		x := LearntUpstream{Estimate: u.est.value, Age: now - u.est.at, Ejections: u.ejections, Left: max(u.until-now, 0)}
 		if u.cameUp > 0 {
@@ -96,6 +101,9 @@
 	}
 	b.fleet, b.mean, b.hintMean, b.mid.v, b.late.v = l.Fleet, l.Mean, l.HintMean, l.Mid, l.Late
 	b.atHome, b.limit, b.crowd, b.crowdAt, b.copyWins = l.AtHome, l.Limit, l.Crowd, b.now-l.CrowdAge, l.Wins
+	if b.carried = l.Carried; l.ShedAge > 0 {
+		b.shedding = b.now - l.ShedAge
+	}
 	b.offered.resume(l.Offered, b.now)
 	b.served.resume(l.Served, b.now)
 	for _, u := range b.list {
@@ -130,7 +138,7 @@
 // usable is false for what could upset the decisions: the other process is of another version, perhaps.
 func (l *Learnt) usable() bool {
 	ok := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
-	numbers := []float64{l.Fleet, l.Mean, l.HintMean, l.Mid, l.Late, l.AtHome, l.Limit, l.Crowd, l.Wins, l.Offered.Sum, l.Served.Sum}
+	numbers := []float64{l.Fleet, l.Mean, l.HintMean, l.Mid, l.Late, l.AtHome, l.Limit, l.Crowd, l.Wins, l.Carried, l.Offered.Sum, l.Served.Sum}
 	for _, u := range l.Upstreams {
 		numbers = append(numbers, u.Estimate, float64(u.Age), float64(u.Ejections), float64(u.Left), float64(u.ColdFor))
 	}
