--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1049,7 +1049,7 @@
 // is served falls with what we refuse, and would keep us refusing after a shock.
 func (b *Balancer) pressure() float64 {
 	n := float64(b.waiting)
-	each := (n - float64(b.lost)) * float64(b.set.Balancers) / float64(len(b.list)) // of its share
+	each := (n - float64(b.lost)) * float64(b.set.Balancers) / b.usable() // of its share
 	if each < 1 {
 		return 0
 	}
@@ -1060,6 +1060,18 @@
 	return min(1, age*b.inHand/n/limitAge) * min(pressureMax, b.inHand/(b.limit*max(b.served.per(b.now), 1e-3)))
 }
 
+// usable is how many upstreams what is in hand spreads over: those ejected or banned take none of it, and
+// cold ones a part.
+func (b *Balancer) usable() float64 {
+	sum := 0.0
+	for _, u := range b.list {
+		if !u.banned && b.now >= u.until {
+			sum += b.warmth(u)
+		}
+	}
+	return max(sum, 1)
+}
+
 // lookLost looks now and then whether a request's attempt is lost: its upstream has served what it was sent
 // long after it, which no queue does. Guards against answers that never come, on a path that goes silent,
 // say: a few would fill what is in hand, and the rest be refused for them.
--- a/balancer/capacity_test.go
+++ b/balancer/capacity_test.go
@@ -38,3 +38,29 @@
 		t.Errorf("%.2f in 0.2 s with little work, was %.2f", now, before)
 	}
 }
+
+// Guards against upstreams that are crowded while a part of them is out by hand: what is in hand is set against those
+// that take some of it.
+func TestCrowdIsMeasuredOnUsableUpstreams(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts = 1
+	r := newRig(t, s)
+	r.fleet(12)
+	for i := range 36 {
+		r.request(fmt.Sprint(i), "c", 30*time.Second)
+	}
+	r.pass(150 * ms)
+	if p := r.b.pressure(); p > 1 { // 6 in hand for each, over both sidecars, and no attempt told of a crowd
+		t.Errorf("pressure %.2f with all in use", p)
+	}
+	for i := range 4 {
+		r.do(Ban{Upstream: fmt.Sprint("u", i)})
+	}
+	if p := r.b.pressure(); p <= 1 { // 9, and none served
+		t.Errorf("pressure %.2f with a third banned", p)
+	}
+	r.b.ups["u5"].until, r.b.ups["u6"].until = r.now+time.Second, r.now+time.Second
+	if n := r.b.usable(); n != 6 {
+		t.Errorf("%v usable", n)
+	}
+}
