sidecar: one type for the process, so that each part of serve has a name

No change in what it does, but for one thing: a process that ends while it begins to take clients leaves no socket open in TMPDIR's name. The heap's limit is kept apart from the configuration, which a reload changes in another goroutine.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -263,8 +263,12 @@
 	}
 	h.mu.Lock()
 	h.listen = l
+	closed := h.closed
 	h.mu.Unlock()
-	go func() {
+	if closed {
+		return l.Close()
+	}
+	go func() { // ends with close
 		for {
 			conn, err := l.Accept()
 			if errors.Is(err, net.ErrClosed) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,6 +70,23 @@
 	return serve(ctx, c, listener, ops, tmp, reloads)
 }
 
+// process is one sidecar process: its parts, and what is shared with the other process of an upgrade.
+type process struct {
+	c     *Config // in use; reload changes it
+	up    *upstreams
+	loop  *loop
+	watch *watcher
+	s     *server
+	conns *clientConns
+	h     *handover
+	most  int // connections to clients, and as many to upstreams
+	meets bool
+	heap  float64 // bytes that it may use alone
+	// taking says that clients are taken: at once, or once the process before has yielded.
+	taking   atomic.Bool
+	draining atomic.Bool // told to end
+}
+
 // serve owns both listeners; ops may be nil. Where tmp is set, the clients' listener is shared with the process before
 // and the one after, which are found there.
 func serve(ctx context.Context, c *Config, listener, ops net.Listener, tmp string, reloads <-chan Reload) error {
@@ -77,185 +94,221 @@
 	if ops != nil {
 		defer ops.Close()
 	}
-	b, err := balancer.New(c.Settings.Settings, c.Seed)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	p, err := newProcess(c, listener, ops != nil, tmp, running.Done())
 	if err != nil {
 		return err
 	}
-	clk := newClock()
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	own := ownSockets
+	known, learnt := p.begin()
+	waits := p.h.peer != nil
+	if waits {
+		p.conns.pause(true)
+	}
+	if learnt != nil {
+		p.loop.postNews(*learnt) // holds more than one
+	}
+	go p.loop.run(known)
+	go p.watch.run(running, c.Settings.MustSubscribe)
+	p.h.join()
+	defer p.h.close()
 	if ops != nil {
+		d := newDoor(ops)
+		d.ready = func() bool { return p.s.ready() && !p.s.stopping.Load() }
+		d.figures = func() string { now := p.loop.stats.snapshot(); return now.lines() }
+		d.ban = p.ban
+		go d.run()
+		defer d.close()
+	}
+	srv := &http.Server{Handler: p.s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
+		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: p.conns.state,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(p.conns) }()
+	go p.take(running, waits)
+	for ctx.Err() == nil {
+		select {
+		case err := <-ended:
+			return fmt.Errorf("serving: %w", err)
+		case r := <-reloads:
+			p.reload(r)
+		case <-ctx.Done():
+		}
+	}
+	return p.drain(srv)
+}
+
+// newProcess puts the parts together; nothing runs yet.
+func newProcess(c *Config, listener net.Listener, door bool, tmp string, stop <-chan struct{}) (*process, error) {
+	b, err := balancer.New(c.Settings.Settings, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	own := ownSockets
+	if door {
 		own += doorConns + 2 // the listener, and the caller that another gives way to
 	}
 	if tmp != "" {
 		own *= 2 // the next process begins beside this one
 	}
-	connections := (c.Limits.Sockets - own) / 2
-	up := newUpstreams(c, clk, connections)
-	l := newLoop(b, clk, running.Done())
+	p := &process{c: c, most: (c.Limits.Sockets - own) / 2, meets: tmp != "",
+		heap: c.Limits.MemoryMB * memoryPart * (1 << 20)}
+	clk := newClock()
+	up := newUpstreams(c, clk, p.most)
+	l := newLoop(b, clk, stop)
 	w := newWatcher(c, up.dir, l.postList)
 	l.send, l.ask, l.sockets, l.zone = up.attempt, w.ask, up.sockets, up.dir.zone
 	classes := classTable(c.Settings.Settings)
 	l.classes = classes
 	up.dispatched = l.stats.dispatched
 	l.stats.name(slices.Collect(maps.Keys(classes)))
-	if ops != nil {
+	if door {
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
-	var taking atomic.Bool
-	s := &server{clock: clk, post: l.post, stop: running.Done(), bad: l.bad, stats: l.stats, budget: up.budget,
-		ready: func() bool { return taking.Load() && l.started.Load() && !up.dir.empty() }}
-	s.classes.Store(&classes)
-	conns := newClientConns(listener, connections)
+	p.up, p.loop, p.watch = up, l, w
+	p.s = &server{clock: clk, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
+		ready: func() bool { return p.taking.Load() && l.started.Load() && !up.dir.empty() }}
+	p.s.classes.Store(&classes)
+	p.conns = newClientConns(listener, p.most)
+	p.h = &handover{dir: tmp, yielded: make(chan struct{}), halved: p.memory, state: p.state, ban: p.banned,
+		yield: p.yield, resume: p.resume, bounded: p.bounded,
+		holds: func() uses { return uses{p.conns.count(), up.count()} }}
+	p.memory(false)
+	return p, nil
+}
 
-	memory := func(shared bool) {
-		limit := c.Limits.MemoryMB * memoryPart * (1 << 20)
-		if shared {
-			limit /= 2
-		}
-		debug.SetMemoryLimit(int64(limit))
-	}
-	memory(false)
-	h := &handover{dir: tmp, yielded: make(chan struct{}), halved: memory}
-	take := func(id string, lifted bool) error { return confirm(up.dir, l, id, lifted) }
-	ban := func(id string, lifted bool) error {
-		if !up.dir.ban(id, lifted) {
-			return fmt.Errorf("no upstream is called %s", short(id))
-		}
-		if err := take(id, lifted); err != nil || tmp == "" {
-			return err
-		}
-		return h.banned(id, lifted, up.dir.bans())
-	}
-	h.ban = func(b call) {
-		if err := take(b.ID, b.Lifted); err != nil {
-			log.Printf("hand-over: a ban on %s: %v", short(b.ID), err)
-		}
-	}
-	h.state = func() state {
-		s := state{List: up.dir.whole(), Banned: up.dir.bans()}
-		ask := learning{make(chan balancer.Learnt, 1)}
-		l.postNews(ask)
-		select {
-		case learnt := <-ask.learnt:
-			s.Learnt = &learnt
-		case <-time.After(doorWait): // the new process begins without
-		case <-l.stop:
-		}
-		return s
-	}
-	h.holds = func() uses { return uses{conns.count(), up.count()} }
-	h.bounded = func(others *uses) {
-		memory(others != nil)
-		if others == nil {
-			others = &uses{}
-		}
-		conns.limit(connections - others.Clients)
-		up.limit(connections - others.Upstreams)
-	}
-	h.yield = func() {
-		s.stopping.Store(true)
-		conns.pause(true)
-		conns.closeQuiet(mayClose)
-		up.keep(false, 0)
-	}
-	h.resume = func() {
-		if ctx.Err() == nil {
-			s.stopping.Store(false)
-			up.keep(true, connections)
-			conns.pause(false)
-		}
-	}
-	first := c.Known
-	var learnt *balancer.Learnt
-	if tmp != "" {
-		before := h.find()
+// begin finds what this process begins with: the list, with the bans in already, and what was learnt.
+func (p *process) begin() (known balancer.Members, learnt *balancer.Learnt) {
+	first := p.c.Known
+	if p.meets {
+		before := p.h.find()
+		p.memory(p.h.peer != nil)
 		if list := before.List; list != nil && list.Index != nil && (first == nil || *list.Index >= *first.Index) {
 			first = list
 		}
 		learnt = before.Learnt
 		for _, id := range before.Banned {
-			up.dir.setBan(id, false)
-			l.handle(balancer.Ban{Upstream: id})
+			p.up.dir.setBan(id, false)
+			p.loop.handle(balancer.Ban{Upstream: id})
 		}
 	}
-	known := balancer.Members{}
 	if first != nil {
-		known = up.dir.apply(first)
-		w.index = *first.Index
+		known = p.up.dir.apply(first)
+		p.watch.index = *first.Index
 	}
 	known.Kind = balancer.Saved
-	waits := h.peer != nil
+	return known, learnt
+}
+
+// take begins to take clients. Where the process before still does, it waits until this one could, and that one yields.
+func (p *process) take(running context.Context, waits bool) {
+	for waits && (p.up.dir.empty() || !p.loop.started.Load()) && running.Err() == nil {
+		time.Sleep(startLook)
+	}
 	if waits {
-		memory(true)
-		conns.pause(true)
+		p.h.take()
+		p.conns.pause(false)
 	}
-	if learnt != nil {
-		l.postNews(*learnt) // holds more than one
+	p.taking.Store(true)
+	if !p.meets {
+		return
 	}
-	go l.run(known)
-	go w.run(running, c.Settings.MustSubscribe)
-	h.join()
-	if ops != nil {
-		d := newDoor(ops)
-		d.ready = func() bool { return s.ready() && !s.stopping.Load() }
-		d.figures = func() string { now := l.stats.snapshot(); return now.lines() }
-		d.ban = ban
-		go d.run()
-		defer d.close()
+	if err := p.h.serve(); err != nil {
+		log.Printf("hand-over: no other process will find this one: %v", err)
 	}
-	srv := &http.Server{Handler: s, ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle,
-		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true, ConnState: conns.state,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		}}
-	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(conns) }()
-	go func() { // ends with the start, or with the process
-		for waits && (up.dir.empty() || !l.started.Load()) && running.Err() == nil {
-			time.Sleep(startLook)
-		}
-		if waits {
-			h.take()
-			conns.pause(false)
-		}
-		taking.Store(true)
-		if tmp == "" {
-			return
-		}
-		if err := h.serve(); err != nil {
-			log.Printf("hand-over: no other process will find this one: %v", err)
-		}
-	}()
-	defer h.close()
-	for ctx.Err() == nil {
-		select {
-		case err := <-ended:
-			return fmt.Errorf("serving: %w", err)
-		case r := <-reloads:
-			if r.Err == nil {
-				r.Err = r.Config.follows(c)
-			}
-			l.stats.reload(r.Err == nil)
-			if r.Err != nil {
-				log.Printf("reload: the configuration in use stays: %v", r.Err)
-				continue
-			}
-			c = r.Config
-			fresh := retune{c.Settings.Settings, make(chan struct{})}
-			l.postNews(fresh)
-			<-fresh.done // the module first: what the table admits must be known to it
-			classes := classTable(c.Settings.Settings)
-			l.stats.name(slices.Collect(maps.Keys(classes)))
-			up.retune(c.Settings)
-			s.classes.Store(&classes)
-			log.Printf("reload: taken; classes %v, discovery at %s", slices.Sorted(maps.Keys(classes)), c.Discovery)
-			w.move(c.Discovery)
-		case <-ctx.Done():
-		}
+}
+
+// reload takes a configuration over whole, or not at all.
+func (p *process) reload(r Reload) {
+	if r.Err == nil {
+		r.Err = r.Config.follows(p.c)
+	}
+	p.loop.stats.reload(r.Err == nil)
+	if r.Err != nil {
+		log.Printf("reload: the configuration in use stays: %v", r.Err)
+		return
+	}
+	p.c = r.Config
+	fresh := retune{p.c.Settings.Settings, make(chan struct{})}
+	p.loop.postNews(fresh)
+	<-fresh.done // the module first: what the table admits must be known to it
+	classes := classTable(p.c.Settings.Settings)
+	p.loop.stats.name(slices.Collect(maps.Keys(classes)))
+	p.up.retune(p.c.Settings)
+	p.s.classes.Store(&classes)
+	log.Printf("reload: taken; classes %v, discovery at %s", slices.Sorted(maps.Keys(classes)), p.c.Discovery)
+	p.watch.move(p.c.Discovery)
+}
+
+// memory bounds the heap, by half of what is allowed while two processes share it.
+func (p *process) memory(shared bool) {
+	limit := p.heap
+	if shared {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(int64(limit))
+}
+
+// state is what the next process begins with.
+func (p *process) state() state {
+	s := state{List: p.up.dir.whole(), Banned: p.up.dir.bans()}
+	ask := learning{make(chan balancer.Learnt, 1)}
+	p.loop.postNews(ask)
+	select {
+	case learnt := <-ask.learnt:
+		s.Learnt = &learnt
+	case <-time.After(doorWait): // the new process begins without
+	case <-p.loop.stop:
+	}
+	return s
+}
+
+// bounded sets the limits to what is left beside the process before, or with nil to all.
+func (p *process) bounded(others *uses) {
+	p.memory(others != nil)
+	if others == nil {
+		others = &uses{}
+	}
+	p.conns.limit(p.most - others.Clients)
+	p.up.limit(p.most - others.Upstreams)
+}
+
+// yield leaves the clients to the next process.
+func (p *process) yield() {
+	p.s.stopping.Store(true)
+	p.conns.pause(true)
+	p.conns.closeQuiet(mayClose)
+	p.up.keep(false, 0)
+}
+
+// resume takes clients again: the next process died. One that was told to end does not.
+func (p *process) resume() {
+	if p.draining.Load() {
+		return
+	}
+	p.s.stopping.Store(false)
+	p.up.keep(true, p.most)
+	p.conns.pause(false)
+}
+
+// ban takes an upstream out of use by hand, or with lifted back, here and in the other process of an upgrade.
+func (p *process) ban(id string, lifted bool) error {
+	if !p.up.dir.ban(id, lifted) {
+		return fmt.Errorf("no upstream is called %s", short(id))
+	}
+	if err := confirm(p.up.dir, p.loop, id, lifted); err != nil || !p.meets {
+		return err
+	}
+	return p.h.banned(id, lifted, p.up.dir.bans())
+}
+
+// banned takes in a ban that came to the other process.
+func (p *process) banned(b call) {
+	if err := confirm(p.up.dir, p.loop, b.ID, b.Lifted); err != nil {
+		log.Printf("hand-over: a ban on %s: %v", short(b.ID), err)
 	}
-	return drain(srv, s, conns, l, c)
 }
 
 func classTable(s balancer.Settings) map[string]balancer.Class {
@@ -286,24 +339,25 @@
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
 // process is killed. Where another process takes clients already, it accepts none: each connection ends with its next
 // answer, and what is between requests is closed only when another request could not be answered within its aim.
-func drain(srv *http.Server, s *server, conns *clientConns, l *loop, c *Config) error {
+func (p *process) drain(srv *http.Server) error {
 	begun := time.Now()
-	replaced := s.stopping.Swap(true)
+	p.draining.Store(true)
+	replaced := p.s.stopping.Swap(true)
 	longest, aim := time.Duration(0), time.Duration(0)
-	for _, class := range c.Settings.Classes {
+	for _, class := range p.c.Settings.Classes {
 		longest, aim = max(longest, class.Deadline), max(aim, class.Aim)
 	}
 	killAfter := min(longest, killMost) + killBefore
-	last := time.AfterFunc(killAfter, func() { l.post(abort{}) })
+	last := time.AfterFunc(killAfter, func() { p.loop.post(abort{}) })
 	defer last.Stop()
 	if replaced {
-		conns.awaitNone(max(killAfter-aim, quietAfter))
+		p.conns.awaitNone(max(killAfter-aim, quietAfter))
 	} else {
 		time.Sleep(quietAfter)
-		conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
+		p.conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
 		time.Sleep(acceptAfter - quietAfter)
 	}
-	conns.closeQuiet(0)
+	p.conns.closeQuiet(0)
 	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
