balancer: leave out an upstream that turns away three in a row; again it tells of no crowd

By upstream, one node: s- 15 served, 83 not, s- 39 and 67; both drain, and answer so at once, 2 s and more before the list tells. "shedding begins: 39 in hand, 264 answers a second": with so few in hand it goes by the time that recent attempts took, and each attempt turned away counted there as 1.5 aims (observe). Nothing ejected one that turns away (health): its answers count as hearing from it. Ruled out: crowded upstreams (none over 113 ms), and cold ones.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -94,6 +94,7 @@
 	fails       int           // attempts sent since then that failed
 	silentSince time.Duration // when the first of them was sent
 	errors      int           // error answers in a row
+	fulls       int           // times in a row that it turned away what it was sent
 	slow        int           // answers in a row that took much longer than most do
 	ejections   int           // in a row, without an answer between
 	until       time.Duration // ejected until
@@ -761,6 +762,15 @@
 		}
 	case OK, Overloaded:
 		u.heard = b.now
+		if u.fulls++; res == OK {
+			u.fulls = 0
+		}
+		if u.fulls >= ejectErrors { // it drains, perhaps, and the list does not tell yet
+			if u.fails = 0; b.now >= u.until {
+				b.eject(u)
+			}
+			return
+		}
 		if u.slow++; res == OK && elapsed.Seconds() <= slowTimes*b.mid.v*a.r.cost {
 			u.slow = 0
 		}
@@ -798,7 +808,7 @@
 	u.ejections++
 	u.until = b.now + d
 	if u.ejections == 1 {
-		b.log("eject %s: %d failures unheard, %d errors in a row", u.id, u.fails, u.errors)
+		b.log("eject %s: %d failures unheard, %d errors, %d times full in a row", u.id, u.fails, u.errors, u.fulls)
 	}
 }
 
@@ -1164,7 +1174,8 @@
 	if res == Overloaded {
 		took = crowdMost
 	}
-	if res != Moot && res != ConnectFailed && !a.r.lost && (res != Cancelled || took > b.crowd) {
+	alone := res == Overloaded && a.u.fulls > 0 // turned away again: that tells of it, and of no crowd
+	if !alone && res != Moot && res != ConnectFailed && !a.r.lost && (res != Cancelled || took > b.crowd) {
 		b.crowd += crowdWeight * (took - b.crowd)
 		b.crowdAt = b.now
 	}
