--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -46,20 +46,35 @@
 
 // drop frees what a reply that is not passed on holds.
 func (r *reply) drop() {
+	r.release()
 	if r.rest != nil {
 		r.rest.drop()
 	}
 }
 
+// release lets go of what was read first.
+func (r *reply) release() {
+	if r.held > 0 {
+		r.budget.give(r.held)
+	}
+	r.held, r.body = 0, nil
+}
+
 // readAnswer reads a 200 answer: all of a small one, or else its beginning, and the rest is to come. Where only the
 // connection's end delimits one, an end in order is taken for it, as HTTP/1.1 has it; a reset is an error.
-func (u *upstreams) readAnswer(resp *http.Response) (body []byte, whole bool, err error) {
+// It holds a part of the budget, until release.
+func (u *upstreams) readAnswer(resp *http.Response) (body []byte, held int64, whole bool, err error) {
 	most := int64(keepMost)
 	if resp.ContentLength >= 0 {
 		most = min(most, resp.ContentLength)
 	}
 	took := u.budget.take(most)
-	defer u.budget.give(took) // the answer goes on at once
+	defer func() {
+		if err == nil {
+			held = min(took, int64(cap(body)))
+		}
+		u.budget.give(took - held)
+	}()
 	large := resp.ContentLength > took
 	begun := time.Now()
 	body = make([]byte, 0, min(took, keepLeast))
@@ -68,10 +83,10 @@
 			if resp.ContentLength >= 0 {
 				if !large { // its end shows with the next read
 					_, err = io.ReadFull(resp.Body, make([]byte, 1))
-					return body, errors.Is(err, io.EOF), notEOF(err)
+					return body, 0, errors.Is(err, io.EOF), notEOF(err)
 				}
 			}
-			return body, false, nil
+			return body, 0, false, nil
 		}
 		if len(body) == cap(body) {
 			grown := make([]byte, len(body), min(took, int64(2*cap(body))))
@@ -83,11 +98,11 @@
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, true, nil
+			return body, 0, true, nil
 		case err != nil:
-			return nil, false, err
+			return nil, 0, false, err
 		case n > 0 && large, n > 0 && resp.ContentLength < 0 && time.Since(begun) > holdMost:
-			return body, false, nil
+			return body, 0, false, nil
 		}
 	}
 }
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -72,10 +72,11 @@
 	return b.from != nil && !b.ended
 }
 
-// used tells whether no other attempt can be made.
+// used ends the reading for an attempt that has ended, and tells whether no other can be made.
 func (b *clientBody) used() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.turn++ // else it could still take some of the rest, which the next attempt would lack
 	return b.spent
 }
 
@@ -86,11 +87,14 @@
 	return b.err
 }
 
-// reader is the body for another attempt; the one before reads no more.
+// reader is the body for another attempt; the one before reads no more. One that is spent is not to be had again.
 func (b *clientBody) reader() io.ReadCloser {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.turn++
+	if b.spent {
+		return &bodyReader{b: b} // of no turn
+	}
 	return &bodyReader{b: b, turn: b.turn, kept: b.kept}
 }
 
@@ -125,6 +129,9 @@
 func (r *bodyReader) Close() error { return nil }
 
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.turn == 0 {
+		return 0, errBodyCut
+	}
 	if len(r.kept) > 0 {
 		n := copy(p, r.kept)
 		r.kept = r.kept[n:]
@@ -224,6 +231,7 @@
 			b.kept = buf
 			_, err := from.Read(make([]byte, 1))
 			if !errors.Is(err, io.EOF) {
+				b.release()
 				return nil, errors.Join(errors.New("the body does not end with its length"), err)
 			}
 			return b, nil
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -191,3 +191,63 @@
 		t.Errorf("without a budget: %s, %d bytes", resp.Status, len(text))
 	}
 }
+
+// Guards against a body with a hole in it: an attempt that has ended takes nothing more of what the next one would send,
+// and where it took some, there is no next one.
+func TestBodyIsReadByOneAttempt(t *testing.T) {
+	body := func() *clientBody {
+		return &clientBody{kept: []byte("kept "), length: -1, from: strings.NewReader("rest"), budget: &budget{},
+			whole: func() {}, broke: func(error) {}}
+	}
+	b := body()
+	first := b.reader()
+	if b.used() {
+		t.Error("spent before anything was read")
+	}
+	if text, err := io.ReadAll(first); err != errBodyCut || string(text) != "kept " {
+		t.Errorf("the attempt that has ended read %q, %v", text, err)
+	}
+	if text, err := io.ReadAll(b.reader()); err != nil || string(text) != "kept rest" {
+		t.Errorf("the next read %q, %v", text, err)
+	}
+	b = body()
+	_, _ = io.ReadAtLeast(b.reader(), make([]byte, 6), 6)
+	if text, err := io.ReadAll(b.reader()); err != errBodyCut || len(text) > 0 {
+		t.Errorf("after some of the rest was taken, the next read %q, %v", text, err)
+	}
+	if !b.used() {
+		t.Error("not spent")
+	}
+}
+
+// Guards against a budget that shrinks with each request until nothing is kept any more.
+func TestBudgetComesBack(t *testing.T) {
+	for _, size := range []int{0, 3, 5000, keepMost, 3 * keepMost} {
+		s := newUpstream(t, says(ok200(strings.Repeat("x", size))))
+		u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+		left := func() int64 {
+			u.budget.mu.Lock()
+			defer u.budget.mu.Unlock()
+			return u.budget.left
+		}
+		before := left()
+		rep := u.attempt(t.Context(), "s", testRequest("GET", ""))
+		if held := before - left(); held < int64(min(size, 1)) || held > keepMost {
+			t.Errorf("an answer of %d: %d held", size, held)
+		}
+		rep.drop()
+		if left() != before {
+			t.Errorf("an answer of %d: %d left of %d", size, left(), before)
+		}
+		for _, stated := range []int64{int64(size), int64(size) + 1, -1} { // true, never whole, in chunks
+			b, err := takeBody(&http.Request{Body: io.NopCloser(strings.NewReader(strings.Repeat("x", size))), ContentLength: stated},
+				http.NewResponseController(&deadlines{}), time.Time{}, u.budget)
+			if err == nil {
+				b.release()
+			}
+			if left() != before {
+				t.Errorf("a body of %d, stated %d: %d left of %d", size, stated, left(), before)
+			}
+		}
+	}
+}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -135,6 +135,9 @@
 	case <-done:
 		return nil
 	case <-time.After(banPatience):
+		l.mu.Lock()
+		delete(l.acks, n)
+		l.mu.Unlock()
 		return errors.New("the other process of the upgrade has not confirmed it, call again")
 	}
 }
@@ -298,7 +301,12 @@
 		return
 	}
 	s := h.state() // after peer: a ban from now on is passed on
-	if err := l.send(message{State: &s}); err != nil {
+	err := l.send(message{State: &s})
+	if err != nil && s.Learnt != nil { // a number that JSON does not have, perhaps: the bans matter more
+		s.Learnt = nil
+		err = l.send(message{State: &s})
+	}
+	if err != nil {
 		log.Printf("hand-over: %v", err)
 	}
 	log.Printf("hand-over: a new process has come")
@@ -330,7 +338,7 @@
 		}
 	}()
 	ready := false
-	err := l.follow(func(m message) {
+	err = l.follow(func(m message) {
 		if m.Ready && !ready {
 			ready = true
 			h.yield()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -245,6 +245,7 @@
 		if err != nil {
 			return fmt.Errorf("reading the rest of an answer: %w", err)
 		}
+		rep.release()
 		var n int
 		n, err = rep.rest.read(buf[:])
 		part = buf[:n]
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -116,6 +116,8 @@
 	header http.Header
 	body   []byte
 	rest   *answerRest // nil: body is all
+	held   int64       // of the budget, for body
+	budget *budget
 	use    connUse
 	err    error // what broke the attempt, for the log
 
@@ -272,15 +274,16 @@
 		return reply{result: balancer.ServerError}, false
 	}
 	if resp.StatusCode == http.StatusOK {
-		body, whole, err := u.readAnswer(resp)
+		body, held, whole, err := u.readAnswer(resp)
 		if err != nil {
 			return broken(err), false
 		}
-		rep = reply{result: balancer.OK, header: endToEnd(resp.Header), body: body}
+		rep = reply{result: balancer.OK, header: endToEnd(resp.Header), body: body, held: held, budget: u.budget}
 		if whole {
 			return rep, !resp.Close && c.encoded.Load()
 		}
 		if ctx.Err() != nil { // too late to begin
+			rep.release()
 			return broken(ctx.Err()), false
 		}
 		rep.rest = &answerRest{body: resp.Body, length: resp.ContentLength, stall: c.patience, again: !resp.Close && c.encoded.Load()}
