--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -251,3 +251,29 @@
 		}
 	}
 }
+
+// Guards against a client that stops reading its answer and holds the upstream's connection, or other requests, with it.
+func TestClientThatStopsReadingEndsItsOwnRequest(t *testing.T) {
+	large := ok200(strings.Repeat("x", bodyMost)) // more than sockets hold
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		text := ok200("small")
+		if strings.HasPrefix(g.target, "/confirm/") {
+			text = large
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	r := start(t, testConfig(t, quiet(t).address, entry("s", s.address, "Ready")), "127.0.0.1:0")
+	resp, err := r.client.Do(request(t, r.address, "confirm", "")) // and its body is left unread
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp, text := r.do(t, request(t, r.address, "search", "")); resp.StatusCode != 200 || text != "small" {
+		t.Errorf("beside it: %s %q", resp.Status, text)
+	}
+	eventually(t, "the end of its attempt", func() bool { return s.closed.Load() > 0 })
+	if resp, text := r.do(t, request(t, r.address, "search", "")); resp.StatusCode != 200 || text != "small" {
+		t.Errorf("afterwards: %s %q", resp.Status, text)
+	}
+}
