all: the module is called mosslead

Need: later parts are programs and packages of one product under that name. Change: the module path, and the imports that hold it; orchiddrift, wirehost and the deploy file keep theirs.

--- a/balancer/example_test.go
+++ b/balancer/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // A sidecar embeds the module: it reports what happens, with its own clock, and carries out the actions.
--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"granitehinge/internal/sidecar"
+	"mosslead/internal/sidecar"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"granitehinge/internal/wire"
+	"mosslead/internal/wire"
 )
 
 func main() {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,8 +11,8 @@
 	"strconv"
 	"time"
 
-	"granitehinge/balancer"
-	"granitehinge/internal/wire"
+	"mosslead/balancer"
+	"mosslead/internal/wire"
 )
 
 // Config is what the platform tells one sidecar.
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // listing is one message of discovery: the whole list, or what changed.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 const (
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // watch runs a watcher as a module would that asks again at once.
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // An upgrade: a new process takes over from the one that serves, see docs/ONCALL.md. Both hold one end of a link, a
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // loop owns the Balancer: one goroutine that turns what happens into events and carries out the actions,
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // testLoop is a loop whose attempts end as send says.
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // What operators are told of single requests: one line for each that ended badly, with every attempt and what
--- a/internal/sidecar/report_test.go
+++ b/internal/sidecar/report_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // The line by upstream adds up what ended there; what was never sent does not count.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // clientRequest is a request that was taken from the client and checked.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -14,7 +14,7 @@
 	"testing/synctest"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // Guards against answers that no upstream made, and refusals without the advice when to come back.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,7 +21,7 @@
 	"sync/atomic"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 const (
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"granitehinge/balancer"
-	"granitehinge/internal/wire"
+	"mosslead/balancer"
+	"mosslead/internal/wire"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 func testUpstreams(t *testing.T, most int, entries ...string) *upstreams {
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // Settings is what the start-up parameters tell: the module's part, and what only a real sidecar needs.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 // timerCookie marks the one timer that an instance keeps.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"granitehinge/balancer"
+	"mosslead/balancer"
 )
 
 func serve(t *testing.T, in string) ([]string, error) {
