--- /dev/null
+++ b/internal/lab/model/server.go
@@ -0,0 +1,352 @@
+package model
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Never is when nothing will happen by itself.
+const Never = time.Duration(math.MaxInt64)
+
+const (
+	warmStep  = 20 * time.Millisecond  // how finely a cold server's capacity rises
+	chokeLook = 50 * time.Millisecond  // how often a crowded or choked server is looked at
+	utilOver  = 500 * time.Millisecond // over which the busy share and the latency are averaged
+)
+
+// Server is one process of an upstream. Jobs in work share the cores evenly, so all of them advance at one rate: each
+// ends when the work done for a job (virtual) reaches what it was when the job began, plus the job's own.
+type Server struct {
+	spec    Spec
+	rng     *rand.Rand
+	started time.Duration
+	now     time.Duration
+	virtual float64 // seconds of work done for each job in work
+	running jobHeap
+	waiting []held // first in, first out
+	extra   int    // of running: handshakes and probes, which need no slot
+	keys    *keyMemory
+	conns   int
+
+	pausedUntil, nextPause time.Duration
+	crowdedSince           time.Duration // Never: it is not crowded
+	choked                 bool
+	chokedAt, idleSince    time.Duration
+	util, latency          float64 // of late; latency in seconds
+	slower                 float64 // by a fault; 1: none
+	failShare              float64 // by a fault
+	fallen                 bool
+	sent                   []arrival // while cold, over the last FallFor
+	sentWork               float64
+
+	area     float64 // jobs held × seconds, see Little
+	sojourns float64
+	done     []Done
+}
+
+type held struct {
+	Job
+	arrived time.Duration
+	extra   bool
+}
+
+type runningJob struct {
+	held
+	began time.Duration
+	ends  float64 // in virtual time
+}
+
+type arrival struct {
+	at   time.Duration
+	work float64
+}
+
+// New is a server whose process began at started: before it by ColdFor or more, it is warm. The seed decides its pauses
+// and errors. The spec must pass Check.
+func New(spec Spec, seed uint64, started, now time.Duration) *Server {
+	s := &Server{spec: spec, rng: rand.New(rand.NewPCG(seed, 0x6d6f73736c656164)), started: started, now: now,
+		crowdedSince: Never, nextPause: Never, slower: 1,
+		keys: newKeyMemory(int(spec.KeysPerCore*float64(spec.Cores)), spec.KeyFor)}
+	s.planPause()
+	return s
+}
+
+func (s *Server) planPause() {
+	if s.spec.PauseEvery > 0 && s.spec.PauseFor > 0 {
+		s.nextPause = s.now + time.Duration(s.rng.ExpFloat64()*float64(s.spec.PauseEvery))
+	}
+}
+
+// warmth is the share of its capacity that it has at t.
+func (s *Server) warmth(t time.Duration) float64 {
+	if s.spec.ColdFor <= 0 || t-s.started >= s.spec.ColdFor {
+		return 1
+	}
+	return s.spec.ColdFrom + (1-s.spec.ColdFrom)*float64(t-s.started)/float64(s.spec.ColdFor)
+}
+
+// Cold tells whether it still warms up.
+func (s *Server) Cold() bool { return s.warmth(s.now) < 1 }
+
+func (s *Server) held() int { return len(s.running) + len(s.waiting) }
+
+// rate is the work done in a second for each job in work.
+func (s *Server) rate() float64 {
+	k := len(s.running)
+	if k == 0 || s.now < s.pausedUntil {
+		return 0
+	}
+	cores := float64(s.spec.Cores)
+	r := s.spec.Speed * min(1, cores/float64(k)) * s.warmth(s.now) / s.slower
+	if excess := float64(s.held())/cores - s.spec.ThrashAt; s.spec.Thrash > 0 && excess > 0 {
+		r /= 1 + s.spec.Thrash*excess
+	}
+	if s.choked {
+		r /= s.spec.Choke.Slower
+	}
+	if most := s.spec.ConnsPerCore * s.spec.Cores; most > 0 {
+		r *= 1 - s.spec.FullTax*min(1, float64(s.conns)/float64(most))
+	}
+	return r
+}
+
+// Next is when something happens unless a job comes before; Never: nothing will.
+func (s *Server) Next() time.Duration {
+	if s.fallen {
+		return Never
+	}
+	next := s.nextPause
+	if s.now < s.pausedUntil {
+		next = min(next, s.pausedUntil)
+	} else if r := s.rate(); r > 0 {
+		left := max(0, (s.running[0].ends-s.virtual)/r)
+		if at := s.now + time.Duration(math.Ceil(left*1e9)); left < 1e9 {
+			next = min(next, at)
+		}
+	}
+	if len(s.running) > 0 && s.Cold() {
+		next = min(next, s.now+warmStep)
+	}
+	if s.choked || s.crowdedSince != Never {
+		next = min(next, s.now+chokeLook)
+	}
+	return next
+}
+
+// Advance brings the server to now, and gives the jobs that ended by then. The slice is valid until the next call.
+func (s *Server) Advance(now time.Duration) []Done {
+	s.done = s.done[:0]
+	for !s.fallen {
+		at := s.Next()
+		if at > now {
+			break
+		}
+		s.accrue(at)
+		s.settle()
+	}
+	s.accrue(now)
+	return s.done
+}
+
+// accrue lets time pass in which nothing changes.
+func (s *Server) accrue(to time.Duration) {
+	if to <= s.now {
+		return
+	}
+	dt := (to - s.now).Seconds()
+	s.virtual += s.rate() * dt
+	s.area += float64(s.held()) * dt
+	busy := min(1, float64(len(s.running))/float64(s.spec.Cores))
+	keep := math.Exp(-dt / utilOver.Seconds())
+	s.util = s.util*keep + busy*(1-keep)
+	s.now = to
+}
+
+// settle does what is due now.
+func (s *Server) settle() {
+	if s.now >= s.nextPause {
+		s.pausedUntil = s.now + time.Duration(s.rng.Float64()*float64(s.spec.PauseFor))
+		s.planPause()
+	}
+	for len(s.running) > 0 && s.running[0].ends <= s.virtual+1e-9 {
+		j := heap.Pop(&s.running).(runningJob)
+		s.finish(j)
+		s.fill()
+	}
+	s.watchCrowd()
+}
+
+func (s *Server) finish(j runningJob) {
+	s.sojourns += (s.now - j.arrived).Seconds()
+	if j.extra {
+		s.extra--
+		return
+	}
+	took := (s.now - j.began).Seconds()
+	if s.latency == 0 {
+		s.latency = took
+	}
+	s.latency += (took - s.latency) / 16
+	s.done = append(s.done, Done{Job: j.Job, At: s.now, Failed: s.rng.Float64() < s.spec.ErrorShare+s.failShare})
+}
+
+// fill lets waiting jobs begin while there are slots.
+func (s *Server) fill() {
+	for len(s.waiting) > 0 && s.slotFree() {
+		h := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.begin(h)
+	}
+}
+
+func (s *Server) slotFree() bool {
+	return len(s.running)-s.extra < max(1, int(s.spec.SlotsPerCore*float64(s.spec.Cores)))
+}
+
+func (s *Server) begin(h held) {
+	heap.Push(&s.running, runningJob{held: h, began: s.now, ends: s.virtual + h.Work.Seconds()})
+}
+
+// watchCrowd chokes the server when too many have waited for too long, and lets it recover.
+func (s *Server) watchCrowd() {
+	c := s.spec.Choke
+	if c.At <= 0 {
+		return
+	}
+	if s.choked {
+		if s.util >= c.Below {
+			s.idleSince = s.now
+		}
+		if s.now-s.idleSince >= c.Rest || (c.Most > 0 && s.now-s.chokedAt >= c.Most) {
+			s.choked = false
+		}
+		return
+	}
+	switch crowded := float64(len(s.waiting)) > c.At*float64(s.spec.Cores); {
+	case !crowded:
+		s.crowdedSince = Never
+	case s.crowdedSince == Never:
+		s.crowdedSince = s.now
+	case s.now-s.crowdedSince >= c.Over:
+		s.choked, s.chokedAt, s.idleSince, s.crowdedSince = true, s.now, s.now, Never
+	}
+}
+
+// Offer brings a job at now, to which the server must have been advanced.
+func (s *Server) Offer(now time.Duration, j Job) Offer {
+	if s.fallen {
+		return Down
+	}
+	if s.overCold(now, j.Work.Seconds()) {
+		s.Fell()
+		return Down
+	}
+	if !s.slotFree() && len(s.waiting) >= int(s.spec.QueuePerCore*float64(s.spec.Cores)) {
+		return Full
+	}
+	if s.keys.meet(j.Key, now) {
+		j.Work = time.Duration(float64(j.Work) * (1 - s.spec.KeyGain))
+	}
+	if s.slotFree() {
+		s.begin(held{Job: j, arrived: now})
+	} else {
+		s.waiting = append(s.waiting, held{Job: j, arrived: now})
+	}
+	s.watchCrowd()
+	return Taken
+}
+
+// Fell takes the server down for good, with all that it held.
+func (s *Server) Fell() {
+	s.fallen = true
+	for _, j := range s.running {
+		s.sojourns += (s.now - j.arrived).Seconds()
+	}
+	for _, h := range s.waiting {
+		s.sojourns += (s.now - h.arrived).Seconds()
+	}
+	s.running, s.waiting, s.extra = nil, nil, 0
+}
+
+// Fallen tells whether it is down.
+func (s *Server) Fallen() bool { return s.fallen }
+
+// overCold keeps count of what a cold server was sent, and tells whether it is too much.
+func (s *Server) overCold(now time.Duration, work float64) bool {
+	if s.spec.FallMultiple <= 0 || s.spec.FallFor <= 0 || s.warmth(now) >= 1 {
+		s.sent, s.sentWork = nil, 0
+		return false
+	}
+	for len(s.sent) > 0 && now-s.sent[0].at >= s.spec.FallFor {
+		s.sentWork -= s.sent[0].work
+		s.sent = s.sent[1:]
+	}
+	s.sent = append(s.sent, arrival{now, work})
+	s.sentWork += work
+	return s.sentWork > s.spec.FallMultiple*s.spec.Capacity()*s.warmth(now)*s.spec.FallFor.Seconds()
+}
+
+// Charge brings work at now that no client waits for: a handshake or a probe.
+func (s *Server) Charge(now time.Duration, work time.Duration) {
+	if s.fallen || work <= 0 {
+		return
+	}
+	s.extra++
+	s.begin(held{Job: Job{Work: work}, arrived: now, extra: true})
+}
+
+// Connected changes the number of open connections by n; false where the table has no room for more.
+func (s *Server) Connected(n int) bool {
+	if most := s.spec.ConnsPerCore * s.spec.Cores; n > 0 && most > 0 && s.conns+n > most {
+		return false
+	}
+	s.conns += n
+	return true
+}
+
+// Trouble makes the server so many times slower (1: not at all) and lets a share of its jobs fail, from now on.
+func (s *Server) Trouble(slower, failShare float64) { s.slower, s.failShare = max(slower, 1e-3), failShare }
+
+// ForceChoke chokes it as a crowd would.
+func (s *Server) ForceChoke() {
+	if s.spec.Choke.At > 0 {
+		s.choked, s.chokedAt, s.idleSince = true, s.now, s.now
+	}
+}
+
+// Choked tells whether a crowd has turned it slow.
+func (s *Server) Choked() bool { return s.choked }
+
+// Report is the server's own word on its load.
+func (s *Server) Report() Report {
+	return Report{Inflight: s.held() - s.extra, Queue: len(s.waiting), Util: s.util,
+		Latency: time.Duration(s.latency * float64(time.Second))}
+}
+
+// Little gives both sides of Little's law over the server's whole life, in job-seconds: the number held, integrated
+// over time, and the time that each job spent here, added up. They are counted apart and must agree.
+func (s *Server) Little() (area, sojourns float64) {
+	sojourns = s.sojourns
+	for _, j := range s.running {
+		sojourns += (s.now - j.arrived).Seconds()
+	}
+	for _, h := range s.waiting {
+		sojourns += (s.now - h.arrived).Seconds()
+	}
+	return s.area, sojourns
+}
+
+type jobHeap []runningJob
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, j int) bool { return h[i].ends < h[j].ends }
+func (h jobHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *jobHeap) Push(x any)        { *h = append(*h, x.(runningJob)) }
+func (h *jobHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
