--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second
+
+// echo answers each byte with itself, until the test ends.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	open.Add(1)
+	go func() {
+		defer open.Done()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				defer open.Done()
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); open.Wait() })
+	return ln.Addr().String()
+}
+
+func link(t *testing.T, onEnd func(string)) *Link {
+	t.Helper()
+	l, err := New("a", "b", "127.0.0.1:0", echo(t), onEnd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+func dial(t *testing.T, l *Link) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", l.Address(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// ask sends a byte and waits for its echo.
+func ask(c net.Conn) error {
+	if _, err := c.Write([]byte{7}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func set(t *testing.T, l *Link, s State) {
+	t.Helper()
+	if err := l.Set(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDelayIsEachWay(t *testing.T) {
+	l := link(t, nil)
+	c := dial(t, l)
+	if err := ask(c); err != nil {
+		t.Fatal(err)
+	}
+	set(t, l, State{Delay: 30 * time.Millisecond})
+	begun := time.Now()
+	if err := ask(c); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took < 60*time.Millisecond {
+		t.Errorf("a round trip over 30 ms each way took %v", took)
+	}
+}
+
+// A silent link: what is open stays open and brings nothing, what is new never comes up, and both live again after.
+func TestSilence(t *testing.T) {
+	for name, s := range map[string]State{"forth": {SilentForth: true}, "back": {SilentBack: true}} {
+		t.Run(name, func(t *testing.T) {
+			l := link(t, nil)
+			c := dial(t, l)
+			if err := ask(c); err != nil {
+				t.Fatal(err)
+			}
+			set(t, l, s)
+			_ = c.SetDeadline(time.Now().Add(100 * time.Millisecond))
+			if err := ask(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("on a silent link: %v, want nothing in time", err)
+			}
+			if fresh, err := net.DialTimeout("tcp", l.Address(), 100*time.Millisecond); err == nil {
+				fresh.Close()
+				t.Error("a new connection came up on a silent link")
+			}
+			set(t, l, State{})
+			_ = c.SetDeadline(time.Now().Add(patience))
+			if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+				t.Errorf("what was held did not arrive after: %v", err)
+			}
+			if err := ask(dial(t, l)); err != nil {
+				t.Errorf("a new connection after the silence: %v", err)
+			}
+		})
+	}
+}
+
+func TestResetBreaksAndRefuses(t *testing.T) {
+	l := link(t, nil)
+	c := dial(t, l)
+	if err := ask(c); err != nil {
+		t.Fatal(err)
+	}
+	set(t, l, State{Reset: true})
+	if err := ask(c); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		t.Errorf("an open connection: %v, want a reset", err)
+	}
+	if fresh, err := net.DialTimeout("tcp", l.Address(), patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a new connection: %v, want it refused", err)
+		if err == nil {
+			fresh.Close()
+		}
+	}
+	set(t, l, State{})
+	if err := ask(dial(t, l)); err != nil {
+		t.Errorf("after the reset: %v", err)
+	}
+}
+
+func TestOneInFourIsBroken(t *testing.T) {
+	l := link(t, nil)
+	set(t, l, State{ResetShare: 0.25})
+	bad := 0
+	for range 8 {
+		if ask(dial(t, l)) != nil {
+			bad++
+		}
+	}
+	if bad != 2 {
+		t.Errorf("%d of 8 connections broke, want 2", bad)
+	}
+}
+
+func TestPiecesAndRate(t *testing.T) {
+	l := link(t, nil)
+	set(t, l, State{Chop: 3, Rate: 10_000})
+	c := dial(t, l)
+	text := make([]byte, 1000)
+	for i := range text {
+		text[i] = byte(i)
+	}
+	begun := time.Now()
+	if _, err := c.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != string(text) {
+		t.Fatalf("not the same bytes (%v)", err)
+	}
+	if took := time.Since(begun); took < 90*time.Millisecond {
+		t.Errorf("1000 bytes at 10 kB a second took %v", took)
+	}
+}
+
+// The end of the initiator's side is seen even while the link is silent: verdicts need to know when an attempt was
+// given up.
+func TestEndIsSeenOnASilentLink(t *testing.T) {
+	ended := make(chan string, 1)
+	l := link(t, func(dialled string) { ended <- dialled })
+	c := dial(t, l)
+	if err := ask(c); err != nil {
+		t.Fatal(err)
+	}
+	set(t, l, State{SilentForth: true, SilentBack: true})
+	c.Close()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("the end was not seen")
+	}
+}
