--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -307,7 +307,9 @@
 }
 
 // Trouble makes the server so many times slower (1: not at all) and lets a share of its jobs fail, from now on.
-func (s *Server) Trouble(slower, failShare float64) { s.slower, s.failShare = max(slower, 1e-3), failShare }
+func (s *Server) Trouble(slower, failShare float64) {
+	s.slower, s.failShare = max(slower, 1e-3), failShare
+}
 
 // ForceChoke chokes it as a crowd would.
 func (s *Server) ForceChoke() {
--- /dev/null
+++ b/internal/lab/proc/proc.go
@@ -0,0 +1,197 @@
+// Package proc owns the child processes of a play: it starts them so that none outlives the laboratory, signals them,
+// and reads what the kernel counts of them.
+package proc
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"github.com/prometheus/procfs"
+)
+
+// logKeep is how much of a child's log is kept; what comes beyond is counted and dropped.
+const logKeep = 8 << 20
+
+// Spec says what to run.
+type Spec struct {
+	Name    string // of the party, for messages
+	Path    string
+	Args    []string
+	Env     []string // added to nothing: a child sees no variable of the laboratory's
+	Dir     string
+	LogFile string // where standard output and error go; appended to
+}
+
+// Child is a process that was started.
+type Child struct {
+	Name   string
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	exited error // of Wait, once ended is closed
+	logs   sync.WaitGroup
+}
+
+// starts is the work of the spawner: the kernel kills a child when the thread that started it dies, so that all are
+// started on one thread that lives as long as the process.
+var (
+	starts = make(chan func())
+	spawn  = sync.OnceFunc(func() {
+		go func() {
+			runtime.LockOSThread()
+			for f := range starts {
+				f()
+			}
+		}()
+	})
+)
+
+// Start runs a child. It is killed when this process ends in any way, SIGKILL too.
+func Start(s Spec) (*Child, error) {
+	log, err := os.OpenFile(s.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("log of %s: %w", s.Name, err)
+	}
+	cmd := exec.Command(s.Path, s.Args...)
+	cmd.Env, cmd.Dir = s.Env, s.Dir
+	// A group of its own: ^C is for the laboratory, which ends its children in order.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	// A pipe and not the file itself: a limit on the size of the child's files is not to bound its log.
+	read, write, err := os.Pipe()
+	if err != nil {
+		log.Close()
+		return nil, fmt.Errorf("log of %s: %w", s.Name, err)
+	}
+	cmd.Stdout, cmd.Stderr = write, write
+	c := &Child{Name: s.Name, cmd: cmd, ended: make(chan struct{})}
+	spawn()
+	done := make(chan error)
+	starts <- func() { done <- cmd.Start() }
+	err = <-done
+	write.Close()
+	if err != nil {
+		read.Close()
+		log.Close()
+		return nil, fmt.Errorf("starting %s: %w", s.Name, err)
+	}
+	c.logs.Add(1)
+	go func() {
+		defer c.logs.Done()
+		defer log.Close()
+		defer read.Close()
+		keep(log, read)
+	}()
+	go func() {
+		c.exited = cmd.Wait()
+		close(c.ended)
+	}()
+	return c, nil
+}
+
+// keep copies a log up to its bound, and drains the rest, so that a child never waits for it.
+func keep(to io.Writer, from io.Reader) {
+	w := bufio.NewWriter(to)
+	_, _ = io.CopyN(w, from, logKeep) // a log that can't be written is no reason to stop the play
+	if n, _ := io.Copy(io.Discard, from); n > 0 {
+		fmt.Fprintf(w, "\n(%d bytes more were left out)\n", n)
+	}
+	w.Flush()
+}
+
+// PID is the process's number.
+func (c *Child) PID() int { return c.cmd.Process.Pid }
+
+// Ended is closed once the process has ended.
+func (c *Child) Ended() <-chan struct{} { return c.ended }
+
+// Exit words how it ended; empty while it runs.
+func (c *Child) Exit() string {
+	select {
+	case <-c.ended:
+	default:
+		return ""
+	}
+	if c.exited == nil {
+		return "exit status 0"
+	}
+	return c.exited.Error()
+}
+
+// Signal sends a signal; to a process that has ended it does nothing.
+func (c *Child) Signal(s syscall.Signal) error {
+	if err := c.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("%v to %s: %w", s, c.Name, err)
+	}
+	return nil
+}
+
+// Kill ends it with SIGKILL, stopped or not, and waits until it has ended and its log is written.
+func (c *Child) Kill() error {
+	err := c.Signal(syscall.SIGKILL)
+	<-c.ended
+	c.logs.Wait()
+	return err
+}
+
+// Stop asks it to end with SIGTERM, and kills it if it has not ended in time. clean: it ended by itself with 0.
+func (c *Child) Stop(within time.Duration) (clean bool, err error) {
+	if err := c.Signal(syscall.SIGTERM); err != nil {
+		return false, err
+	}
+	late := time.NewTimer(within)
+	defer late.Stop()
+	select {
+	case <-c.ended:
+		c.logs.Wait()
+		return c.exited == nil, nil
+	case <-late.C:
+		return false, c.Kill()
+	}
+}
+
+// FileLimit bounds the size of the files that it writes, as a full disk does; nil lifts the bound.
+func (c *Child) FileLimit(bytes *uint64) error {
+	lim := syscall.Rlimit{Cur: ^uint64(0), Max: ^uint64(0)}
+	if bytes != nil {
+		lim.Cur = *bytes
+	}
+	const rlimitFsize = syscall.RLIMIT_FSIZE
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(c.PID()), rlimitFsize, uintptr(unsafe.Pointer(&lim)), 0, 0, 0)
+	if errno != 0 {
+		return fmt.Errorf("file limit of %s: %w", c.Name, errno)
+	}
+	return nil
+}
+
+// Use is what the kernel counts of a process.
+type Use struct {
+	Descriptors int
+	MemoryMB    float64
+	CPU         time.Duration
+}
+
+// Use reads the counts; an error means that it has ended.
+func (c *Child) Use() (u Use, err error) {
+	p, err := procfs.NewProc(c.PID())
+	if err != nil {
+		return u, err
+	}
+	stat, err := p.Stat()
+	if err != nil {
+		return u, err
+	}
+	if u.Descriptors, err = p.FileDescriptorsLen(); err != nil {
+		return u, err
+	}
+	u.MemoryMB = float64(stat.ResidentMemory()) / (1 << 20)
+	u.CPU = time.Duration(stat.CPUTime() * float64(time.Second))
+	return u, nil
+}
--- /dev/null
+++ b/internal/lab/proc/proc_test.go
@@ -0,0 +1,118 @@
+package proc
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+// TestMain plays a laboratory that starts a child and waits to be killed, where a test asks for it.
+func TestMain(m *testing.M) {
+	if log := os.Getenv("PROC_TEST_LAB"); log != "" {
+		c, err := Start(Spec{Name: "child", Path: "/bin/sleep", Args: []string{"600"}, LogFile: log})
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(c.PID())
+		select {}
+	}
+	os.Exit(m.Run())
+}
+
+func alive(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	return err == nil && !strings.Contains(string(text), ") Z ") // a zombie has ended
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// script runs a shell script, and waits until it has made the file "ready".
+func script(t *testing.T, text string) (c *Child, dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	c, err := Start(Spec{Name: "child", Path: "/bin/sh", Args: []string{"-c", text}, Dir: dir, LogFile: filepath.Join(dir, "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Kill() })
+	eventually(t, "the script", func() bool { return exists(dir, "ready") })
+	return c, dir
+}
+
+func exists(dir, name string) bool {
+	_, err := os.Stat(filepath.Join(dir, name))
+	return err == nil
+}
+
+// Guards against children that outlive a laboratory that was killed outright.
+func TestChildrenDieWithTheLab(t *testing.T) {
+	lab := exec.Command(os.Args[0])
+	lab.Env = append(os.Environ(), "PROC_TEST_LAB="+filepath.Join(t.TempDir(), "log"))
+	out, err := lab.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := lab.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	var pid int
+	if _, err := fmt.Sscan(line, &pid); err != nil || !alive(pid) {
+		t.Fatalf("the child %q is not there (%v)", line, err)
+	}
+	_ = lab.Process.Signal(syscall.SIGKILL)
+	_ = lab.Wait() // it was killed
+	eventually(t, "the child to end", func() bool { return !alive(pid) })
+}
+
+func TestStopIsCleanOrKills(t *testing.T) {
+	const loop = "; : > ready; while :; do sleep 0.01; done"
+	c, _ := script(t, "trap 'exit 0' TERM"+loop)
+	if clean, err := c.Stop(patience); !clean || err != nil {
+		t.Errorf("clean %v, %v (%s)", clean, err, c.Exit())
+	}
+	deaf, _ := script(t, "trap '' TERM"+loop)
+	if clean, err := deaf.Stop(50 * time.Millisecond); clean || err != nil || !strings.Contains(deaf.Exit(), "killed") {
+		t.Errorf("deaf to SIGTERM: clean %v, %v (%s)", clean, err, deaf.Exit())
+	}
+}
+
+func TestUseAndFileLimit(t *testing.T) {
+	c, dir := script(t, "trap '' XFSZ; : > ready; while [ ! -e go ]; do sleep 0.01; done; echo text > file || : > noroom; exec sleep 600")
+	u, err := c.Use()
+	if err != nil || u.Descriptors < 3 || u.MemoryMB <= 0 {
+		t.Errorf("use %+v, %v", u, err)
+	}
+	none := uint64(0)
+	if err := c.FileLimit(&none); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "go"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a write without room", func() bool { return exists(dir, "noroom") })
+	if err := c.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Use(); err == nil {
+		t.Error("a process that has ended has no use")
+	}
+}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -15,18 +15,19 @@
 
 // The ends. Pending is a try without one.
 const (
-	Pending   End = iota
-	Served        // 200, whole
-	Refused       // 429 or 503
-	Failed        // any other answer
-	Broken        // an answer began and did not come to its end
-	Dropped       // the connection ended without a byte of an answer
-	NoConnect     // no connection could be had: nothing was taken
-	Unanswered    // nothing came in time
-	Unsent        // the play was stopped before
+	Pending    End = iota
+	Served         // 200, whole
+	Refused        // 429 or 503
+	Failed         // any other answer
+	Broken         // an answer began and did not come to its end
+	Dropped        // the connection ended without a byte of an answer
+	NoConnect      // no connection could be had: nothing was taken
+	Unanswered     // nothing came in time
+	Left           // the client went away early
+	Unsent         // the play was stopped before
 )
 
-var endNames = [...]string{"pending", "served", "refused", "failed", "broken", "dropped", "no connection", "unanswered", "unsent"}
+var endNames = [...]string{"pending", "served", "refused", "failed", "broken", "dropped", "no connection", "unanswered", "left", "unsent"}
 
 func (e End) String() string { return endNames[e] }
 
@@ -234,3 +235,15 @@
 
 // Band takes in a fault's time.
 func (r *Record) Band(b Band) { r.mu.Lock(); r.Bands = append(r.Bands, b); r.mu.Unlock() }
+
+// EndedSince tells whether a process of the party was ended, by hand or by itself, at t or later.
+func (r *Record) EndedSince(party string, t time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.Lives {
+		if l.Party == party && !l.Paused && l.End > 0 && l.End >= t {
+			return true
+		}
+	}
+	return false
+}
