lab/report: bands as light as meant, and legends beside the pictures

Seen on the page in a headless browser: bands covered the lines, since their colour was taken as premultiplied, and legends lay on them. Change: colours without premultiplication; a page's legend stands under each picture.

--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 )
@@ -24,7 +25,7 @@
 	most        float64
 	lines       []line
 	bands       []Band
-	width       float64 // cm
+	legend      bool // inside the picture: a page has its own beside it
 }
 
 type line struct {
@@ -35,7 +36,7 @@
 }
 
 // palette tells lines apart, also for readers who see red and green alike.
-var palette = []color.RGBA{{0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255}, {86, 180, 233, 255},
+var palette = []color.NRGBA{{0, 114, 178, 255}, {213, 94, 0, 255}, {0, 158, 115, 255}, {204, 121, 167, 255}, {86, 180, 233, 255},
 	{230, 159, 0, 255}, {60, 60, 60, 255}}
 
 const leastLog = 0.1 // ms: what is less is drawn there
@@ -47,6 +48,10 @@
 	p.Title.TextStyle.Font.Size, p.Y.Label.TextStyle.Font.Size, p.X.Label.TextStyle.Font.Size = vg.Points(12), vg.Points(10), vg.Points(10)
 	p.Legend.TextStyle.Font.Size = vg.Points(9)
 	p.Legend.Top, p.Legend.ThumbnailWidth = true, vg.Points(18)
+	for _, f := range []*font.Font{&p.Title.TextStyle.Font, &p.X.Label.TextStyle.Font, &p.Y.Label.TextStyle.Font,
+		&p.X.Tick.Label.Font, &p.Y.Tick.Label.Font, &p.Legend.TextStyle.Font} {
+		f.Variant = "Sans"
+	}
 	low, high := math.Inf(1), c.most
 	longest := 0
 	for _, l := range c.lines {
@@ -75,7 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
-		box.Color, box.LineStyle.Width = color.RGBA{120, 120, 120, uint8(36 + 14*(i%3))}, 0
+		box.Color, box.LineStyle.Width = color.NRGBA{90, 100, 115, uint8(34 + 14*(i%3))}, 0
 		p.Add(box)
 	}
 	p.Add(plotter.NewGrid())
@@ -107,7 +112,7 @@
 			drawn.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 		}
 		p.Add(drawn)
-		if !named && l.name != "" {
+		if c.legend && !named && l.name != "" {
 			p.Legend.Add(l.name, drawn)
 			named = true
 		}
@@ -135,7 +140,7 @@
 	if err != nil {
 		return "", fmt.Errorf("chart %s: %w", c.title, err)
 	}
-	w, err := p.WriterTo(vg.Length(cmp.Or(c.width, 15))*vg.Centimeter, 7*vg.Centimeter, "svg")
+	w, err := p.WriterTo(15*vg.Centimeter, 6.5*vg.Centimeter, "svg")
 	if err != nil {
 		return "", fmt.Errorf("chart %s: %w", c.title, err)
 	}
@@ -150,6 +155,19 @@
 	return template.HTML(text), nil // made here from numbers; names are escaped by the library
 }
 
+// key is a line's name and colour, for the legend of a page.
+type key struct{ Name, Colour string }
+
+func (c chart) keys() (all []key) {
+	for i, l := range c.lines {
+		if l.name != "" {
+			p := palette[i%len(palette)]
+			all = append(all, key{l.name, fmt.Sprintf("#%02x%02x%02x", p.R, p.G, p.B)})
+		}
+	}
+	return all
+}
+
 // charts are the pictures of a result: the first play of each variant, which have the same seed and so the same faults.
 func (r *Result) charts() []chart {
 	firsts := r.firstPlays()
@@ -213,6 +231,7 @@
 		if !strings.HasPrefix(strings.ToLower(c.title), strings.ToLower(title)) {
 			continue
 		}
+		c.legend = true
 		p, err := c.draw(seriesStep.Seconds())
 		if err != nil {
 			return err
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -24,12 +24,17 @@
 	*Result
 	Rules   []pageRule
 	Figures []pageFigure
-	Charts  []template.HTML
+	Charts  []pageChart
 	Firsts  []*Play
 	Held    bool
 	Doubts  []string
 }
 
+type pageChart struct {
+	SVG  template.HTML
+	Keys []key
+}
+
 // pageRule is a row of the table of verdicts: a count for each variant.
 type pageRule struct {
 	Name, Says string
@@ -55,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		d.Charts = append(d.Charts, svg)
+		d.Charts = append(d.Charts, pageChart{svg, c.keys()})
 	}
 	for _, rule := range verdict.All {
 		row := pageRule{Name: rule.Name, Says: rule.Says}
