sidecar: the log's lines are structured, with the same content, rates and caps

Change: log/slog, JSON unless at a terminal, with component, request, upstream, err as keys; attrs are worded only for lines that are written, so that one left out costs nothing.

--- a/cmd/orchiddrift/main.go
+++ b/cmd/orchiddrift/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -20,6 +21,7 @@
 }
 
 func run() error {
+	slog.SetDefault(slog.New(handler(os.Stderr)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hup := make(chan os.Signal, 1) // one that is waiting stands for any that follow
@@ -34,6 +36,14 @@
 	return sidecar.Run(ctx, c, reloads)
 }
 
+// handler words the log: as text for a person at a terminal, else as JSON.
+func handler(to *os.File) slog.Handler {
+	if info, err := to.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		return slog.NewTextHandler(to, nil)
+	}
+	return slog.NewJSONHandler(to, nil)
+}
+
 // reload hands on the configuration each time that hup asks for it, until ctx ends.
 func reload(ctx context.Context, hup <-chan os.Signal, path string, to chan<- sidecar.Reload) {
 	for {
--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -149,7 +149,7 @@
 	term(t, cmd)
 }
 
-const keeps = "reload: the configuration in use stays: "
+const keeps = `"msg":"the configuration in use stays"`
 
 // logText is a log that is read while it is written.
 type logText struct {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -105,16 +105,16 @@
 		switch {
 		case ctx.Err() != nil:
 		case standing:
-			log.Printf("watch ended: %v", err)
+			warn(ofDiscovery, "watch ended", err)
 			wait = rewatchFirst
 		case moduleAsks:
-			log.Printf("watch ended: %v", err)
+			warn(ofDiscovery, "watch ended", err)
 			w.report(balancer.Members{Kind: balancer.Failed})
 		default:
 			if told {
 				wait = rewatchFirst
 			}
-			log.Printf("watch ended, next in %v: %v", wait, err)
+			note(slog.LevelWarn, ofDiscovery, "watch ended", millis("next_ms", wait), slog.Any("err", err))
 			select {
 			case <-time.After(wait):
 				wait = min(2*wait, rewatchMost)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -200,14 +200,14 @@
 		conn.Close()
 	}
 	if !errors.Is(err, os.ErrNotExist) {
-		log.Printf("hand-over: starting without the process before: %v", err)
+		warn(ofHandover, "starting without the process before", err)
 	}
 	text, err := os.ReadFile(filepath.Join(h.dir, bansName))
 	if err == nil {
 		err = json.Unmarshal(text, &s.Banned)
 	}
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		log.Printf("hand-over: the file of bans is of no use: %v", err)
+		warn(ofHandover, "the file of bans is of no use", err)
 	}
 	return s
 }
@@ -227,7 +227,7 @@
 				once.Do(func() { close(h.yielded) })
 			}
 		})
-		log.Printf("hand-over: the process before is gone: %v", err)
+		warn(ofHandover, "the process before is gone", err)
 		l.conn.Close()
 		h.forget(l)
 		h.bounded(nil)
@@ -242,7 +242,7 @@
 	h.mu.Unlock()
 	if l != nil {
 		if err := l.send(message{Ready: true}); err != nil {
-			log.Printf("hand-over: telling the process before: %v", err)
+			warn(ofHandover, "telling the process before", err)
 		}
 	}
 	select {
@@ -307,9 +307,9 @@
 		err = l.send(message{State: &s})
 	}
 	if err != nil {
-		log.Printf("hand-over: %v", err)
+		warn(ofHandover, "taking a new process in", err)
 	}
-	log.Printf("hand-over: a new process has come")
+	note(slog.LevelInfo, ofHandover, "a new process has come")
 	h.halved(true)
 	defer h.halved(false)
 	yielded := make(chan struct{})
@@ -354,7 +354,7 @@
 	closed = h.closed
 	h.mu.Unlock()
 	if !closed {
-		log.Printf("hand-over: the new process is gone: %v", err)
+		warn(ofHandover, "the new process is gone", err)
 		if ready {
 			h.resume()
 		}
@@ -379,7 +379,7 @@
 		}
 	}
 	if err != nil {
-		log.Printf("hand-over: keeping the bans: %v", err)
+		warn(ofHandover, "keeping the bans", err)
 	}
 	h.mu.Lock()
 	l := h.peer
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -25,7 +25,7 @@
 	stats   *stats
 	told    figures                // as of the last line of counts
 	look    func(ejected []string) // feeds the figures on upstreams; nil: nobody reads them
-	sockets func() string          // words the connections' state for the line of counts
+	sockets func() slog.Attr       // words the connections' state for the line of counts
 	zone    func(upstream string) string
 
 	news   chan any // balancer.Members, ban: what comes before requests
@@ -118,7 +118,7 @@
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
 	l := &loop{clock: clk, b: b, news: make(chan any, 16), stats: newStats(), events: make(chan any, 256), stop: stop,
 		flights: map[string]*flight{}, timer: time.NewTimer(time.Hour), bad: newLines(badLines), slow: newLines(lateLines), counts: newCounts(),
-		sockets: func() string { return "" }, zone: func(string) string { return "" }}
+		sockets: func() slog.Attr { return slog.Attr{} }, zone: func(string) string { return "" }}
 	l.timer.Stop()
 	return l
 }
@@ -172,10 +172,11 @@
 			l.handle(balancer.Wake{})
 		case <-tell.C:
 			now := l.stats.snapshot()
-			log.Printf("%s; %v; in hand %d%s", now.since(&l.told), &l.counts, len(l.flights), l.sockets())
+			note(slog.LevelInfo, ofCounts, "counts", append(now.since(&l.told), l.counts.attempts(),
+				slog.Int("in_hand", len(l.flights)), l.sockets())...)
 			l.told = now
 			if len(l.counts.upstreams) > 0 {
-				log.Printf("by upstream:%s", l.counts.byUpstream(l.zone))
+				note(slog.LevelInfo, ofCounts, "by upstream", slog.String("upstreams", l.counts.byUpstream(l.zone)))
 			}
 			l.counts = newCounts()
 		case <-look:
@@ -228,8 +229,7 @@
 	case gone:
 		if f := l.flights[e.request.id]; f != nil && f.request == e.request && !f.done {
 			f.done = true
-			l.bad.printf("%s %s client gone after %v%s", short(f.request.id), f.request.class,
-				ms(l.clock.now()-f.taken), f.trail(l.clock.now()))
+			l.bad.note("client gone", func() []slog.Attr { return f.attrs(l.clock.now()) })
 			l.handle(balancer.Gone{ID: e.request.id})
 			l.forget(e.request.id)
 		}
@@ -316,7 +316,7 @@
 	case balancer.Subscribe:
 		l.ask()
 	case balancer.Log:
-		log.Print(a.Text)
+		note(slog.LevelInfo, ofDecisions, a.Text)
 	}
 }
 
@@ -370,8 +370,7 @@
 		}
 		to = l.slow
 	}
-	to.printf("%s %s %s after %v, body %d%s", short(id), f.request.class, answerNames[a.kind], ms(now-f.taken),
-		f.request.body.length, f.trail(now))
+	to.note(answerNames[a.kind], func() []slog.Attr { return f.attrs(now) })
 	return true
 }
 
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -1,8 +1,9 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -22,6 +23,26 @@
 	noteBytes = 160  // of what a peer may have worded
 )
 
+// The components that the log's lines name.
+const (
+	ofRequests  = "requests"
+	ofCounts    = "counts"
+	ofDiscovery = "discovery"
+	ofHandover  = "handover"
+	ofReload    = "reload"
+	ofDecisions = "decisions"
+)
+
+// note writes a line of the log.
+func note(level slog.Level, component, text string, attrs ...slog.Attr) {
+	slog.LogAttrs(context.Background(), level, text, append([]slog.Attr{slog.String("component", component)}, attrs...)...)
+}
+
+// warn writes a line on something that went wrong.
+func warn(component, text string, err error) {
+	note(slog.LevelWarn, component, text, slog.Any("err", err))
+}
+
 // lines bounds a log's lines, and counts those that it left out.
 type lines struct {
 	rate float64
@@ -34,7 +55,8 @@
 
 func newLines(rate float64) *lines { return &lines{rate: rate, tokens: rate, at: time.Now()} }
 
-func (l *lines) printf(format string, args ...any) {
+// note writes a line on a request, with what attrs gives, unless there were too many; then attrs is not asked.
+func (l *lines) note(text string, attrs func() []slog.Attr) {
 	l.mu.Lock()
 	now := time.Now()
 	l.tokens = min(l.rate, l.tokens+l.rate*now.Sub(l.at).Seconds())
@@ -48,18 +70,22 @@
 	dropped := l.dropped
 	l.dropped = 0
 	l.mu.Unlock()
+	all := attrs()
 	if dropped > 0 {
-		format, args = format+" (%d lines like it left out before)", append(args, dropped)
+		all = append(all, slog.Int("left_out", dropped))
 	}
-	log.Printf(format, args...)
+	note(slog.LevelWarn, ofRequests, text, all...)
 }
 
-// short makes what a peer sent fit for a log line.
-func short(s string) string {
+// short makes what a peer sent fit for a line.
+func short(s string) string { return fmt.Sprintf("%q", cut(s)) }
+
+// cut bounds what a peer sent, for an attribute of the log, which is quoted there.
+func cut(s string) string {
 	if len(s) > noteBytes {
 		s = s[:noteBytes] + "..."
 	}
-	return fmt.Sprintf("%q", s)
+	return s
 }
 
 var resultNames = map[balancer.Result]string{balancer.OK: "ok", balancer.ServerError: "error",
@@ -78,12 +104,15 @@
 // trail words a request's way: its attempts in order, each with its upstream, end, time and connection.
 func (f *flight) trail(now time.Duration) string {
 	var s strings.Builder
-	for _, a := range f.attempts {
+	for i, a := range f.attempts {
+		if i > 0 {
+			s.WriteString("; ")
+		}
 		if a.ended == 0 {
-			fmt.Fprintf(&s, "; %s out for %v", a.upstream, ms(now-a.sent))
+			fmt.Fprintf(&s, "%s out for %v", a.upstream, ms(now-a.sent))
 			continue
 		}
-		fmt.Fprintf(&s, "; %s %s in %v, use %d of its connection", a.upstream, resultNames[a.reply.result],
+		fmt.Fprintf(&s, "%s %s in %v, use %d of its connection", a.upstream, resultNames[a.reply.result],
 			ms(a.ended-a.sent), a.reply.use.nth)
 		if a.reply.use.nth > 1 {
 			fmt.Fprintf(&s, " after %v idle", ms(a.reply.use.idle))
@@ -97,6 +126,17 @@
 
 func ms(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
+// attrs is what the log says of a request.
+func (f *flight) attrs(now time.Duration) []slog.Attr {
+	return []slog.Attr{slog.String("request", cut(f.request.id)), slog.String("class", f.request.class),
+		millis("after_ms", now-f.taken), slog.Int64("body", f.request.body.length), slog.String("attempts", f.trail(now))}
+}
+
+// millis is a time as an attribute of the log.
+func millis(key string, d time.Duration) slog.Attr {
+	return slog.Float64(key, float64(ms(d).Microseconds())/1e3)
+}
+
 // counts is what became of attempts since the last line on it. The loop owns it; for requests, see stats.
 type counts struct {
 	results   map[balancer.Result]int
@@ -137,20 +177,23 @@
 	var s strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(c.upstreams)) {
 		u := c.upstreams[name]
-		fmt.Fprintf(&s, " %s@%s %d", name, zone(name), u.ok)
+		fmt.Fprintf(&s, "%s@%s %d", name, zone(name), u.ok)
 		if u.ok > 0 {
 			fmt.Fprintf(&s, " in %dms", (u.took / time.Duration(u.ok)).Milliseconds())
 		}
 		if u.bad > 0 {
 			fmt.Fprintf(&s, " bad %d", u.bad)
 		}
-		s.WriteByte(',')
+		s.WriteString(", ")
 	}
-	return strings.TrimSuffix(s.String(), ",")
+	return strings.TrimSuffix(s.String(), ", ")
 }
 
-func (c *counts) String() string {
-	return fmt.Sprintf("attempts ok %d error %d full %d timeout %d connect %d reset %d cancelled %d moot %d",
-		c.results[balancer.OK], c.results[balancer.ServerError], c.results[balancer.Overloaded], c.results[balancer.Timeout],
-		c.results[balancer.ConnectFailed], c.results[balancer.Reset], c.results[balancer.Cancelled], c.results[balancer.Moot])
+// attempts is how many attempts had each result, as an attribute of the log.
+func (c *counts) attempts() slog.Attr {
+	var each []any
+	for result := balancer.OK; result <= balancer.Moot; result++ {
+		each = append(each, slog.Int(resultNames[result], c.results[result]))
+	}
+	return slog.Group("attempts", each...)
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"math"
 	"net/http"
@@ -153,8 +154,11 @@
 
 // reject answers a malformed request, and ends its connection.
 func (s *server) reject(w http.ResponseWriter, r *http.Request, bad *rejection) {
-	s.bad.printf("%s from %s turned away, %s %s, length %d: %d %s", short(r.Header.Get(headerID)), r.RemoteAddr, r.Method,
-		short(r.RequestURI), r.ContentLength, bad.status, bad.text)
+	s.bad.note("turned away", func() []slog.Attr {
+		return []slog.Attr{slog.String("request", cut(r.Header.Get(headerID))), slog.String("peer", r.RemoteAddr),
+			slog.String("method", cut(r.Method)), slog.String("target", cut(r.RequestURI)), slog.Int64("length", r.ContentLength),
+			slog.Int("status", bad.status), slog.String("err", bad.text)}
+	})
 	w.Header().Set("Connection", "close") // else the library first waits for the rest of the body
 	s.say(w, bad.status, bad.text)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,7 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"math"
 	"net"
@@ -216,7 +216,7 @@
 		return
 	}
 	if err := p.h.serve(); err != nil {
-		log.Printf("hand-over: no other process will find this one: %v", err)
+		warn(ofHandover, "no other process will find this one", err)
 	}
 }
 
@@ -227,7 +227,7 @@
 	}
 	p.loop.stats.reload(r.Err == nil)
 	if r.Err != nil {
-		log.Printf("reload: the configuration in use stays: %v", r.Err)
+		warn(ofReload, "the configuration in use stays", r.Err)
 		return
 	}
 	p.c = r.Config
@@ -238,7 +238,7 @@
 	p.loop.stats.name(slices.Collect(maps.Keys(classes)))
 	p.up.retune(p.c.Settings)
 	p.s.classes.Store(&classes)
-	log.Printf("reload: taken; classes %v, discovery at %s", slices.Sorted(maps.Keys(classes)), p.c.Discovery)
+	note(slog.LevelInfo, ofReload, "taken", slog.Any("classes", slices.Sorted(maps.Keys(classes))), slog.String("discovery", p.c.Discovery))
 	p.watch.move(p.c.Discovery)
 }
 
@@ -307,7 +307,7 @@
 // banned takes in a ban that came to the other process.
 func (p *process) banned(b call) {
 	if err := confirm(p.up.dir, p.loop, b.ID, b.Lifted); err != nil {
-		log.Printf("hand-over: a ban on %s: %v", short(b.ID), err)
+		note(slog.LevelWarn, ofHandover, "a ban was not taken over", slog.String("upstream", cut(b.ID)), slog.Any("err", err))
 	}
 }
 
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 	"strings"
@@ -106,11 +107,11 @@
 	return t
 }
 
-// since words what was counted after an earlier snapshot, for the log.
-func (f *figures) since(before *figures) string {
+// since is what was counted after an earlier snapshot, for the log.
+func (f *figures) since(before *figures) []slog.Attr {
 	now, then := f.total(), before.total()
-	return fmt.Sprintf("taken %d, served %d, refused %d, failed %d, gone %d", f.taken-before.taken,
-		now.served-then.served, now.refused-then.refused, now.failed-then.failed, f.gone-before.gone)
+	return []slog.Attr{slog.Int64("taken", f.taken-before.taken), slog.Int64("served", now.served-then.served),
+		slog.Int64("refused", now.refused-then.refused), slog.Int64("failed", now.failed-then.failed), slog.Int64("gone", f.gone-before.gone)}
 }
 
 // lines words the figures for operators.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -460,12 +461,12 @@
 	return req.WithContext(ctx)
 }
 
-// sockets words the pool's state for the line of counts.
-func (u *upstreams) sockets() string {
+// sockets is the pool's state, for the line of counts.
+func (u *upstreams) sockets() slog.Attr {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	opened := u.opened
 	u.opened = 0
-	return fmt.Sprintf("; upstream connections %d (%d idle, %d await late answers) of %d, %d opened",
-		u.open, len(u.idle), len(u.late), u.most, opened)
+	return slog.Group("upstream_connections", slog.Int("open", u.open), slog.Int("idle", len(u.idle)),
+		slog.Int("await_late_answers", len(u.late)), slog.Int("most", u.most), slog.Int("opened", opened))
 }
