--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -173,6 +173,7 @@
 	Name     string            `toml:"name"`
 	Revision string            `toml:"revision"` // of this repository; absent: the work tree
 	Patch    string            `toml:"patch"`    // a file in the repository, applied before the build
+	Tags     string            `toml:"tags"`     // of the build, as go build takes them; lossyfs: what is not synced dies with the process
 	Program  string            `toml:"program"`  // a path, or "naive"
 	Breaks   string            `toml:"breaks"`   // the rule that a naive sidecar breaks
 	State    bool              `toml:"state"`    // sidecars have a directory that outlives them
