--- /dev/null
+++ b/internal/durable/box.go
@@ -0,0 +1,91 @@
+package durable
+
+import (
+	"errors"
+	"fmt"
+)
+
+const temporary = ".tmp"
+
+// Box holds one value of bounded size. A write lays it down beside the one before, which stays: what is read is the
+// newest that is whole. Not safe for concurrent use.
+type Box struct {
+	fs   FS
+	name string
+	most int
+	last uint64 // generation of the newest on disk, as far as known
+	read bool
+}
+
+// NewBox is the box of that name, for values of at most so many bytes.
+func NewBox(f FS, name string, most int) *Box { return &Box{fs: f, name: name, most: most} }
+
+// slot is the file of a generation: two of them take turns.
+func (b *Box) slot(generation uint64) string { return fmt.Sprintf("%s.%d", b.name, generation%2) }
+
+// Read gives the newest value that is whole; nil: there is none. Damages name what could not be used. An error means
+// that the file system could not be asked, or that a newer version of the program has written here.
+func (b *Box) Read() (value []byte, damages []Damage, err error) {
+	found := false
+	for i := range uint64(2) {
+		name := b.slot(i)
+		text, err := readFile(b.fs, name, b.most+frameHead)
+		if missing(err) {
+			continue
+		}
+		var generation uint64
+		var payload []byte
+		if err == nil {
+			var size int
+			if generation, payload, size, err = readFrame(text, boxMagic, b.most); err == nil && size != len(text) {
+				err = errors.New("more in it than was written")
+			}
+			if err == nil && generation%2 != i {
+				err = errors.New("a value of the other file's")
+			}
+		} else if !errors.Is(err, errLength) {
+			return nil, damages, fmt.Errorf("reading %s: %w", name, err)
+		}
+		switch {
+		case errors.Is(err, errNewer):
+			return nil, damages, fmt.Errorf("%s: %w", name, err)
+		case err != nil:
+			damages = append(damages, Damage{File: name, Err: err})
+		case !found || generation > b.last:
+			found, value, b.last = true, payload, generation
+		}
+	}
+	b.read = true
+	return value, damages, nil
+}
+
+// Write puts a value in place of the one before. Once it has returned nil the value is safe; after an error either of
+// the two may be read.
+func (b *Box) Write(value []byte) error { return b.write(value, true) }
+
+// WriteSoft is Write without waiting for the disk: what it writes outlives the process, and perhaps not the machine.
+func (b *Box) WriteSoft(value []byte) error { return b.write(value, false) }
+
+func (b *Box) write(value []byte, safe bool) error {
+	if len(value) > b.most {
+		return fmt.Errorf("writing %s: %d bytes of %d at most", b.name, len(value), b.most)
+	}
+	if !b.read { // the generation must rise
+		if _, _, err := b.Read(); err != nil {
+			return err
+		}
+	}
+	next := b.last + 1
+	fresh := b.name + temporary
+	err := writeNew(b.fs, fresh, appendFrame(nil, boxMagic, next, value), safe)
+	if err == nil {
+		if err = b.fs.Rename(fresh, b.slot(next)); err == nil && safe {
+			err = b.fs.Sync()
+		}
+	}
+	if err != nil { // the next write takes the same slot: the other one is the last that is known to be whole
+		return fmt.Errorf("writing %s: %w", b.name, err)
+	}
+	b.last = next
+	return nil
+}
--- /dev/null
+++ b/internal/durable/fs.go
@@ -0,0 +1,144 @@
+// Package durable owns the files that must outlive a process: they are written whole or not at all, and never trusted
+// when read. Everything has a version, a length and a checksum.
+//
+// A Box holds one value, in two generations; a Table holds small entries of which none may be lost once Set or Delete has
+// returned nil. A Dir is the directory with its lock. All of them write through FS, so that tests can take the power away
+// between any two calls.
+package durable
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FS is the part of a file system that is used, for one directory. Names have no separators.
+type FS interface {
+	// Open opens a file for reading.
+	Open(name string) (File, error)
+	// Create makes a new file for writing; it is an error if the name is there.
+	Create(name string) (File, error)
+	// Rename puts a file in the place of another, at once.
+	Rename(from, to string) error
+	// Remove takes a name away; it is no error if it is not there.
+	Remove(name string) error
+	// List gives the names of the regular files.
+	List() ([]string, error)
+	// Sync makes the names safe: what was created, renamed and removed before.
+	Sync() error
+}
+
+// File is an open file. What was written is safe once Sync has returned nil, and after an error of any call it is not
+// known how much is: the file must not be used again.
+type File interface {
+	io.Reader
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// osFS is a directory of the machine's.
+type osFS struct{ dir string }
+
+func (o osFS) path(name string) string { return filepath.Join(o.dir, name) }
+
+func (o osFS) Open(name string) (File, error) {
+	f, err := os.Open(o.path(name))
+	if err != nil {
+		return nil, err // never a nil file inside an interface
+	}
+	return f, nil
+}
+
+func (o osFS) Create(name string) (File, error) {
+	const flags = os.O_WRONLY | os.O_CREATE | os.O_EXCL
+	f, err := os.OpenFile(o.path(name), flags, 0o600)
+	if errors.Is(err, fs.ErrNotExist) { // the directory was deleted under the process
+		if err = os.MkdirAll(o.dir, 0o700); err == nil {
+			f, err = os.OpenFile(o.path(name), flags, 0o600)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (o osFS) Rename(from, to string) error { return os.Rename(o.path(from), o.path(to)) }
+
+func (o osFS) Remove(name string) error {
+	if err := os.Remove(o.path(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+func (o osFS) List() (names []string, err error) {
+	entries, err := os.ReadDir(o.dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, nil
+}
+
+func (o osFS) Sync() error {
+	d, err := os.Open(o.dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("syncing %s: %w", o.dir, err)
+	}
+	return nil
+}
+
+// Lock is a directory's: whoever holds it is the one process that writes there. It ends with the process.
+type Lock struct{ f *os.File }
+
+const lockName = "LOCK"
+
+// ErrLocked says that another process writes to the directory.
+var ErrLocked = errors.New("another process holds the lock")
+
+// TryLock takes the lock of a directory, which it makes where it is missing. ErrLocked: another process has it.
+func TryLock(dir string) (*Lock, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("state directory: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, ErrLocked
+		}
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	return &Lock{f}, nil
+}
+
+// Holds tells whether the lock is still the directory's: it is not once the directory was deleted, or put back from a
+// copy.
+func (l *Lock) Holds(dir string) bool {
+	own, err := l.f.Stat()
+	if err != nil {
+		return false
+	}
+	there, err := os.Stat(filepath.Join(dir, lockName))
+	return err == nil && os.SameFile(own, there)
+}
+
+// Release gives the lock to whoever waits for it.
+func (l *Lock) Release() error { return l.f.Close() }
--- /dev/null
+++ b/internal/durable/table.go
@@ -0,0 +1,372 @@
+package durable
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+const (
+	entryMost   = 1 << 10 // bytes of a key with its value
+	tableMost   = 4 << 20 // bytes of a segment that is read
+	compactOver = 32 << 10
+	queued      = 64 // changes that wait for the disk; more wait for their turn
+)
+
+// Table holds small entries by key. It is a log: a change is a record at its end, and all changes that wait together
+// are made safe by one sync. The log is bounded: it is written anew, with only what holds, when it has grown, and
+// whenever a write has failed, since nothing may be added to a file of which it is not known what is on the disk.
+// Safe for concurrent use.
+type Table struct {
+	fs   FS
+	name string
+
+	changes chan tableChange
+	ended   chan struct{}
+	closing sync.Once
+
+	mu      sync.Mutex // guards what is read from outside the committer
+	entries map[string]string
+
+	// The committer's own.
+	log     File // nil: the next commit writes a segment anew
+	segment uint64
+	number  uint64
+	size    int
+	used    int // bytes of size that the entries need
+}
+
+type tableChange struct {
+	key, value string
+	remove     bool
+	done       chan error
+}
+
+// OpenTable reads the table of that name, and is ready to write. What could not be read is among the damages; what is
+// whole is kept. An error means that the file system could not be asked, or that a newer version has written here.
+func OpenTable(f FS, name string) (*Table, []Damage, error) {
+	t := &Table{fs: f, name: name, changes: make(chan tableChange, queued), ended: make(chan struct{}), entries: map[string]string{}}
+	damages, err := t.load()
+	if err != nil {
+		return nil, damages, err
+	}
+	go t.commit()
+	return t, damages, nil
+}
+
+// ReadTable reads the table of that name and writes nothing.
+func ReadTable(f FS, name string) (map[string]string, []Damage, error) {
+	t := &Table{fs: f, name: name, entries: map[string]string{}}
+	damages, err := t.load()
+	return t.entries, damages, err
+}
+
+// Entries is all that holds now.
+func (t *Table) Entries() map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.entries)
+}
+
+// ErrClosed says that the table was closed.
+var ErrClosed = errors.New("the table is closed")
+
+// Set gives a key its value. Once it has returned nil, that is safe; after an error it may or may not be.
+func (t *Table) Set(key, value string) error { return t.change(tableChange{key: key, value: value}) }
+
+// Delete takes a key away, as Set.
+func (t *Table) Delete(key string) error { return t.change(tableChange{key: key, remove: true}) }
+
+func (t *Table) change(c tableChange) error {
+	if n := len(c.key) + len(c.value); n > entryMost {
+		return fmt.Errorf("%s: an entry of %d bytes, %d at most", t.name, n, entryMost)
+	}
+	c.done = make(chan error, 1)
+	select {
+	case t.changes <- c:
+	case <-t.ended:
+		return ErrClosed
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-t.ended:
+		select {
+		case err := <-c.done: // it was in the last commit
+			return err
+		default:
+			return ErrClosed
+		}
+	}
+}
+
+// Close ends the table after the changes that wait. It is safe to call again.
+func (t *Table) Close() error {
+	t.closing.Do(func() { t.changes <- tableChange{} })
+	<-t.ended
+	return nil
+}
+
+// commit takes changes, as many as wait, and makes them safe together.
+func (t *Table) commit() {
+	defer close(t.ended)
+	defer func() {
+		if t.log != nil {
+			t.log.Close() // everything in it is safe
+		}
+	}()
+	for {
+		batch, more := []tableChange{<-t.changes}, true
+		for more && len(batch) < queued {
+			select {
+			case c := <-t.changes:
+				batch = append(batch, c)
+			default:
+				more = false
+			}
+		}
+		end := slices.IndexFunc(batch, func(c tableChange) bool { return c.done == nil })
+		if end >= 0 {
+			batch = batch[:end]
+		}
+		if len(batch) > 0 {
+			err := t.write(batch)
+			for _, c := range batch {
+				c.done <- err
+			}
+		}
+		if end >= 0 {
+			return
+		}
+	}
+}
+
+// write makes a batch safe: at the end of the log, or in a new one.
+func (t *Table) write(batch []tableChange) error {
+	next := maps.Clone(t.entries)
+	var records []byte
+	number := t.number
+	for _, c := range batch {
+		number++
+		records = appendFrame(records, recordMagic, number, encodeChange(c))
+		if c.remove {
+			delete(next, c.key)
+		} else {
+			next[c.key] = c.value
+		}
+	}
+	err := errors.New("no log is open")
+	if t.log != nil && t.size+len(records) <= max(compactOver, 4*t.used) {
+		if _, err = t.log.Write(records); err == nil {
+			err = t.log.Sync()
+		}
+		if err == nil {
+			t.size += len(records)
+		}
+	}
+	if err != nil {
+		if err = t.rewrite(next, number); err != nil {
+			return fmt.Errorf("writing %s: %w", t.name, err)
+		}
+	}
+	t.number = number
+	t.mu.Lock()
+	t.entries = next
+	t.mu.Unlock()
+	return nil
+}
+
+// rewrite begins a new segment that holds these entries. The one before stays until the next time.
+func (t *Table) rewrite(entries map[string]string, number uint64) error {
+	if t.log != nil {
+		t.log.Close() // of no more use, whatever it says
+		t.log = nil
+	}
+	var text []byte
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		text = appendFrame(text, recordMagic, number, encodeChange(tableChange{key: key, value: entries[key]}))
+	}
+	head := binary.LittleEndian.AppendUint64(nil, uint64(len(text)))
+	text = append(appendFrame(nil, headMagic, number, head), text...)
+	next := t.segment + 1
+	fresh := t.name + temporary
+	if err := t.fs.Remove(fresh); err != nil {
+		return err
+	}
+	log, err := t.fs.Create(fresh)
+	if err != nil {
+		return err
+	}
+	if _, err = log.Write(text); err == nil {
+		err = log.Sync()
+	}
+	if err == nil {
+		err = t.fs.Rename(fresh, t.file(next))
+	}
+	t.segment = next // used up, whether or not it got there: the next attempt must not share its name
+	if err == nil {
+		err = t.fs.Sync()
+	}
+	if err != nil {
+		log.Close()
+		_ = t.fs.Remove(fresh) // where it fails too, the next attempt sees to it
+		return err
+	}
+	t.log, t.size, t.used = log, len(text), len(text)
+	t.clean()
+	return nil
+}
+
+// clean removes segments older than the one before the present one. What fails is tried again the next time.
+func (t *Table) clean() {
+	segments, err := t.segments()
+	if err != nil {
+		return
+	}
+	for _, s := range segments {
+		if s+1 < t.segment {
+			_ = t.fs.Remove(t.file(s))
+		}
+	}
+}
+
+func (t *Table) file(segment uint64) string { return fmt.Sprintf("%s.%016x", t.name, segment) }
+
+// segments are the numbers of those that are there, the newest first.
+func (t *Table) segments() (all []uint64, err error) {
+	names, err := t.fs.List()
+	if err != nil && !missing(err) {
+		return nil, err
+	}
+	for _, name := range names {
+		if text, ok := strings.CutPrefix(name, t.name+"."); ok && len(text) == 16 {
+			if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+				all = append(all, n)
+			}
+		}
+	}
+	slices.Sort(all)
+	slices.Reverse(all)
+	return all, nil
+}
+
+// load reads the newest segment whose beginning is whole. The log is not gone on with: the first change writes it anew,
+// so that nothing is ever added behind what a crash left.
+func (t *Table) load() (damages []Damage, err error) {
+	segments, err := t.segments()
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", t.name, err)
+	}
+	if len(segments) > 0 {
+		t.segment = segments[0]
+	}
+	for _, s := range segments {
+		name := t.file(s)
+		text, err := readFile(t.fs, name, tableMost)
+		if err != nil && !errors.Is(err, errLength) {
+			return damages, fmt.Errorf("reading %s: %w", name, err)
+		}
+		if err == nil {
+			var found []Damage
+			if found, err = t.replay(name, text); err == nil {
+				return append(damages, found...), nil
+			}
+		}
+		if errors.Is(err, errNewer) {
+			return damages, fmt.Errorf("%s: %w", name, err)
+		}
+		damages = append(damages, Damage{File: name, Err: err})
+	}
+	return damages, nil
+}
+
+// replay takes in a segment; an error: its beginning is not whole, and nothing was taken.
+func (t *Table) replay(name string, text []byte) (damages []Damage, err error) {
+	number, head, at, err := readFrame(text, headMagic, entryMost)
+	if err != nil {
+		return nil, err
+	}
+	if len(head) != 8 {
+		return nil, errLength
+	}
+	base := at + int(min(binary.LittleEndian.Uint64(head), tableMost)) // what was laid down whole, before the name was
+	entries := map[string]string{}
+	for at < len(text) {
+		n, payload, size, err := readFrame(text[at:], recordMagic, entryMost+binary.MaxVarintLen64+1)
+		var c tableChange
+		if err == nil {
+			c, err = decodeChange(payload)
+		}
+		if err == nil && (at < base && n != number || at >= base && n <= number) {
+			err = errors.New("a record out of its place")
+		}
+		if errors.Is(err, errNewer) {
+			return nil, err
+		}
+		if err != nil {
+			next := resync(text, at+1, number)
+			torn := next < 0 && at >= base
+			damages = append(damages, Damage{File: name, At: int64(at), Err: err, Torn: torn})
+			if next < 0 {
+				break
+			}
+			at = next
+			continue
+		}
+		if at >= base {
+			number = n
+		}
+		if c.remove {
+			delete(entries, c.key)
+		} else {
+			entries[c.key] = c.value
+		}
+		at += size
+	}
+	if at < base && len(damages) == 0 {
+		damages = append(damages, Damage{File: name, At: int64(at), Err: errShort})
+	}
+	t.entries, t.number = entries, number
+	return damages, nil
+}
+
+// resync finds the next whole record after damage; below 0: there is none.
+func resync(text []byte, from int, after uint64) int {
+	for at := from; at+frameHead <= len(text); at++ {
+		if text[at] != recordMagic[0] {
+			continue
+		}
+		if n, _, _, err := readFrame(text[at:], recordMagic, entryMost+binary.MaxVarintLen64+1); err == nil && n >= after {
+			return at
+		}
+	}
+	return -1
+}
+
+// A change is worded as: 0 or 1 (removed), the key's length, key, value.
+func encodeChange(c tableChange) []byte {
+	b := []byte{0}
+	if c.remove {
+		b[0] = 1
+	}
+	b = binary.AppendUvarint(b, uint64(len(c.key)))
+	b = append(b, c.key...)
+	return append(b, c.value...)
+}
+
+func decodeChange(b []byte) (c tableChange, err error) {
+	if len(b) < 2 || b[0] > 1 {
+		return c, errors.New("no change")
+	}
+	n, size := binary.Uvarint(b[1:])
+	if size <= 0 || n > uint64(len(b)-1-size) {
+		return c, errors.New("no key")
+	}
+	rest := b[1+size:]
+	return tableChange{key: string(rest[:n]), value: string(rest[n:]), remove: b[0] == 1}, nil
+}
