--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -32,6 +32,7 @@
 	{"turned_away", "share of attempts that upstreams turned away"},
 	{"cross", "share of attempts that crossed zones"},
 	{"wasted", "work done for attempts that served nobody, over all work done"},
+	{"restarts", "processes of sidecars that were ended within the load"},
 	{"ready_ms", "from a restart to ready, median"},
 	{"never_ready", "restarts that never got ready"},
 	{"first_served_ms", "from a restart to the first request served, median"},
@@ -238,6 +239,7 @@
 		f["never_ready"] = never
 	}
 	if ends > 0 {
+		f["restarts"] = ends
 		f["lost_per_restart"] = lost / ends
 	}
 	if askedDark > 0 {
--- a/internal/sidecar/keeper_test.go
+++ b/internal/sidecar/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -176,3 +177,40 @@
 		t.Errorf("after its end: %+v, %v", k, err)
 	}
 }
+
+// After a crash loop the list is set aside, and taken all the same where nobody tells another one.
+func TestListOfACrashLoopIsTheLastResort(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	up := newUpstream(t, says(ok200("s")))
+	text := fmt.Sprintf(`{"index":9,"snapshot":true,"endpoints":[%s]}`, entry("s", up.address, "Ready"))
+	for range 3 {
+		s := holder(t, dir)
+		k, err := s.Load(time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Begin(k, time.Now())
+		if err := errors.Join(s.WriteList("127.0.0.1:1", []byte(text), time.Now()), s.Release(false)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := withState(t, dir)
+	c.Known = nil
+	c.Discovery = "127.0.0.1:1" // nobody there
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	r := startOn(t, c, l, "")
+	r.awaitReady(t, "YES")
+	if took := time.Since(begun); took < suspectAfter {
+		t.Errorf("ready after %v, with a list that was set aside", took)
+	}
+	if status, body := r.get(t); status != 200 || body != "s" {
+		t.Errorf("served %d %q", status, body)
+	}
+	if got := r.call(t, "STATS\n"); !strings.Contains(got, "gw.list_kept:1|g") {
+		t.Errorf("figures: %s", got)
+	}
+}
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -1,12 +1,16 @@
 package sidecar
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
 	"mosslead/balancer"
 )
 
+// suspectAfter is how long a process waits for discovery before it takes a list that was set aside.
+const suspectAfter = 2 * time.Second
+
 // What a process takes from the disk that the one before it left there, and what it leaves.
 
 // fromDisk chooses between the list of the configuration and the one that was kept, and gives what was learnt as it is
@@ -19,12 +23,10 @@
 		switch {
 		case err != nil:
 			warn(ofState, "the list that was kept is of no use", err)
-			p.kept.List = nil
 		case configured == nil || k.Source == p.c.Discovery && *l.Index >= *configured.Index:
 			first, source = l, k.Source
+			p.old.Store(k)
 			attrs = append(attrs, slog.Int("upstreams", len(l.Endpoints)), millis("list_age_ms", since(k.SavedMs)))
-		default:
-			p.kept.List = nil // the configuration knows better
 		}
 	}
 	if k := p.kept.Learnt; k != nil {
@@ -42,10 +44,33 @@
 
 // onKept tells whether the list in use is the one from the disk, and how old it is.
 func (p *process) onKept() (bool, time.Duration) {
-	if p.kept.List == nil || p.fresh.Load() {
+	old := p.old.Load()
+	if old == nil || p.fresh.Load() {
 		return false, 0
 	}
-	return true, since(p.kept.List.SavedMs)
+	return true, since(old.SavedMs)
+}
+
+// lastResort takes a list that was set aside after a crash loop, if nobody has told another one in time: it was perhaps
+// not the list that ended those processes, and without one nothing can be served.
+func (p *process) lastResort(running context.Context) {
+	if p.kept.Suspect == nil {
+		return
+	}
+	select {
+	case <-time.After(suspectAfter):
+	case <-running.Done():
+		return
+	}
+	l, err := parseListing(p.kept.Suspect.Listing)
+	if err != nil || !p.up.dir.empty() || p.fresh.Load() {
+		return
+	}
+	note(slog.LevelWarn, ofState, "nobody tells a list: the one that was set aside is used", slog.Int("upstreams", len(l.Endpoints)))
+	p.old.Store(p.kept.Suspect)
+	known := p.up.dir.apply(l)
+	known.Kind = balancer.Saved
+	p.loop.postList(known)
 }
 
 // keepWith tells the keeper where what it writes comes from.
@@ -59,7 +84,7 @@
 		go p.loop.postNews(ban{balancer.Ban{Upstream: id}, make(chan struct{})}) // ends with the loop
 	}
 	p.keep.list = func() (string, *listing) { // nil: there is none to write
-		if !p.fresh.Load() && p.kept.List != nil {
+		if !p.fresh.Load() && p.old.Load() != nil {
 			return "", nil // from the disk itself
 		}
 		l := p.up.dir.whole()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -80,9 +80,10 @@
 	s     *server
 	conns *clientConns
 	h     *handover
-	keep  *keeper    // nil: nothing outlives the process
-	kept  state.Kept // what it begins with
-	most  int        // connections to clients, and as many to upstreams
+	keep  *keeper                    // nil: nothing outlives the process
+	kept  state.Kept                 // what it begins with
+	old   atomic.Pointer[state.List] // the list from disk, where one is used
+	most  int                        // connections to clients, and as many to upstreams
 	meets bool
 	heap  float64     // bytes that it may use alone
 	fresh atomic.Bool // a list has come since the start
@@ -121,6 +122,7 @@
 	defer p.h.close()
 	over := make(chan struct{})
 	p.keepWith()
+	go p.lastResort(running)
 	go p.keep.run(over)
 	defer p.keep.end(over)
 	if ops != nil {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -71,7 +71,8 @@
 	Crashed  bool              // that process ended unclean
 	Notes    []string          // what was not used, and why
 	Damages  []durable.Damage
-	SetAside bool // for a crash loop
+	SetAside bool  // for a crash loop
+	Suspect  *List // then: the list, for where there is no other
 }
 
 // Store is a sidecar's state directory. Reading needs no lock; writing does. Not safe for concurrent use but for Ban and
@@ -196,9 +197,9 @@
 	var aside []string
 	if s.life.Early >= earlyEnds && !s.life.SetAside {
 		s.life.SetAside = true
-		k.List, k.Learnt, k.SetAside = nil, nil, true
+		k.List, k.Learnt, k.SetAside, k.Suspect = nil, nil, true, k.List
 		k.Notes = append(k.Notes, fmt.Sprintf("%d processes in a row ended soon after their start: list and learning are set aside, bans stay", s.life.Early))
-		aside = []string{"list.0", "list.1", "learnt.0", "learnt.1"}
+		aside = []string{"learnt.0", "learnt.1"} // the list stays: see Suspect
 	}
 	if k.Name != "" && k.Name != s.name {
 		names, err := durable.OS(s.dir).List()
