state: a start from disk does not wait for what was learnt

Cause: on one processor the start read 120 kB of what was learnt, read the list twice inside its JSON object, and the keeper wrote all of it again at once. Change: the list stands behind a line of its own; what was learnt is read beside the start, while budgets of cold upstreams are closed; the directory is taken up 20 ms after the start and written 2 s later.

--- a/internal/sidecar/keeper.go
+++ b/internal/sidecar/keeper.go
@@ -20,6 +20,7 @@
 const (
 	keepEvery   = 2 * time.Second        // the list, where it changed, and what was learnt are written
 	keepShare   = 100                    // writing takes at most one part in so many of the time
+	keepFirst   = 20 * time.Millisecond  // from the start until the directory is taken up: the list comes first
 	keepLook    = 20 * time.Millisecond  // while another process of the sidecar writes
 	keepRetry   = time.Second            // while the disk does not let us
 	keepWait    = 350 * time.Millisecond // for a ban to be on disk; with doorWait, less than the 1 s that is owed
@@ -84,7 +85,7 @@
 	locked := err == nil
 	var kept state.Kept
 	if err == nil || errors.Is(err, durable.ErrLocked) {
-		kept, err = k.store.Load(time.Now())
+		kept, err = k.store.LoadFirst(time.Now())
 	}
 	if err != nil {
 		k.fail(err)
@@ -94,12 +95,7 @@
 		kept = k.store.Begin(kept, time.Now())
 		k.marked = true
 	}
-	for _, d := range kept.Damages {
-		note(slog.LevelWarn, ofState, "damaged", slog.String("file", d.File), slog.Int64("byte", d.At), slog.Bool("torn", d.Torn), slog.Any("err", d.Err))
-	}
-	for _, text := range kept.Notes {
-		note(slog.LevelWarn, ofState, "not used", slog.String("err", text))
-	}
+	tellState(kept)
 	return k, kept, nil
 }
 
@@ -110,7 +106,7 @@
 	}
 	defer close(k.ended)
 	wanted, settled := true, false
-	wait := time.Duration(0)
+	wait := keepFirst
 	for {
 		t := time.NewTimer(wait)
 		select {
@@ -136,9 +132,10 @@
 			k.log(slog.LevelWarn, "the state directory is another one now", errors.New("taking it up anew"))
 		}
 		if !k.writes {
-			if wait = k.take(); !k.writes {
-				continue
+			if wait = k.take(); k.writes {
+				wait = keepEvery // a start has better things to do than to write what it has just read
 			}
+			continue
 		}
 		begun := time.Now()
 		if !settled && time.Since(k.began) >= state.SettledAfter {
@@ -161,7 +158,7 @@
 		}
 	}
 	if !k.marked { // what lies there is the other process's, which told what it knew
-		kept, err := k.store.Load(time.Now())
+		kept, err := k.store.LoadFirst(time.Now())
 		if err != nil {
 			k.fail(err)
 			k.release(false)
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/state"
 )
 
 // suspectAfter is how long a process waits for discovery before it takes a list that was set aside.
@@ -15,7 +16,7 @@
 
 // fromDisk chooses between the list of the configuration and the one that was kept, and gives what was learnt as it is
 // worth now.
-func (p *process) fromDisk(configured *listing) (first *listing, source string, learnt *balancer.Learnt) {
+func (p *process) fromDisk(configured *listing) (first *listing, source string) {
 	first, source = configured, p.c.Discovery
 	attrs := []slog.Attr{slog.Bool("crashed", p.kept.Crashed), slog.Int("bans", len(p.kept.Bans))}
 	if k := p.kept.List; k != nil {
@@ -29,14 +30,37 @@
 			attrs = append(attrs, slog.Int("upstreams", len(l.Endpoints)), millis("list_age_ms", since(k.SavedMs)))
 		}
 	}
-	if k := p.kept.Learnt; k != nil {
-		age := since(k.SavedMs)
-		k.Learnt.Pass(age, p.kept.Crashed)
-		learnt = &k.Learnt
-		attrs = append(attrs, millis("learnt_age_ms", age))
-	}
 	note(slog.LevelInfo, ofState, "begins with what was kept", attrs...)
-	return first, source, learnt
+	return first, source
+}
+
+// recall brings the module what was learnt, as it is worth now. It runs beside the start: reading it takes some
+// milliseconds, and what counts there, the budgets of cold upstreams, is closed until it comes.
+func (p *process) recall() {
+	k := p.kept // the notes on reading it are apart from the others
+	k.Notes, k.Damages = nil, nil
+	if err := p.keep.store.LoadLearnt(&k, time.Now()); err != nil {
+		p.keep.fail(err)
+		return
+	}
+	tellState(k)
+	if k.Learnt == nil {
+		return
+	}
+	age := since(k.Learnt.SavedMs)
+	k.Learnt.Learnt.Pass(age, k.Crashed)
+	note(slog.LevelInfo, ofState, "knows what was learnt", slog.Int("upstreams", len(k.Learnt.Learnt.Upstreams)), millis("age_ms", age))
+	p.loop.postNews(k.Learnt.Learnt)
+}
+
+// tellState logs what of the state was not used.
+func tellState(k state.Kept) {
+	for _, d := range k.Damages {
+		note(slog.LevelWarn, ofState, "damaged", slog.String("file", d.File), slog.Int64("byte", d.At), slog.Bool("torn", d.Torn), slog.Any("err", d.Err))
+	}
+	for _, text := range k.Notes {
+		note(slog.LevelWarn, ofState, "not used", slog.String("err", text))
+	}
 }
 
 // since is the time since a moment of the machine's clock, at least 0.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -122,7 +122,10 @@
 	defer p.h.close()
 	over := make(chan struct{})
 	p.keepWith()
-	go p.lastResort(running)
+	if p.keep != nil && !waits {
+		go p.recall()
+		go p.lastResort(running)
+	}
 	go p.keep.run(over)
 	defer p.keep.end(over)
 	if ops != nil {
@@ -216,7 +219,7 @@
 		return known, nil, err
 	}
 	if p.keep != nil && p.h.peer == nil {
-		first, source, learnt = p.fromDisk(first)
+		first, source = p.fromDisk(first)
 		for id := range p.kept.Bans {
 			banned = append(banned, id)
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -6,6 +6,7 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -38,11 +39,12 @@
 	lockLook     = 5 * time.Millisecond
 )
 
-// List is the list of upstreams as it was last told.
+// List is the list of upstreams as it was last told. On disk its first line is a JSON object of all but the listing, which
+// follows as it came: it is large, and a start waits for it.
 type List struct {
-	SavedMs int64           // Unix time
-	Source  string          // the address of the discovery that told it: versions of another one mean nothing
-	Listing json.RawMessage // in discovery's form
+	SavedMs int64  // Unix time
+	Source  string // the address of the discovery that told it: versions of another one mean nothing
+	Listing []byte `json:"-"` // in discovery's form
 }
 
 // Learnt is what the decisions had learnt.
@@ -73,6 +75,8 @@
 	Damages  []durable.Damage
 	SetAside bool  // for a crash loop
 	Suspect  *List // then: the list, for where there is no other
+
+	foreign bool // another sidecar's
 }
 
 // Store is a sidecar's state directory. Reading needs no lock; writing does. Not safe for concurrent use but for Ban and
@@ -115,7 +119,33 @@
 
 // Load reads what is kept, and changes nothing. An error means that the directory can't be read, or was written by a
 // newer version: then nothing of it is to be used or written.
-func (s *Store) Load(now time.Time) (k Kept, err error) {
+func (s *Store) Load(now time.Time) (Kept, error) {
+	k, err := s.LoadFirst(now)
+	if err != nil {
+		return k, err
+	}
+	return k, s.LoadLearnt(&k, now)
+}
+
+// LoadLearnt reads what was learnt into what LoadFirst has given: a start need not wait for it. It is safe beside any
+// other call.
+func (s *Store) LoadLearnt(k *Kept, now time.Time) error {
+	if k.SetAside || k.foreign {
+		return nil
+	}
+	var learnt Learnt
+	text, err := read(durable.NewBox(durable.OS(s.dir), "learnt", boxMost), k)
+	if err != nil || !understood(k, text, &learnt) {
+		return err
+	}
+	if k.worth("what was learnt", learnt.SavedMs, LearntWorth, now) {
+		k.Learnt = &learnt
+	}
+	return nil
+}
+
+// LoadFirst is Load without what was learnt.
+func (s *Store) LoadFirst(now time.Time) (k Kept, err error) {
 	entries, damages, err := durable.ReadTable(durable.OS(s.dir), "bans")
 	k.Damages = damages
 	if err != nil {
@@ -128,47 +158,48 @@
 			k.Bans[id] = since
 		}
 	}
-	if _, err = read(s.lives, &k, &k.Life); err != nil {
+	text, err := read(s.lives, &k)
+	if err != nil {
 		return k, err
 	}
+	understood(&k, text, &k.Life)
 	if k.Name == "" {
 		k.Name = k.Life.Name
 	}
-	var list List
-	var learnt Learnt
-	there, err := read(s.list, &k, &list)
-	if err != nil {
+	if text, err = read(s.list, &k); err != nil {
 		return k, err
 	}
-	if there && k.worth("list", list.SavedMs, ListWorth, now) {
+	var list List
+	head, listing, _ := bytes.Cut(text, []byte("\n"))
+	if understood(&k, head, &list) && k.worth("list", list.SavedMs, ListWorth, now) {
+		list.Listing = listing
 		k.List = &list
 	}
-	if there, err = read(s.learnt, &k, &learnt); err != nil {
-		return k, err
-	}
-	if there && k.worth("what was learnt", learnt.SavedMs, LearntWorth, now) {
-		k.Learnt = &learnt
-	}
 	k.Crashed = k.Life.StartedMs > 0 && !k.Life.Clean
 	if s.name != "" && k.Name != "" && k.Name != s.name {
 		k.Notes = append(k.Notes, fmt.Sprintf("it is the state of %q: nothing of it is used", k.Name))
-		k.Bans, k.List, k.Learnt, k.Life, k.Crashed = map[string]string{}, nil, nil, Life{}, false
+		k.Bans, k.List, k.Life, k.Crashed, k.foreign = map[string]string{}, nil, Life{}, false, true
 	}
 	return k, nil
 }
 
-// read takes in a box; false: there is nothing in it that can be used.
-func read(b *durable.Box, k *Kept, into any) (bool, error) {
+// read gives what a box holds; nil: nothing.
+func read(b *durable.Box, k *Kept) ([]byte, error) {
 	text, damages, err := b.Read()
 	k.Damages = append(k.Damages, damages...)
-	if err != nil || text == nil {
-		return false, err
+	return text, err
+}
+
+// understood takes in what a box held; false: nothing that can be used.
+func understood(k *Kept, text []byte, into any) bool {
+	if text == nil {
+		return false
 	}
 	if err := json.Unmarshal(text, into); err != nil { // whole, and of no form that is known: a mistake of some version's
 		k.Notes = append(k.Notes, fmt.Sprintf("not understood: %v", err))
-		return false, nil
+		return false
 	}
-	return true, nil
+	return true
 }
 
 // worth tells whether what was saved then is still worth something.
@@ -265,21 +296,21 @@
 func (s *Store) Lift(id string) error { return s.bans.Delete(banPrefix + id) }
 
 // WriteList keeps a list in discovery's form.
-func (s *Store) WriteList(source string, listing json.RawMessage, now time.Time) error {
-	return write(s.list, List{now.UnixMilli(), source, listing})
+func (s *Store) WriteList(source string, listing []byte, now time.Time) error {
+	head, err := json.Marshal(List{SavedMs: now.UnixMilli(), Source: source})
+	if err != nil {
+		return fmt.Errorf("wording the list: %w", err)
+	}
+	return s.list.Write(slices.Concat(head, []byte("\n"), listing))
 }
 
 // WriteLearnt keeps what was learnt.
 func (s *Store) WriteLearnt(l balancer.Learnt, now time.Time) error {
-	return write(s.learnt, Learnt{now.UnixMilli(), l})
-}
-
-func write(b *durable.Box, value any) error {
-	text, err := json.Marshal(value)
+	text, err := json.Marshal(Learnt{now.UnixMilli(), l})
 	if err != nil {
-		return fmt.Errorf("wording it: %w", err)
+		return fmt.Errorf("wording what was learnt: %w", err)
 	}
-	return b.Write(text)
+	return s.learnt.Write(text)
 }
 
 // Settled marks that this process has lived for long enough.
