lab/standin: the naive sidecar that crashes does so after the ban, and not about then

Seen once in ./test.sh: the one that ends after 50 requests ended before the ban at 0.5 s, whose call then found no door. It now ends after 200, some 2.5 s into the play. Measured: go test -count=2 ./internal/lab passes.

--- a/internal/lab/standin/naive.go
+++ b/internal/lab/standin/naive.go
@@ -34,7 +34,7 @@
 	"cold":              "sends everything to the upstream that started last",
 	"attempts":          "tries a safe request eight times",
 	"limits":            "holds more descriptors than it may",
-	"crash":             "ends after 50 requests",
+	"crash":             "ends after 200 requests",
 }
 
 // naive is a sidecar that sends each request to a random ready upstream that is warm.
@@ -220,7 +220,7 @@
 	defer cancel()
 	unsafe := n.unsafe[r.Header.Get("X-Priority-Class")]
 	switch {
-	case n.breaks == "crash" && number > 50:
+	case n.breaks == "crash" && number > 200:
 		os.Exit(3)
 	case n.breaks == "lost" && number%10 == 0:
 		<-r.Context().Done()
