lab: one way to keep a fault's change in force; two dead functions removed

Links, upstreams and discovery each had the same add, wait and remove: they share during. Agent.wake only called look, and nothing called Store.Dir. Behaviour as before: go vet, go test -count=2 ./internal/lab (every kind of fault is undone).

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -31,7 +31,7 @@
 	case "ban":
 		p.together(ev, func(s *sidecar) { p.ban(s, ev.to, f.For.Duration) }, nil)
 	case "cut", "delay", "throttle", "chop", "resets":
-		p.linkFault(ev)
+		during(p, ev.Fault, p.linksOf(ev), linkChange(ev.Fault))
 	case "slow", "fail", "hang":
 		p.trouble(ev)
 	case "choke":
@@ -181,45 +181,48 @@
 	}
 }
 
-// linkFault alters the links from the chosen sidecars to the chosen upstreams, also to those that come meanwhile under
-// their numbers.
-func (p *play) linkFault(ev *event) {
-	p.onLinks(ev, func(o *overlay[relay.State]) { o.add(ev.Fault.Name, linkChange(ev.Fault)) })
-	p.sleep(ev.Fault.For.Duration)
-	p.onLinks(ev, func(o *overlay[relay.State]) { o.remove(ev.Fault.Name) })
+// during keeps a fault's change in force on all that it befalls, until its time or the play is over.
+func during[T any](p *play, f experiment.Fault, all []*overlay[T], change func(*T)) {
+	for _, o := range all {
+		o.add(f.Name, change)
+	}
+	p.sleep(f.For.Duration)
+	for _, o := range all {
+		o.remove(f.Name)
+	}
 }
 
-func (p *play) onLinks(ev *event, f func(*overlay[relay.State])) {
+// linksOf are the links from the chosen sidecars to the chosen upstreams.
+func (p *play) linksOf(ev *event) (all []*overlay[relay.State]) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range ev.sidecars {
 		for _, u := range ev.to {
-			f(s.links[u.Name].overlay)
+			all = append(all, s.links[u.Name].overlay)
 		}
 	}
+	return all
 }
 
 func (p *play) trouble(ev *event) {
 	f := ev.Fault
+	var all []*overlay[standin.Trouble]
 	for _, u := range ev.ups {
-		u.trouble.add(f.Name, func(t *standin.Trouble) {
-			switch f.Kind {
-			case "slow":
-				t.Slower = max(t.Slower, 1) * f.Times
-			case "fail":
-				t.FailClass = f.Class
-				if f.Class == "" {
-					t.FailShare = f.Share
-				}
-			case "hang":
-				t.Hang = true
-			}
-		})
-	}
-	p.sleep(f.For.Duration)
-	for _, u := range ev.ups {
-		u.trouble.remove(f.Name)
+		all = append(all, u.trouble)
 	}
+	during(p, f, all, func(t *standin.Trouble) {
+		switch f.Kind {
+		case "slow":
+			t.Slower = max(t.Slower, 1) * f.Times
+		case "fail":
+			t.FailClass = f.Class
+			if f.Class == "" {
+				t.FailShare = f.Share
+			}
+		case "hang":
+			t.Hang = true
+		}
+	})
 }
 
 // lose silences upstreams as a data centre that is lost does. They come back cold, as their machines lost power.
@@ -290,24 +293,22 @@
 
 func (p *play) moods(ev *event) {
 	f := ev.Fault
+	var all []*overlay[standin.Mood]
 	for _, s := range ev.sidecars {
-		s.mood.add(f.Name, func(m *standin.Mood) {
-			switch f.Kind {
-			case "late":
-				m.Late += f.Delay.Duration
-			case "silent":
-				m.Silent = true
-			case "rewind":
-				m.Rewind = true
-			case "garbage":
-				m.Garbage = true
-			case "empty":
-				m.Empty = true
-			}
-		})
-	}
-	p.sleep(f.For.Duration)
-	for _, s := range ev.sidecars {
-		s.mood.remove(f.Name)
+		all = append(all, s.mood)
 	}
+	during(p, f, all, func(m *standin.Mood) {
+		switch f.Kind {
+		case "late":
+			m.Late += f.Delay.Duration
+		case "silent":
+			m.Silent = true
+		case "rewind":
+			m.Rewind = true
+		case "garbage":
+			m.Garbage = true
+		case "empty":
+			m.Empty = true
+		}
+	})
 }
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -73,7 +73,7 @@
 	agents := slices.Clone(d.agents)
 	d.mu.Unlock()
 	for _, a := range agents {
-		a.wake()
+		a.look()
 	}
 }
 
@@ -161,8 +161,6 @@
 	return a.whole()
 }
 
-func (a *Agent) wake() { a.look() }
-
 // look takes in the changes that are due, and comes again for the next.
 func (a *Agent) look() {
 	a.d.mu.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -98,9 +98,6 @@
 		lives: durable.NewBox(f, "life", boxMost)}
 }
 
-// Dir is where it is.
-func (s *Store) Dir() string { return s.dir }
-
 // Lock makes this process the one that writes. It waits for a moment, as the kernel takes its time with a process that
 // was killed; ErrLocked of package durable: another process writes.
 func (s *Store) Lock() (err error) {
