--- /dev/null
+++ b/internal/registry/api/api.go
@@ -0,0 +1,192 @@
+// Package api owns the words between replicas of the list service and those who ask them.
+package api
+
+import (
+	"errors"
+	"fmt"
+	"net"
+)
+
+// The states of an entry, as discovery words them.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating" // finishes what it has, wants nothing new
+	Gone        = "Gone"        // only among changes
+)
+
+// The words that an operator may say of an entry; they outrank the server's own.
+const (
+	HandNone  = ""
+	HandDrain = "drain" // Terminating, whatever the server says
+	HandBan   = "ban"   // not in the list, whatever the server says
+)
+
+// Entry is an upstream in a list, in discovery's words.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`  // kind of machine
+	Group   int     `json:"group"` // cell
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMs int64   `json:"since_ms"` // Unix time of the server's last start, in milliseconds; 0: long ago
+}
+
+// Listing is one message of discovery: the whole list, or what changed since the one before.
+type Listing struct {
+	Index     int64   `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// Record is an entry with what the service knows beside the list.
+type Record struct {
+	Entry
+	Version     int64  `json:"version"`     // of the list, when this last changed
+	Incarnation int64  `json:"incarnation"` // of the server's process: the higher is the newer
+	LeaseMs     int64  `json:"lease_ms"`    // 0: held without a lease
+	Own         string `json:"own"`         // the server's own word: Ready or Terminating
+	Hand        string `json:"hand"`        // the operator's
+}
+
+// Records is the list with all that is known.
+type Records struct {
+	Version int64    `json:"version"`
+	Records []Record `json:"records"`
+}
+
+// Registration is a server's wish to be listed. Registering again with the same incarnation changes what differs.
+type Registration struct {
+	Address     string  `json:"address"`
+	Zone        string  `json:"zone"`
+	Type        string  `json:"type"`
+	Group       int     `json:"group"`
+	Weight      float64 `json:"weight"` // absent: 1
+	SinceMs     int64   `json:"since_ms"`
+	Incarnation int64   `json:"incarnation"`
+	LeaseMs     int64   `json:"lease_ms"` // 0: without a lease
+	IfVersion   *int64  `json:"if_version,omitempty"`
+}
+
+// Ask is what a drain, a leave or an operator's word is asked with.
+type Ask struct {
+	Incarnation int64  `json:"incarnation,omitempty"` // 0: whichever there is
+	Hand        string `json:"hand,omitempty"`
+	IfVersion   *int64 `json:"if_version,omitempty"` // the entry's; 0: only if there is none
+}
+
+// Done is what a write is answered with.
+type Done struct {
+	Version int64 `json:"version"` // of the entry
+}
+
+// Lease is a server's sign of life.
+type Lease struct {
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// Renewals are signs of life of several.
+type Renewals struct {
+	Leases []Lease `json:"leases"`
+}
+
+// Renewed names those that hold no lease (any more) and have to register.
+type Renewed struct {
+	Lost []string `json:"lost"`
+}
+
+// Replica is a process of the service.
+type Replica struct {
+	Name   string `json:"name"`
+	Raft   string `json:"raft"` // where other replicas reach it
+	API    string `json:"api"`  // where it answers
+	Disk   string `json:"disk"` // random, made with its directory
+	Starts int64  `json:"starts"`
+	Schema int    `json:"schema"` // the newest form of commands that it understands
+}
+
+// Identity is what a replica says of itself before it takes part.
+type Identity struct {
+	Replica
+	Formed  bool               `json:"formed"` // it belongs to a quorum that was formed
+	Members map[string]Replica `json:"members"`
+}
+
+// Status is the state of a replica and of the service as it sees it.
+type Status struct {
+	Replica    Replica            `json:"replica"`
+	State      string             `json:"state"` // leader, follower, candidate, starting
+	Leader     string             `json:"leader"`
+	Term       uint64             `json:"term"`
+	Version    int64              `json:"version"`
+	Entries    int                `json:"entries"`
+	Watchers   int                `json:"watchers"`
+	StaleMs    int64              `json:"stale_ms"` // the list may be so old
+	Preserving bool               `json:"preserving"`
+	Silent     []string           `json:"silent"` // servers whose lease has lapsed, as the leader knows
+	Members    map[string]Replica `json:"members"`
+	Voters     []string           `json:"voters"`
+}
+
+// The codes of failures.
+const (
+	CodeBad      = "bad request"
+	CodeOlder    = "older incarnation"
+	CodeConflict = "conflict"
+	CodeNone     = "not found"
+	CodeFull     = "full"
+	CodeNoLeader = "no leader"
+	CodeStale    = "stale"
+	CodeUnknown  = "outcome unknown" // it may have been done, or may be yet
+)
+
+// Failure is what an answer says that is none.
+type Failure struct {
+	Code string `json:"code"`
+	Text string `json:"error"`
+}
+
+func (f *Failure) Error() string { return f.Code + ": " + f.Text }
+
+// Fail is a failure with that code.
+func Fail(code, format string, args ...any) *Failure {
+	return &Failure{Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// IsCode tells whether err is a failure with that code.
+func IsCode(err error, code string) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.Code == code
+}
+
+// The bounds on what may be registered.
+const (
+	MaxName    = 128
+	MaxAddress = 256
+	MaxWord    = 64
+	MaxEntries = 20_000
+	MinLeaseMs = 500
+	MaxLeaseMs = 600_000
+)
+
+// Check names what is wrong with a registration under a name; nil: nothing.
+func (r *Registration) Check(name string) error {
+	host, port, err := net.SplitHostPort(r.Address)
+	switch {
+	case name == "" || len(name) > MaxName:
+		return Fail(CodeBad, "name: 1 to %d bytes", MaxName)
+	case len(r.Address) > MaxAddress || err != nil || host == "" || port == "":
+		return Fail(CodeBad, "address: host:port of at most %d bytes", MaxAddress)
+	case len(r.Zone) > MaxWord || len(r.Type) > MaxWord:
+		return Fail(CodeBad, "zone and type: at most %d bytes", MaxWord)
+	case !(r.Weight > 0 && r.Weight <= 1e6):
+		return Fail(CodeBad, "weight: more than 0, at most 1e6")
+	case r.Group < 0 || r.SinceMs < 0 || r.Incarnation < 0:
+		return Fail(CodeBad, "group, since_ms and incarnation: at least 0")
+	case r.LeaseMs != 0 && (r.LeaseMs < MinLeaseMs || r.LeaseMs > MaxLeaseMs):
+		return Fail(CodeBad, "lease_ms: 0, or %d to %d", MinLeaseMs, MaxLeaseMs)
+	}
+	return nil
+}
