--- /dev/null
+++ b/internal/registry/config.go
@@ -0,0 +1,153 @@
+package registry
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Duration is one that a file words as time.ParseDuration reads it.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads "1500ms".
+func (d *Duration) UnmarshalText(text []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// Peer is a replica of the quorum that is to be formed.
+type Peer struct {
+	Name string `toml:"name"`
+	Raft string `toml:"raft"` // host:port for other replicas
+	API  string `toml:"api"`  // host:port for everybody else
+}
+
+// Config is a replica's configuration. Absent times and bounds have the defaults that are noted.
+type Config struct {
+	Name      string   `toml:"name"`
+	Dir       string   `toml:"dir"`       // log, snapshots and identity; absent with Dev
+	Listen    string   `toml:"listen"`    // of the API; absent: the peer's
+	RaftBind  string   `toml:"raft_bind"` // absent: the peer's
+	Metrics   string   `toml:"metrics"`   // absent: no figures
+	Join      bool     `toml:"join"`      // it is to be added to a quorum that is there: it forms none
+	Peers     []Peer   `toml:"replica"`   // of the first quorum, this one among them; or, with Join, whom to ask
+	Grace     Duration `toml:"grace"`     // from a lease's end to the entry's; absent: 2s
+	Preserve  float64  `toml:"preserve"`  // share of leases silent at once that puts the service in doubt; absent: 0.2
+	Stale     Duration `toml:"stale"`     // a list may be so old; absent: 3s
+	Watchers  int      `toml:"watchers"`  // at most; absent: 20000
+	Heartbeat Duration `toml:"heartbeat"` // a leader that is silent for so long is followed by another; absent: 300ms
+
+	// Dial replaces the addresses at which this replica reaches others, by name: for networks in which not everybody has
+	// the same address everywhere.
+	Dial map[string]Peer `toml:"dial"`
+
+	Dev    bool   `toml:"-"` // one replica, in memory
+	Schema int    `toml:"schema"`
+	Breaks string `toml:"breaks"` // makes the service lie, for the proof that its checkers see that; never elsewhere
+}
+
+// breakStale lets a replica serve what it has as if it were fresh.
+const breakStale = "stale-read"
+
+// LoadConfig reads a file. An error names file, line and key.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{}
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, column := strict.Errors[0].Position()
+			return nil, fmt.Errorf("%s:%d:%d: unknown key %s", path, row, column, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			row, column := at.Position()
+			return nil, fmt.Errorf("%s:%d:%d: %s: %w", path, row, column, strings.Join(at.Key(), "."), err)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := c.complete(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Dev is the configuration of one replica that keeps nothing.
+func Dev(listen string) *Config {
+	c := &Config{Name: "dev", Listen: listen, Dev: true}
+	_ = c.complete() // nothing in it can be wrong
+	return c
+}
+
+func (c *Config) complete() error {
+	c.Grace.Duration = cmp.Or(c.Grace.Duration, 2*time.Second)
+	c.Preserve = cmp.Or(c.Preserve, 0.2)
+	c.Stale.Duration = cmp.Or(c.Stale.Duration, 3*time.Second)
+	c.Watchers = cmp.Or(c.Watchers, 20_000)
+	c.Heartbeat.Duration = cmp.Or(c.Heartbeat.Duration, 300*time.Millisecond)
+	if c.Dev {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, p := range c.Peers {
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return fmt.Errorf("replica.name: %q is absent or there twice", p.Name)
+		case !isAddress(p.Raft):
+			return fmt.Errorf("replica.raft of %s: host:port, not %q", p.Name, p.Raft)
+		case !isAddress(p.API):
+			return fmt.Errorf("replica.api of %s: host:port, not %q", p.Name, p.API)
+		}
+		seen[p.Name] = true
+		if p.Name == c.Name {
+			c.Listen, c.RaftBind = cmp.Or(c.Listen, p.API), cmp.Or(c.RaftBind, p.Raft)
+		}
+	}
+	switch {
+	case c.Name == "":
+		return errors.New("name: absent")
+	case c.Dir == "":
+		return errors.New("dir: absent; a replica keeps its log there")
+	case !c.Join && !seen[c.Name]:
+		return fmt.Errorf("replica: %s is not among them", c.Name)
+	case !isAddress(c.Listen):
+		return fmt.Errorf("listen: host:port, not %q", c.Listen)
+	case !isAddress(c.RaftBind):
+		return fmt.Errorf("raft_bind: host:port, not %q", c.RaftBind)
+	case c.Metrics != "" && !isAddress(c.Metrics):
+		return fmt.Errorf("metrics: host:port, not %q", c.Metrics)
+	case !(c.Preserve > 0 && c.Preserve <= 1):
+		return fmt.Errorf("preserve: above 0, at most 1, not %g", c.Preserve)
+	case c.Grace.Duration < 0 || c.Stale.Duration < 0 || c.Heartbeat.Duration < 0 || c.Watchers < 0:
+		return errors.New("grace, stale, heartbeat and watchers: at least 0")
+	case c.Breaks != "" && c.Breaks != breakStale:
+		return fmt.Errorf("breaks: nothing is called %q", c.Breaks)
+	}
+	return nil
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && host != "" && port != ""
+}
+
+// self is this replica as others are to know it.
+func (c *Config) self() Peer {
+	for _, p := range c.Peers {
+		if p.Name == c.Name {
+			return p
+		}
+	}
+	return Peer{Name: c.Name, Raft: c.RaftBind, API: c.Listen}
+}
--- /dev/null
+++ b/internal/registry/forming.go
@@ -0,0 +1,263 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"mosslead/internal/registry/api"
+)
+
+const (
+	askAgain = 300 * time.Millisecond
+	// askLong is how long a replica that was part before looks for others that know better, before it goes on with what
+	// it has: all may have been down.
+	askLong = time.Second
+)
+
+// form decides how this replica takes part. It gives the quorum to begin with, or none.
+//
+// A quorum is formed once, and only when all that are to be in it say that they belong to none: so one that lost its disk
+// does not form a second one. Where others know this replica with another disk, or with more starts than its own disk
+// remembers (an old copy), what it has is set aside and it is taken in anew, since a vote that was given and forgotten
+// could undo what was committed.
+func (n *Node) form(ctx context.Context) ([]raft.Server, error) {
+	if n.alone {
+		return []raft.Server{{ID: raft.ServerID(n.me.Name), Address: "dev"}}, nil
+	}
+	formed := n.wasFormed()
+	for begun := time.Now(); ctx.Err() == nil; {
+		answered, known, err := n.askOthers(ctx)
+		switch {
+		case known != nil && known.Disk == "" && !formed: // the others have formed it a moment ago
+			return n.first(), nil
+		case known != nil && (known.Disk == "" || known.Disk == n.me.Disk && n.me.Starts > known.Starts):
+			return nil, nil // the others remember us, and nothing newer
+		case known != nil:
+			if err = n.rejoin(ctx, *known); err == nil {
+				return nil, nil
+			}
+			n.log.Warn("not taken in", "component", "registry", "node", n.me.Name, "err", err)
+		case formed && (answered == n.others() || time.Since(begun) > askLong):
+			return nil, nil
+		case !formed && !n.c.Join && answered == n.others() && err == nil:
+			return n.first(), nil
+		case !formed && n.c.Join && answered > 0:
+			if err = n.askIn(ctx); err == nil {
+				return nil, nil
+			}
+			n.log.Warn("not taken in yet", "component", "registry", "node", n.me.Name, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
+		}
+	}
+	return nil, nil
+}
+
+func (n *Node) wasFormed() bool {
+	text, _, err := n.box.Read()
+	var known identity
+	return err == nil && json.Unmarshal(text, &known) == nil && known.Formed
+}
+
+func (n *Node) others() (count int) {
+	for _, p := range n.c.Peers {
+		if p.Name != n.c.Name {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Node) first() (servers []raft.Server) {
+	for _, p := range n.c.Peers {
+		servers = append(servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Raft)})
+	}
+	return servers
+}
+
+// errFormed says that others belong to a quorum that does not know this replica.
+var errFormed = errors.New("there is a quorum, and it does not know this replica")
+
+// askOthers asks who they are. known is what a formed quorum knows of this replica, by whoever knows most.
+func (n *Node) askOthers(ctx context.Context) (answered int, known *api.Replica, err error) {
+	for _, p := range n.c.Peers {
+		if p.Name == n.c.Name {
+			continue
+		}
+		var id api.Identity
+		if n.call(ctx, http.MethodGet, n.apiOf(p.Name, p.API)+"/v1/identity", nil, &id) != nil {
+			continue
+		}
+		answered++
+		if !id.Formed {
+			continue
+		}
+		if m, ok := id.Members[n.c.Name]; !ok {
+			err = errFormed
+		} else if known == nil || m.Starts > known.Starts {
+			known = &m
+		}
+	}
+	return answered, known, err
+}
+
+// rejoin sets aside what is here, and asks to be taken out and in again.
+func (n *Node) rejoin(ctx context.Context, known api.Replica) error {
+	n.log.Warn("its disk is not the one that the others know: taken in anew", "component", "registry", "node", n.me.Name,
+		"starts", n.me.Starts, "known_starts", known.Starts)
+	aside := filepath.Join(n.c.Dir, "aside-"+time.Now().UTC().Format("20060102T150405.000"))
+	for _, name := range []string{"log.bolt", "snapshots"} {
+		if _, err := os.Stat(filepath.Join(n.c.Dir, name)); err != nil {
+			continue
+		}
+		if err := os.MkdirAll(aside, 0o755); err != nil {
+			return err
+		}
+		if err := os.Rename(filepath.Join(n.c.Dir, name), filepath.Join(aside, name)); err != nil {
+			return err
+		}
+	}
+	n.me.Starts = max(n.me.Starts, known.Starts+1)
+	if err := n.remember(false); err != nil {
+		return err
+	}
+	return n.askIn(ctx)
+}
+
+// askIn asks any of the others to have this replica taken in.
+func (n *Node) askIn(ctx context.Context) error {
+	err := errors.New("nobody to ask")
+	for _, p := range n.c.Peers {
+		if p.Name == n.c.Name {
+			continue
+		}
+		if err = n.call(ctx, http.MethodPost, n.apiOf(p.Name, p.API)+"/v1/replicas", n.me, nil); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// apiOf is where a replica answers, as seen from here.
+func (n *Node) apiOf(name, known string) string {
+	if p, ok := n.c.Dial[name]; ok && p.API != "" {
+		known = p.API
+	}
+	return "http://" + known
+}
+
+const maxAnswer = 64 << 20 // a backup of the most entries is below
+
+// call asks another replica.
+func (n *Node) call(ctx context.Context, method, url string, ask, answer any) error {
+	var body io.Reader
+	if ask != nil {
+		text, err := json.Marshal(ask)
+		if err != nil {
+			return err
+		}
+		body = newBody(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		f := &api.Failure{}
+		if json.Unmarshal(text, f) == nil && f.Code != "" {
+			return f
+		}
+		return fmt.Errorf("%s answered %s", url, resp.Status)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(text, answer)
+}
+
+// takeIn is the leader's part: a replica is added, or its address or disk changed.
+func (n *Node) takeIn(m api.Replica) error {
+	r := n.raft.Load()
+	if r == nil {
+		return errStarting
+	}
+	known, there := n.members()[m.Name]
+	if there && known.Disk != "" && known.Disk != m.Disk || there && m.Starts < known.Starts {
+		if n.voters() == 1 {
+			return api.Fail(api.CodeConflict, "%s is the only replica", m.Name)
+		}
+	}
+	// Out first, so that the quorum never counts on what a lost disk had.
+	if there {
+		if err := r.RemoveServer(raft.ServerID(m.Name), 0, raftTimeout).Error(); err != nil {
+			return api.Fail(api.CodeNoLeader, "%v", err)
+		}
+	}
+	if err := n.joined(m); err != nil {
+		return err
+	}
+	if err := r.AddVoter(raft.ServerID(m.Name), raft.ServerAddress(m.Raft), 0, raftTimeout).Error(); err != nil {
+		return api.Fail(api.CodeNoLeader, "%v", err)
+	}
+	return nil
+}
+
+// takeOut removes a replica.
+func (n *Node) takeOut(name string) error {
+	r := n.raft.Load()
+	if r == nil {
+		return errStarting
+	}
+	if _, there := n.members()[name]; !there {
+		return api.Fail(api.CodeNone, "replica %s", name)
+	}
+	if n.voters() == 1 {
+		return api.Fail(api.CodeConflict, "%s is the only replica", name)
+	}
+	if err := n.parted(name); err != nil {
+		return err
+	}
+	if err := r.RemoveServer(raft.ServerID(name), 0, raftTimeout).Error(); err != nil {
+		return api.Fail(api.CodeNoLeader, "%v", err)
+	}
+	return nil
+}
+
+func (n *Node) voters() int { return len(n.voterNames()) }
+
+func (n *Node) voterNames() (names []string) {
+	r := n.raft.Load()
+	if r == nil {
+		return nil
+	}
+	f := r.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	for _, s := range f.Configuration().Servers {
+		if s.Suffrage == raft.Voter {
+			names = append(names, string(s.ID))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/registry/node.go
@@ -0,0 +1,518 @@
+// Package registry owns a replica of the list service: the replicated log, leases, watches and the answers to calls.
+//
+// fsm.go holds the list as the log makes it, leases.go the servers' signs of life, watches.go tells of changes, forming.go
+// decides how a replica takes part, api.go answers.
+package registry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"mosslead/internal/durable"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/list"
+)
+
+const (
+	writePatienceRaft = 2 * time.Second // to have a command in the log of a quorum
+	freshEvery        = 200 * time.Millisecond
+	snapshotsKept     = 2
+	raftTimeout       = 2 * time.Second
+)
+
+// Node is one replica. Run is its one owner; everything else may be called from anywhere while it runs.
+type Node struct {
+	c       *Config
+	log     *slog.Logger
+	box     *durable.Box // identity
+	lock    *durable.Lock
+	me      api.Replica
+	machine *machine
+	watches *watches
+	client  *http.Client // to other replicas
+	start   time.Time
+
+	raft atomic.Pointer[raft.Raft] // nil until it takes part
+
+	mu      sync.Mutex
+	leases  leases
+	leading bool // and all that was committed before is applied here
+
+	freshAt atomic.Int64 // time since start at which the list was known to be the service's
+	alone   bool         // nobody else is asked
+}
+
+// identity is what a replica keeps of itself.
+type identity struct {
+	Disk   string `json:"disk"`
+	Starts int64  `json:"starts"`
+	Formed bool   `json:"formed"`
+}
+
+// Open prepares a replica. An error means that its directory can't be used, or is in use.
+func Open(c *Config, log *slog.Logger) (*Node, error) {
+	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}, alone: c.Dev}
+	n.leases = leases{grace: c.Grace.Duration, share: c.Preserve}
+	n.machine.touched = n.touched
+	n.watches = newWatches(n.machine, c.Watchers, n.freshEnough)
+	n.client = &http.Client{Timeout: raftTimeout + writePatienceRaft,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	self := c.self()
+	schema := list.Schema
+	if c.Schema > 0 {
+		schema = c.Schema
+	}
+	n.me = api.Replica{Name: c.Name, Raft: self.Raft, API: self.API, Disk: rand.Text(), Starts: 1, Schema: schema}
+	if c.Dev {
+		return n, nil
+	}
+	return n, n.identify()
+}
+
+// identify reads who this replica is, and counts the start.
+func (n *Node) identify() error {
+	dir := filepath.Join(n.c.Dir, "identity")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("dir: %w", err)
+	}
+	lock, err := durable.TryLock(dir)
+	if err != nil {
+		return fmt.Errorf("dir: %w", err)
+	}
+	n.lock = lock
+	n.box = durable.NewBox(durable.OS(dir), "identity", 4096)
+	text, damages, err := n.box.Read()
+	if err != nil {
+		return fmt.Errorf("identity: %w", err)
+	}
+	for _, d := range damages {
+		n.log.Warn("damaged", "component", "registry", "file", d.File, "err", d.Err)
+	}
+	known := identity{Disk: n.me.Disk}
+	if text != nil {
+		if err := json.Unmarshal(text, &known); err != nil {
+			return fmt.Errorf("identity: %w", err)
+		}
+	}
+	n.me.Disk, n.me.Starts = known.Disk, known.Starts+1
+	return n.remember(known.Formed)
+}
+
+func (n *Node) remember(formed bool) error {
+	if n.c.Dev {
+		return nil
+	}
+	text, err := json.Marshal(identity{n.me.Disk, n.me.Starts, formed})
+	if err != nil {
+		return fmt.Errorf("identity: %w", err)
+	}
+	if err := n.box.Write(text); err != nil {
+		return fmt.Errorf("identity: %w", err)
+	}
+	return nil
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ln, err := net.Listen("tcp", n.c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := n.server(ctx)
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			cancel(err)
+		}
+	})
+	n.log.Info("serves", "component", "registry", "node", n.me.Name, "address", ln.Addr().String(), "starts", n.me.Starts)
+	if n.c.Metrics != "" {
+		stop, err := n.serveMetrics(&running)
+		if err != nil {
+			cancel(err)
+		} else {
+			defer stop()
+		}
+	}
+	if ctx.Err() == nil {
+		if err := n.takePart(ctx); err != nil {
+			cancel(err)
+		}
+	}
+	<-ctx.Done()
+	server.Close()
+	running.Wait()
+	if n.lock != nil {
+		_ = n.lock.Release()
+	}
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// takePart starts the log, and follows leadership until ctx ends.
+func (n *Node) takePart(ctx context.Context) error {
+	form, err := n.form(ctx)
+	if err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	r, stop, err := n.startRaft(form)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if err := n.remember(true); err != nil {
+		return err
+	}
+	n.raft.Store(r)
+	var following sync.WaitGroup
+	defer following.Wait()
+	following.Go(func() { n.keepFresh(ctx, r) })
+	following.Go(func() { n.keepLeases(ctx, r) })
+	following.Go(func() { n.announce(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			if r.State() == raft.Leader && !n.alone { // others need not wait for a silence
+				_ = r.LeadershipTransfer().Error()
+			}
+			return nil
+		case leads := <-r.LeaderCh():
+			n.lead(r, leads)
+		}
+	}
+}
+
+// startRaft starts the log, from the directory or in memory. form, if not empty, is the quorum that begins here.
+func (n *Node) startRaft(form []raft.Server) (r *raft.Raft, stop func(), err error) {
+	c := raft.DefaultConfig()
+	c.LocalID = raft.ServerID(n.me.Name)
+	c.HeartbeatTimeout, c.ElectionTimeout = n.c.Heartbeat.Duration, n.c.Heartbeat.Duration
+	c.LeaderLeaseTimeout, c.CommitTimeout = n.c.Heartbeat.Duration/2, 10*time.Millisecond
+	c.Logger = hclog.New(&hclog.LoggerOptions{Output: io.Discard})
+	var logs raft.LogStore
+	var stable raft.StableStore
+	var snaps raft.SnapshotStore
+	var transport raft.Transport
+	var closers []io.Closer
+	stop = func() {
+		for _, x := range closers {
+			_ = x.Close()
+		}
+	}
+	defer func() {
+		if err != nil {
+			stop()
+		}
+	}()
+	if n.c.Dev {
+		store := raft.NewInmemStore()
+		logs, stable, snaps = store, store, raft.NewInmemSnapshotStore()
+		_, transport = raft.NewInmemTransport("dev")
+	} else {
+		store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(n.c.Dir, "log.bolt"), MsgpackUseNewTimeFormat: true})
+		if err != nil {
+			return nil, stop, fmt.Errorf("log: %w", err)
+		}
+		closers = append(closers, store)
+		logs, stable = store, store
+		if snaps, err = raft.NewFileSnapshotStoreWithLogger(n.c.Dir, snapshotsKept, c.Logger); err != nil {
+			return nil, stop, fmt.Errorf("snapshots: %w", err)
+		}
+		stream, err := listen(n.c.RaftBind, n.me.Raft)
+		if err != nil {
+			return nil, stop, fmt.Errorf("raft_bind: %w", err)
+		}
+		t := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: stream, MaxPool: 4, Timeout: raftTimeout,
+			Logger: c.Logger, ServerAddressProvider: dialer(n.c.Dial), MsgpackUseNewTimeFormat: true})
+		closers = append(closers, t)
+		transport = t
+	}
+	if len(form) > 0 {
+		if has, err := raft.HasExistingState(logs, stable, snaps); err != nil {
+			return nil, stop, fmt.Errorf("log: %w", err)
+		} else if !has {
+			if err := raft.BootstrapCluster(c, logs, stable, snaps, transport, raft.Configuration{Servers: form}); err != nil {
+				return nil, stop, fmt.Errorf("forming a quorum: %w", err)
+			}
+		}
+	}
+	r, err = raft.NewRaft(c, n.machine, logs, stable, snaps, transport)
+	if err != nil {
+		return nil, stop, fmt.Errorf("log: %w", err)
+	}
+	rest := stop
+	return r, func() { _ = r.Shutdown().Error(); rest() }, nil
+}
+
+// stream is TCP, with the address that others know.
+type stream struct {
+	net.Listener
+	known raft.ServerAddress
+}
+
+func listen(bind, known string) (*stream, error) {
+	ln, err := net.Listen("tcp", bind)
+	if err != nil {
+		return nil, err
+	}
+	return &stream{ln, raft.ServerAddress(known)}, nil
+}
+
+func (s *stream) Dial(address raft.ServerAddress, patience time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", string(address), min(patience, time.Second))
+}
+
+func (s *stream) Addr() net.Addr { return known(s.known) }
+
+type known string
+
+func (known) Network() string  { return "tcp" }
+func (k known) String() string { return string(k) }
+
+// dialer knows where others are reached from here.
+type dialer map[string]Peer
+
+func (d dialer) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	if p, ok := d[string(id)]; ok && p.Raft != "" {
+		return raft.ServerAddress(p.Raft), nil
+	}
+	return "", fmt.Errorf("no address of its own for %s", id) // the one that all know is used
+}
+
+// lead begins or ends what only a leader does.
+func (n *Node) lead(r *raft.Raft, leads bool) {
+	n.mu.Lock()
+	n.leading = false
+	n.mu.Unlock()
+	if !leads {
+		n.log.Info("leads no more", "component", "registry", "node", n.me.Name)
+		return
+	}
+	if err := r.Barrier(raftTimeout).Error(); err != nil {
+		n.log.Warn("could not begin to lead", "component", "registry", "node", n.me.Name, "err", err)
+		// Nothing else would try again while this replica leads: another one may.
+		_ = r.LeadershipTransfer().Error()
+		return
+	}
+	var records []api.Record
+	n.machine.read(func(l *list.List) { records = l.Records() })
+	n.mu.Lock()
+	n.leading = true
+	n.leases.lead(n.now(), records)
+	n.mu.Unlock()
+	n.log.Info("leads", "component", "registry", "node", n.me.Name, "epoch", r.CurrentTerm(), "entries", len(records))
+}
+
+// announce has the others remember this start, so that a copy of an older disk is known as one.
+func (n *Node) announce(ctx context.Context) {
+	for n.members()[n.me.Name] != n.me {
+		err := error(errStarting)
+		if n.leads() {
+			err = n.joined(n.me)
+		} else if at, ok := n.leaderAPI(); ok {
+			err = n.call(ctx, http.MethodPost, at+"/v1/announce", n.me, nil)
+		}
+		if err != nil {
+			n.log.Debug("not known to the others yet", "component", "registry", "node", n.me.Name, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askAgain):
+		}
+	}
+}
+
+func (n *Node) joined(m api.Replica) error {
+	_, err := n.apply(list.Command{Op: list.Join, Replica: &m})
+	return err
+}
+
+func (n *Node) parted(name string) error {
+	_, err := n.apply(list.Command{Op: list.Part, Name: name})
+	return err
+}
+
+// leaderAPI is where the leader answers; false: there is none, as far as is known here.
+func (n *Node) leaderAPI() (string, bool) {
+	r := n.raft.Load()
+	if r == nil {
+		return "", false
+	}
+	_, id := r.LeaderWithID()
+	if id == "" || string(id) == n.me.Name {
+		return "", false
+	}
+	if m, ok := n.members()[string(id)]; ok {
+		return n.apiOf(m.Name, m.API), true
+	}
+	for _, p := range n.c.Peers {
+		if p.Name == string(id) {
+			return n.apiOf(p.Name, p.API), true
+		}
+	}
+	return "", false
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+func (n *Node) members() (m map[string]api.Replica) {
+	n.machine.read(func(l *list.List) { m = l.Replicas() })
+	return m
+}
+
+// touched follows a command that was carried out.
+func (n *Node) touched(now []api.Record) {
+	n.mu.Lock()
+	if n.leading {
+		for _, r := range now {
+			n.leases.registered(n.now(), r)
+		}
+	}
+	n.mu.Unlock()
+	n.watches.news()
+}
+
+// keepFresh finds out how old the list here may be.
+func (n *Node) keepFresh(ctx context.Context, r *raft.Raft) {
+	tick := time.NewTicker(freshEvery)
+	defer tick.Stop()
+	for {
+		began := n.now()
+		switch r.State() {
+		case raft.Leader:
+			if r.VerifyLeader().Error() == nil {
+				n.freshAt.Store(int64(began))
+			}
+		case raft.Follower:
+			if at := r.LastContact(); !at.IsZero() && r.AppliedIndex() >= r.CommitIndex() {
+				n.freshAt.Store(int64(at.Sub(n.start)))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// freshEnough is nil while the list is not older than it may be.
+func (n *Node) freshEnough() error {
+	if n.c.Breaks == breakStale {
+		return nil
+	}
+	at := time.Duration(n.freshAt.Load())
+	if old := n.now() - at; at == 0 || old > n.c.Stale.Duration {
+		return api.Fail(api.CodeStale, "no contact with a quorum for %s", old.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// keepLeases ends entries whose lease has lapsed, on the leader.
+func (n *Node) keepLeases(ctx context.Context, r *raft.Raft) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		n.mu.Lock()
+		var ended []api.Lease
+		was, holding := n.leases.holding, false
+		if n.leading {
+			ended = n.leases.look(n.now())
+			holding = n.leases.holding
+		}
+		n.mu.Unlock()
+		if holding != was {
+			n.log.Warn("leases fell silent together: entries are kept", "component", "registry", "node", n.me.Name, "holding", holding)
+		}
+		if len(ended) > 0 {
+			if _, err := n.apply(list.Command{Op: list.Expire, Lapsed: ended}); err != nil {
+				n.log.Warn("lapsed entries stay", "component", "registry", "node", n.me.Name, "err", err)
+			}
+		}
+	}
+}
+
+var errStarting = api.Fail(api.CodeNoLeader, "this replica does not take part yet")
+
+// apply has a command carried out, by this replica as the leader.
+func (n *Node) apply(c list.Command) (list.Result, error) {
+	r := n.raft.Load()
+	if r == nil {
+		return list.Result{}, errStarting
+	}
+	for name, m := range n.members() { // an old member would not do what a new form asks
+		if m.Schema < list.Schema && newForm(c) {
+			return list.Result{}, api.Fail(api.CodeBad, "replica %s is too old for this", name)
+		}
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return list.Result{}, fmt.Errorf("command: %w", err)
+	}
+	f := r.Apply(text, writePatienceRaft)
+	switch err := f.Error(); {
+	case err == nil:
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+		return list.Result{}, api.Fail(api.CodeNoLeader, "%v", err) // not in the log
+	default:
+		return list.Result{}, api.Fail(api.CodeUnknown, "%v", err)
+	}
+	result := f.Response().(list.Result)
+	if result.Err != nil {
+		return result, result.Err
+	}
+	return result, nil
+}
+
+// newForm tells whether a command is of a form that came with the present schema. Schema 1 is the first.
+func newForm(list.Command) bool { return false }
+
+// consistent returns once all that was committed before is in the list here, and this replica is sure to lead.
+func (n *Node) consistent() error {
+	r := n.raft.Load()
+	if r == nil {
+		return errStarting
+	}
+	if n.c.Breaks == breakStale {
+		return nil
+	}
+	if err := r.Barrier(writePatienceRaft).Error(); err != nil {
+		return api.Fail(api.CodeNoLeader, "%v", err)
+	}
+	return nil
+}
+
+func (n *Node) leads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading
+}
--- /dev/null
+++ b/internal/registry/processes_test.go
@@ -0,0 +1,369 @@
+package registry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mosslead/internal/lab/proc"
+	"mosslead/internal/registry"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const asReplica = "TEST_REPLICA"
+
+// TestMain lets this binary be a replica: a process of its own.
+func TestMain(m *testing.M) {
+	if path := os.Getenv(asReplica); path != "" {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		c, err := registry.LoadConfig(path)
+		if err == nil {
+			var n *registry.Node
+			if n, err = registry.Open(c, slog.New(slog.NewTextHandler(os.Stderr, nil))); err == nil {
+				err = n.Run(ctx)
+			}
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// quorum is replicas that are processes.
+type quorum struct {
+	t     *testing.T
+	dir   string
+	peers []map[string]any
+	run   map[string]*proc.Child
+	all   *client.Client
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newQuorum(t *testing.T, n int) *quorum {
+	t.Helper()
+	q := &quorum{t: t, dir: t.TempDir(), run: map[string]*proc.Child{}}
+	var at []string
+	for i := range n {
+		q.peers = append(q.peers, map[string]any{"name": fmt.Sprint("r", i), "raft": address(t), "api": address(t)})
+		at = append(at, q.peers[i]["api"].(string))
+	}
+	for i := range n {
+		q.start(fmt.Sprint("r", i), nil)
+	}
+	q.all = client.New(at)
+	t.Cleanup(func() {
+		q.all.Close()
+		for _, c := range q.run {
+			_ = c.Kill()
+		}
+		if t.Failed() {
+			for name := range q.run {
+				text, _ := os.ReadFile(filepath.Join(q.dir, name+".log"))
+				t.Logf("%s:\n%s", name, text)
+			}
+		}
+	})
+	q.serving(n)
+	return q
+}
+
+// start starts a replica; more are keys of its configuration.
+func (q *quorum) start(name string, more map[string]any) {
+	q.t.Helper()
+	c := map[string]any{"name": name, "dir": filepath.Join(q.dir, name), "replica": q.peers, "grace": "200ms"}
+	for key, value := range more {
+		c[key] = value
+	}
+	text, err := toml.Marshal(c)
+	if err != nil {
+		q.t.Fatal(err)
+	}
+	path := filepath.Join(q.dir, name+".toml")
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		q.t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		q.t.Fatal(err)
+	}
+	child, err := proc.Start(proc.Spec{Name: name, Path: self, Env: []string{asReplica + "=" + path}, Dir: q.dir, LogFile: filepath.Join(q.dir, name+".log")})
+	if err != nil {
+		q.t.Fatal(err)
+	}
+	q.run[name] = child
+}
+
+func (q *quorum) kill(name string) {
+	q.t.Helper()
+	if err := q.run[name].Kill(); err != nil {
+		q.t.Fatal(err)
+	}
+}
+
+// until waits for what a status must say.
+func (q *quorum) until(what string, is func(map[string]api.Status) bool) map[string]api.Status {
+	q.t.Helper()
+	ctx, cancel := context.WithTimeout(q.t.Context(), 20*time.Second)
+	defer cancel()
+	for {
+		said, _ := q.all.Status(ctx)
+		if is(said) {
+			return said
+		}
+		if ctx.Err() != nil {
+			q.t.Fatalf("never: %s; last %+v", what, said)
+		}
+		time.Sleep(20 * time.Millisecond) // between two looks
+	}
+}
+
+func (q *quorum) serving(n int) string {
+	q.t.Helper()
+	leader := ""
+	q.until(fmt.Sprintf("%d serve", n), func(said map[string]api.Status) bool {
+		serving, known := 0, true
+		for _, s := range said {
+			if s.Leader != "" && s.StaleMs < 1000 && len(s.Members) >= n {
+				serving++
+				known = known && s.Members[s.Replica.Name] == s.Replica
+				leader = s.Leader
+			}
+		}
+		return serving >= n && known
+	})
+	return leader
+}
+
+func (q *quorum) register(name string) {
+	q.t.Helper()
+	ctx, cancel := context.WithTimeout(q.t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := q.all.Register(ctx, name, api.Registration{Address: "127.0.0.1:1", Weight: 1}); err != nil {
+		q.t.Fatalf("registering %s: %v", name, err)
+	}
+}
+
+// A watcher sees every change through the death of the leader, the loss of a disk, and an old copy of one.
+func TestQuorumOfProcessesLosesItsMembersOneByOne(t *testing.T) {
+	q := newQuorum(t, 3)
+	got := make(chan api.Listing, 64)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		q.all.Watch(ctx, nil, client.Watcher{Take: func(l api.Listing) error { got <- l; return nil }, Says: func(string, error) {}})
+	}()
+	defer func() { stop(); <-ended }()
+	hears := func(name string) {
+		t.Helper()
+		late := time.After(15 * time.Second)
+		for {
+			select {
+			case l := <-got:
+				for _, e := range l.Endpoints {
+					if e.Name == name {
+						return
+					}
+				}
+			case <-late:
+				t.Fatalf("the watcher never heard of %s", name)
+			}
+		}
+	}
+	q.register("before")
+	hears("before")
+
+	leader := q.serving(3)
+	q.kill(leader)
+	q.register("without the leader")
+	hears("without the leader")
+	q.start(leader, nil)
+	q.serving(3)
+
+	follower := "r0"
+	if q.serving(3) == follower {
+		follower = "r1"
+	}
+	disk := func() api.Replica {
+		s := q.until("a status", func(s map[string]api.Status) bool { return len(s) == 3 })
+		for _, x := range s {
+			return x.Members[follower]
+		}
+		return api.Replica{}
+	}
+	was := disk()
+	old := filepath.Join(q.dir, "old")
+	q.kill(follower)
+	if err := os.CopyFS(old, os.DirFS(filepath.Join(q.dir, follower))); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(filepath.Join(q.dir, follower)); err != nil {
+		t.Fatal(err)
+	}
+	q.register("while a disk is lost")
+	q.start(follower, nil)
+	q.serving(3)
+	if now := disk(); now.Disk == was.Disk {
+		t.Errorf("an empty disk is taken for the one that was lost: %+v", now)
+	}
+	hears("while a disk is lost")
+
+	// The copy of before is an older disk than the others remember.
+	q.kill(follower)
+	if err := os.RemoveAll(filepath.Join(q.dir, follower)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(old, filepath.Join(q.dir, follower)); err != nil {
+		t.Fatal(err)
+	}
+	q.register("while a disk is old")
+	q.start(follower, nil)
+	q.serving(3)
+	aside, err := filepath.Glob(filepath.Join(q.dir, follower, "aside-*"))
+	if err != nil || len(aside) != 1 {
+		t.Errorf("the old copy was not set aside: %v, %v", aside, err)
+	}
+	hears("while a disk is old")
+}
+
+func TestReplicasComeAndGoAtRunTime(t *testing.T) {
+	q := newQuorum(t, 3)
+	ctx := t.Context()
+	m := api.Replica{Name: "r9", Raft: address(t), API: address(t)}
+	q.start("r9", map[string]any{"join": true, "listen": m.API, "raft_bind": m.Raft})
+	q.until("four", func(said map[string]api.Status) bool {
+		for _, s := range said {
+			if len(s.Voters) != 4 || len(s.Members) != 4 {
+				return false
+			}
+		}
+		return len(said) == 3
+	})
+	q.register("one")
+	own := client.New([]string{m.API})
+	defer own.Close()
+	if all, err := own.Records(ctx, true); err != nil || len(all.Records) != 1 {
+		t.Errorf("the new replica says %+v, %v", all, err)
+	}
+	if err := q.all.Remove(ctx, "r9"); err != nil {
+		t.Fatal(err)
+	}
+	if err := q.all.Remove(ctx, "r9"); !api.IsCode(err, api.CodeNone) {
+		t.Errorf("removed twice: %v", err)
+	}
+
+	text, err := q.all.Backup(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _ := q.all.Records(ctx, true)
+	q.register("after the backup")
+	if err := q.all.Restore(ctx, text); err != nil {
+		t.Fatal(err)
+	}
+	after, err := q.all.Records(ctx, true)
+	if err != nil || len(after.Records) != 1 || after.Version <= before.Version+1 {
+		t.Errorf("after a restore: %+v, %v", after, err)
+	}
+	torn := bytes.Replace(text, []byte(`127.0.0.1:1`), []byte(`127.0.0.1:2`), 1)
+	if err := q.all.Restore(ctx, torn); !api.IsCode(err, api.CodeBad) {
+		t.Errorf("a damaged backup: %v", err)
+	}
+}
+
+// dev is one replica in this process.
+func dev(t *testing.T) string {
+	t.Helper()
+	at := address(t)
+	n, err := registry.Open(registry.Dev(at), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	c := client.New([]string{at})
+	defer c.Close()
+	q := &quorum{t: t, all: c}
+	q.serving(1)
+	return at
+}
+
+func TestBadCallsGetOneClearAnswer(t *testing.T) {
+	at := dev(t)
+	huge := `{"address":"` + strings.Repeat("x", 2<<20)
+	for _, x := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"PUT", "/v1/entries/a", `{"address":"127.0.0.1:1"}`, 200},
+		{"PUT", "/v1/entries/a", `{"address":"127.0.0.1:1"`, 400},
+		{"PUT", "/v1/entries/a", `{"address":"127.0.0.1:1"} {}`, 400},
+		{"PUT", "/v1/entries/a", `{"address":"127.0.0.1:1","colour":"red"}`, 400},
+		{"PUT", "/v1/entries/a", `{"address":"nowhere"}`, 400},
+		{"PUT", "/v1/entries/a", `{"address":"127.0.0.1:1","weight":-1}`, 400},
+		{"PUT", "/v1/entries/a", huge, 400},
+		{"PUT", "/v1/entries/" + strings.Repeat("n", 200), `{"address":"127.0.0.1:1"}`, 400},
+		{"POST", "/v1/entries/b/drain", ``, 404},
+		{"POST", "/v1/entries/a/hand", `{"hand":"burn"}`, 400},
+		{"POST", "/v1/renew", `[]`, 400},
+		{"POST", "/v1/overrule", ``, 409},
+		{"POST", "/v1/restore", `{}`, 400},
+		{"DELETE", "/v1/replicas/dev", ``, 409},
+		{"GET", "/api/targets?watch=1&from=x", ``, 400},
+		{"GET", "/nothing", ``, 404},
+		{"GET", "/readyz", ``, 200},
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), x.method, "http://"+at+x.path, strings.NewReader(x.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("%s %.40s: %v", x.method, x.path, err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != x.status || err != nil {
+			t.Errorf("%s %.40s %.60q: %s %.100s, want %d", x.method, x.path, x.body, resp.Status, text, x.status)
+		}
+		var f api.Failure
+		if resp.StatusCode >= 400 && !strings.HasPrefix(x.path, "/nothing") && (json.Unmarshal(text, &f) != nil || f.Text == "" || len(text) > 1000) {
+			t.Errorf("%s %.40s: not one clear answer: %.200s", x.method, x.path, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/server.go
@@ -0,0 +1,402 @@
+package registry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/hashicorp/raft"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/list"
+)
+
+const (
+	maxBody    = 1 << 20 // of a call; a renewal of 10,000 leases is below
+	maxRestore = 64 << 20
+	forwarded  = "X-Registry-Forwarded"
+)
+
+func newBody(text []byte) io.Reader { return bytes.NewReader(text) }
+
+// server answers calls. Reads of the list are answered by any replica that is fresh enough; all else by the leader, to
+// whom other replicas pass a call on, once.
+func (n *Node) server(ctx context.Context) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", n.targets)
+	mux.HandleFunc("GET /v1/identity", n.identityOf)
+	mux.HandleFunc("GET /v1/status", n.status)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.HandleFunc("GET /v1/entries", n.either(n.entries))
+	mux.HandleFunc("GET /v1/entries/{name}", n.either(n.entry))
+	mux.HandleFunc("PUT /v1/entries/{name}", n.onLeader(maxBody, n.register))
+	for _, op := range []string{list.Drain, list.Leave, list.Hand} {
+		mux.HandleFunc("POST /v1/entries/{name}/"+op, n.onLeader(maxBody, n.change(op)))
+	}
+	mux.HandleFunc("POST /v1/renew", n.onLeader(maxBody, n.renew))
+	mux.HandleFunc("POST /v1/overrule", n.onLeader(maxBody, n.overrule))
+	mux.HandleFunc("POST /v1/announce", n.onLeader(maxBody, n.announced))
+	mux.HandleFunc("POST /v1/replicas", n.onLeader(maxBody, n.addReplica))
+	mux.HandleFunc("DELETE /v1/replicas/{name}", n.onLeader(maxBody, n.removeReplica))
+	mux.HandleFunc("GET /v1/backup", n.onLeader(maxBody, n.backup))
+	mux.HandleFunc("POST /v1/restore", n.onLeader(maxRestore, n.restore))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute,
+		MaxHeaderBytes: 16 << 10, BaseContext: func(net.Listener) context.Context { return ctx }}
+}
+
+// work is a call with its body read: the answer, or why there is none.
+type work func(r *http.Request, body []byte) (any, error)
+
+// onLeader has a call answered here if this replica leads, and else by the leader.
+func (n *Node) onLeader(most int64, do work) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, most))
+		if err != nil {
+			refuse(rw, api.Fail(api.CodeBad, "%v", err))
+			return
+		}
+		if n.leads() {
+			answer(rw, r, body, do)
+			return
+		}
+		at, ok := n.leaderAPI()
+		if !ok || r.Header.Get(forwarded) != "" {
+			refuse(rw, api.Fail(api.CodeNoLeader, "%s knows of no leader", n.me.Name))
+			return
+		}
+		n.forward(rw, r, at, body)
+	}
+}
+
+// either answers here, or on the leader where the caller wants what is sure to be the newest.
+func (n *Node) either(do work) http.HandlerFunc {
+	sure := n.onLeader(maxBody, func(r *http.Request, body []byte) (any, error) {
+		if err := n.consistent(); err != nil {
+			return nil, err
+		}
+		return do(r, body)
+	})
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if r.FormValue("consistent") != "" && n.c.Breaks != breakStale {
+			sure(rw, r)
+			return
+		}
+		if err := n.freshEnough(); err != nil {
+			refuse(rw, err)
+			return
+		}
+		answer(rw, r, nil, do)
+	}
+}
+
+func (n *Node) forward(rw http.ResponseWriter, r *http.Request, at string, body []byte) {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, at+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		refuse(rw, api.Fail(api.CodeBad, "%v", err))
+		return
+	}
+	req.Header.Set(forwarded, n.me.Name)
+	resp, err := n.client.Do(req)
+	if err != nil {
+		code := api.CodeUnknown
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" { // never sent
+			code = api.CodeNoLeader
+		}
+		refuse(rw, api.Fail(code, "%v", err))
+		return
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		refuse(rw, api.Fail(api.CodeUnknown, "%v", err))
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(resp.StatusCode)
+	_, _ = rw.Write(text)
+}
+
+func answer(rw http.ResponseWriter, r *http.Request, body []byte, do work) {
+	x, err := do(r, body)
+	if err != nil {
+		refuse(rw, err)
+		return
+	}
+	text, err := json.Marshal(x)
+	if err != nil {
+		refuse(rw, err)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(append(text, '\n'))
+}
+
+var statusOf = map[string]int{api.CodeBad: http.StatusBadRequest, api.CodeOlder: http.StatusConflict, api.CodeConflict: http.StatusConflict,
+	api.CodeNone: http.StatusNotFound, api.CodeFull: http.StatusServiceUnavailable, api.CodeNoLeader: http.StatusServiceUnavailable,
+	api.CodeStale: http.StatusServiceUnavailable, api.CodeUnknown: http.StatusGatewayTimeout}
+
+func refuse(rw http.ResponseWriter, err error) {
+	var f *api.Failure
+	if !errors.As(err, &f) {
+		f = api.Fail(api.CodeUnknown, "%v", err)
+	}
+	text, _ := json.Marshal(f) // two strings
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(statusOf[f.Code])
+	_, _ = rw.Write(append(text, '\n'))
+}
+
+// read takes a body apart. What is not known in it is an error: a wish that is not carried out must not look like one
+// that was.
+func read(body []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return api.Fail(api.CodeBad, "%v", err)
+	}
+	if d.More() {
+		return api.Fail(api.CodeBad, "more than one value")
+	}
+	return nil
+}
+
+func (n *Node) targets(rw http.ResponseWriter, r *http.Request) {
+	if r.FormValue("watch") != "" {
+		n.watches.serve(rw, r)
+		return
+	}
+	if err := n.freshEnough(); err != nil {
+		refuse(rw, err)
+		return
+	}
+	answer(rw, r, nil, func(*http.Request, []byte) (any, error) {
+		var l api.Listing
+		n.machine.read(func(of *list.List) { l = of.Whole() })
+		return l, nil
+	})
+}
+
+func (n *Node) entries(*http.Request, []byte) (any, error) {
+	var all api.Records
+	n.machine.read(func(l *list.List) { all = api.Records{Version: l.Version(), Records: l.Records()} })
+	return all, nil
+}
+
+func (n *Node) entry(r *http.Request, _ []byte) (any, error) {
+	var x api.Record
+	n.machine.read(func(l *list.List) { x, _ = l.Get(r.PathValue("name")) })
+	return x, nil
+}
+
+func (n *Node) done(c list.Command) (any, error) {
+	result, err := n.apply(c)
+	return api.Done{Version: result.Version}, err
+}
+
+func (n *Node) register(r *http.Request, body []byte) (any, error) {
+	g := api.Registration{Weight: 1}
+	if err := read(body, &g); err != nil {
+		return nil, err
+	}
+	if err := g.Check(r.PathValue("name")); err != nil {
+		return nil, err
+	}
+	return n.done(list.Command{Op: list.Register, Name: r.PathValue("name"), Registration: &g, IfVersion: g.IfVersion})
+}
+
+func (n *Node) change(op string) work {
+	return func(r *http.Request, body []byte) (any, error) {
+		var ask api.Ask
+		if len(body) > 0 {
+			if err := read(body, &ask); err != nil {
+				return nil, err
+			}
+		}
+		name := r.PathValue("name")
+		switch {
+		case len(name) > api.MaxName:
+			return nil, api.Fail(api.CodeBad, "name: at most %d bytes", api.MaxName)
+		case op == list.Hand && ask.Hand != api.HandNone && ask.Hand != api.HandDrain && ask.Hand != api.HandBan:
+			return nil, api.Fail(api.CodeBad, "hand: drain, ban or nothing, not %.40q", ask.Hand)
+		}
+		return n.done(list.Command{Op: op, Name: name, Incarnation: ask.Incarnation, Hand: ask.Hand, IfVersion: ask.IfVersion})
+	}
+}
+
+func (n *Node) renew(_ *http.Request, body []byte) (any, error) {
+	var ask api.Renewals
+	if err := read(body, &ask); err != nil {
+		return nil, err
+	}
+	lost := []string{}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leading {
+		return nil, api.Fail(api.CodeNoLeader, "%s leads no more", n.me.Name)
+	}
+	now := n.now()
+	for _, x := range ask.Leases {
+		if !n.leases.renew(now, x) {
+			lost = append(lost, x.Name)
+		}
+	}
+	return api.Renewed{Lost: lost}, nil
+}
+
+// overrule ends those who are silent although the service is in doubt of itself.
+func (n *Node) overrule(*http.Request, []byte) (any, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	silent := n.leases.silent(n.now())
+	if !n.leases.holding {
+		return nil, api.Fail(api.CodeConflict, "there is nothing to overrule")
+	}
+	n.leases.overruled = true
+	return api.Renewed{Lost: silent}, nil
+}
+
+func (n *Node) identityOf(rw http.ResponseWriter, r *http.Request) {
+	answer(rw, r, nil, func(*http.Request, []byte) (any, error) {
+		id := api.Identity{Replica: n.me, Formed: n.raft.Load() != nil, Members: n.members()}
+		for _, name := range n.voterNames() {
+			if _, ok := id.Members[name]; !ok {
+				id.Members[name] = api.Replica{Name: name} // was never heard of
+			}
+		}
+		return id, nil
+	})
+}
+
+func (n *Node) status(rw http.ResponseWriter, r *http.Request) {
+	answer(rw, r, nil, func(*http.Request, []byte) (any, error) { return n.Status(), nil })
+}
+
+// Status is what this replica knows of itself and of the service.
+func (n *Node) Status() api.Status {
+	s := api.Status{Replica: n.me, State: "starting", Members: n.members(), Voters: n.voterNames(), Watchers: n.watches.watching(),
+		StaleMs: (n.now() - time.Duration(n.freshAt.Load())).Milliseconds()}
+	n.machine.read(func(l *list.List) { s.Version, s.Entries = l.Version(), l.Len() })
+	n.mu.Lock()
+	if n.leading {
+		s.Preserving, s.Silent = n.leases.holding, n.leases.silent(n.now())
+	}
+	n.mu.Unlock()
+	if r := n.raft.Load(); r != nil {
+		_, leader := r.LeaderWithID()
+		s.Leader, s.Term = string(leader), r.CurrentTerm()
+		switch r.State() {
+		case raft.Leader:
+			s.State = "leader"
+		case raft.Follower:
+			s.State = "follower"
+		case raft.Candidate:
+			s.State = "candidate"
+		case raft.Shutdown:
+			s.State = "stopped"
+		}
+	}
+	return s
+}
+
+// readyz says whether lists are served here.
+func (n *Node) readyz(rw http.ResponseWriter, _ *http.Request) {
+	if err := n.freshEnough(); err != nil {
+		refuse(rw, err)
+	}
+}
+
+func (n *Node) announced(_ *http.Request, body []byte) (any, error) {
+	var m api.Replica
+	if err := read(body, &m); err != nil {
+		return nil, err
+	}
+	if known, there := n.members()[m.Name]; there && known.Disk != m.Disk {
+		return nil, api.Fail(api.CodeConflict, "%s is known with another disk", m.Name)
+	}
+	return struct{}{}, n.joined(m)
+}
+
+func (n *Node) addReplica(_ *http.Request, body []byte) (any, error) {
+	var m api.Replica
+	if err := read(body, &m); err != nil {
+		return nil, err
+	}
+	if m.Name == "" || len(m.Name) > api.MaxName || !isAddress(m.Raft) || !isAddress(m.API) {
+		return nil, api.Fail(api.CodeBad, "a replica has a name, and host:port for raft and api")
+	}
+	return struct{}{}, n.takeIn(m)
+}
+
+func (n *Node) removeReplica(r *http.Request, _ []byte) (any, error) {
+	return struct{}{}, n.takeOut(r.PathValue("name"))
+}
+
+// Backup is a list as a file holds it.
+type Backup struct {
+	Schema int             `json:"schema"`
+	CRC32C uint32          `json:"crc32c"` // of state
+	State  json.RawMessage `json:"state"`
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// CheckBackup reads a backup; an error says what is wrong with it.
+func CheckBackup(text []byte) (*list.State, error) {
+	var b Backup
+	if err := json.Unmarshal(text, &b); err != nil {
+		return nil, fmt.Errorf("backup: %w", err)
+	}
+	if b.Schema < 1 || b.Schema > list.Schema {
+		return nil, fmt.Errorf("backup: schema %d, and this program knows 1 to %d", b.Schema, list.Schema)
+	}
+	if sum := crc32.Checksum(b.State, castagnoli); sum != b.CRC32C {
+		return nil, fmt.Errorf("backup: checksum %08x, not %08x", sum, b.CRC32C)
+	}
+	s := &list.State{}
+	if err := json.Unmarshal(b.State, s); err != nil {
+		return nil, fmt.Errorf("backup: %w", err)
+	}
+	for i, r := range s.Records {
+		if r.Name == "" || i > 0 && r.Name <= s.Records[i-1].Name || r.Version > s.Version {
+			return nil, fmt.Errorf("backup: record %d is none", i)
+		}
+	}
+	return s, nil
+}
+
+// WriteBackup puts a backup that is whole in a file, whole or not at all.
+func WriteBackup(path string, text []byte) error {
+	if _, err := CheckBackup(text); err != nil {
+		return err
+	}
+	return renameio.WriteFile(path, text, 0o644)
+}
+
+func (n *Node) backup(*http.Request, []byte) (any, error) {
+	if err := n.consistent(); err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(n.machine.state())
+	if err != nil {
+		return nil, err
+	}
+	return Backup{Schema: list.Schema, CRC32C: crc32.Checksum(text, castagnoli), State: text}, nil
+}
+
+func (n *Node) restore(_ *http.Request, body []byte) (any, error) {
+	s, err := CheckBackup(body)
+	if err != nil {
+		return nil, api.Fail(api.CodeBad, "%v", err)
+	}
+	return n.done(list.Command{Op: list.Restore, State: s})
+}
