registry/client: which replica is asked, when again, and what of a list is believed

Need: clients that ride out the service's failures, and do not come back all at once. Change: writes that are conditional are never repeated where they may have been carried out; a watch goes on at another replica from its version; waits with full jitter from a budget; a list that goes back or empties at once is read a second time; what is told draining or gone binds at once. Registrar keeps servers registered with one renewal for all.

--- /dev/null
+++ b/internal/registry/client/client_test.go
@@ -0,0 +1,202 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+func list(index int64, names ...string) api.Listing {
+	l := api.Listing{Index: index, Snapshot: true, Endpoints: []api.Entry{}}
+	for _, name := range names {
+		name, status, has := strings.Cut(name, "=")
+		if !has {
+			status = api.Ready
+		}
+		l.Endpoints = append(l.Endpoints, api.Entry{Name: name, Address: "127.0.0.1:1", Status: status})
+	}
+	return l
+}
+
+func TestDoubt(t *testing.T) {
+	change := func(l api.Listing) api.Listing { l.Snapshot = false; return l }
+	for _, x := range []struct {
+		name   string
+		next   api.Listing
+		doubts bool
+		binds  string // names that are taken out at once
+	}{
+		{"a later list", list(6, "a"), false, ""},
+		{"the same list again", list(5, "a", "b"), false, ""},
+		{"a version that goes back", list(4, "a", "b"), true, ""},
+		{"one that goes back, and drains", list(4, "a=Terminating", "c=Gone"), true, "a"},
+		{"nobody at all", list(7), true, ""},
+		{"all drain", list(7, "a=Terminating", "b=Terminating"), true, "a b"},
+		{"a change that takes all away, one by one", change(list(7, "a=Gone", "b=Gone")), false, ""},
+		{"a change that goes back", change(list(3, "b=Gone")), true, "b"},
+	} {
+		d := &doubt{}
+		d.start(list(5, "a", "b"))
+		if got := d.why(x.next) != ""; got != x.doubts {
+			t.Errorf("%s: doubted is %v", x.name, got)
+			continue
+		}
+		if !x.doubts {
+			continue
+		}
+		bound, _ := d.bind(x.next)
+		var names []string
+		for _, e := range bound.Endpoints {
+			names = append(names, e.Name)
+		}
+		if got := strings.Join(names, " "); got != x.binds || bound.Snapshot || bound.Index != 5 {
+			t.Errorf("%s: binds %q of version %d", x.name, got, bound.Index)
+		}
+	}
+}
+
+// A thousand clients that fail together do not come back together, and none wears a service down that always fails.
+func TestPaceSpreadsAndIsBounded(t *testing.T) {
+	const clients = 1000
+	at := func(i int) time.Time { return time.Unix(0, 0) }
+	buckets := map[time.Duration]int{}
+	for i := range clients {
+		var p pace
+		buckets[p.next(at(i), float64(i)/clients).Truncate(20*time.Millisecond)]++
+	}
+	for bucket, n := range buckets {
+		if n > clients/5 {
+			t.Errorf("%d of %d come back within 20 ms after %v", n, clients, bucket)
+		}
+	}
+	var p pace
+	now, tries := time.Unix(0, 0), 0
+	for end := now.Add(time.Minute); now.Before(end); tries++ {
+		now = now.Add(p.next(now, 0)) // the least that chance allows
+	}
+	if most := paceBurst + int(time.Minute/paceRefill) + int(2*time.Minute/paceRefill); tries > most {
+		t.Errorf("%d tries in a minute", tries)
+	}
+}
+
+// serve answers lists and watches with what answer gives, line by line; an empty one ends the watch.
+func serve(t *testing.T, answer func(watch bool, from string, n int) []api.Listing) string {
+	t.Helper()
+	var n atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watch := r.FormValue("watch") != ""
+		for _, l := range answer(watch, r.FormValue("from"), int(n.Add(1))) {
+			_ = json.NewEncoder(w).Encode(l)
+		}
+		if watch && r.FormValue("from") != "-1" {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// A replica that empties the list is not believed while another knows better, and is once the second read says the same.
+func TestAnEmptyListIsReadTwice(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		second := serve(t, func(watch bool, _ string, _ int) []api.Listing {
+			if confirmed {
+				return []api.Listing{list(9)}
+			}
+			return []api.Listing{list(9, "a", "b")}
+		})
+		liar := serve(t, func(bool, string, int) []api.Listing { return []api.Listing{list(8)} })
+		c := New([]string{liar, second})
+		c.current = 0
+		ctx, cancel := context.WithCancel(t.Context())
+		var took []int
+		start := list(5, "a")
+		c.Watch(ctx, &start, Watcher{Take: func(l api.Listing) error {
+			took = append(took, len(l.Endpoints))
+			cancel()
+			return nil
+		}, Says: func(string, error) {}})
+		want := []int{2}
+		if confirmed {
+			want = []int{0}
+		}
+		if !slices.Equal(took, want) {
+			t.Errorf("confirmed %v: took lists of %v, want %v", confirmed, took, want)
+		}
+		c.Close()
+	}
+}
+
+// A watch that ends goes on at another replica, from the version that it has.
+func TestWatchGoesOnElsewhere(t *testing.T) {
+	var from atomic.Value
+	ends := serve(t, func(_ bool, f string, _ int) []api.Listing { return []api.Listing{list(3, "a")} }) // from -1: it ends
+	other := serve(t, func(_ bool, f string, _ int) []api.Listing { from.Store(f); return []api.Listing{list(4, "a", "b")} })
+	c := New([]string{ends, other})
+	c.current = 0
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c.Watch(ctx, nil, Watcher{Take: func(l api.Listing) error {
+		if l.Index == 4 {
+			cancel()
+		}
+		return nil
+	}, Says: func(string, error) {}})
+	if from.Load() != "3" {
+		t.Errorf("went on from %v", from.Load())
+	}
+}
+
+// What may have been carried out is not asked again, unless twice is the same as once.
+func TestConditionalWritesAreNotRepeated(t *testing.T) {
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.Close() // after it was read: nobody knows what came of it
+		}
+	}))
+	defer s.Close()
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	c := New([]string{gone.Addr().String(), strings.TrimPrefix(s.URL, "http://")})
+	c.current = 0
+	defer c.Close()
+	version := int64(1)
+	_, err = c.Register(t.Context(), "a", api.Registration{Address: "127.0.0.1:1", IfVersion: &version})
+	if !api.IsCode(err, api.CodeUnknown) || calls.Load() != 1 {
+		t.Errorf("%v after %d calls", err, calls.Load())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err = c.Register(ctx, "a", api.Registration{Address: "127.0.0.1:1"})
+	if !errors.Is(err, context.DeadlineExceeded) || calls.Load() < 3 {
+		t.Errorf("%v after %d calls", err, calls.Load())
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	for text, want := range map[string]string{"127.0.0.1:1,127.0.0.2:1": "[127.0.0.1:1 127.0.0.2:1]", "a": "", "127.0.0.1:1,": "", "a:1,a:1": ""} {
+		got, err := Addresses(text)
+		if (err != nil) != (want == "") || err == nil && fmt.Sprint(got) != want {
+			t.Errorf("%q: %v, %v", text, got, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/client/registrar.go
@@ -0,0 +1,167 @@
+package client
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+// Registrar keeps servers registered: it renews the leases of all of them with one call, and registers anew whom the
+// service does not know (any more). One goroutine, Run, does all of it.
+type Registrar struct {
+	c     *Client
+	lease time.Duration
+	says  func(name string, err error)
+	wake  chan struct{}
+
+	mu   sync.Mutex
+	want map[string]*wish
+}
+
+// wish is what a server wants to be.
+type wish struct {
+	g       api.Registration
+	status  string // Ready, Terminating or Gone
+	settled bool   // the service knows
+	silent  bool
+}
+
+// NewRegistrar keeps servers registered with c, with leases of that length. says is told of failures.
+func NewRegistrar(c *Client, lease time.Duration, says func(name string, err error)) *Registrar {
+	return &Registrar{c: c, lease: lease, says: says, wake: make(chan struct{}, 1), want: map[string]*wish{}}
+}
+
+// Set wants a server listed as status says; Gone ends its entry. It returns at once.
+func (r *Registrar) Set(name string, g api.Registration, status string) {
+	g.LeaseMs = r.lease.Milliseconds()
+	r.mu.Lock()
+	r.want[name] = &wish{g: g, status: status}
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Silence ends the signs of life of a server that has died or is cut off, without a word.
+func (r *Registrar) Silence(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.want[name]; w != nil {
+		w.silent = true
+	}
+}
+
+// Run keeps at it until ctx ends. Leases then lapse, unless servers have left.
+func (r *Registrar) Run(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	calls.Go(func() { r.renewals(ctx) })
+	for {
+		for _, name := range r.unsettled() {
+			r.settle(ctx, name)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+	}
+}
+
+func (r *Registrar) unsettled() (names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, w := range r.want {
+		if !w.settled && !w.silent {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// settle has the service know what a server wants.
+func (r *Registrar) settle(ctx context.Context, name string) {
+	r.mu.Lock()
+	w := *r.want[name]
+	r.mu.Unlock()
+	ask := api.Ask{Incarnation: w.g.Incarnation}
+	var err error
+	switch w.status {
+	case api.Ready:
+		_, err = r.c.Register(ctx, name, w.g)
+	case api.Terminating:
+		_, err = r.c.Drain(ctx, name, ask)
+	default:
+		err = r.c.Leave(ctx, name, ask)
+	}
+	if api.IsCode(err, api.CodeNone) && w.status != api.Ready { // gone already
+		err = nil
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			r.says(name, err)
+		}
+		if api.IsCode(err, api.CodeOlder) { // another process has taken the name
+			err = nil
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.want[name]
+	if now == nil || now.g.Incarnation != w.g.Incarnation || now.status != w.status {
+		return // wants something else by now
+	}
+	now.settled = err == nil
+	if w.status == api.Gone && now.settled {
+		delete(r.want, name)
+	}
+}
+
+// renewals gives signs of life three times in a lease's time, with jitter.
+func (r *Registrar) renewals(ctx context.Context) {
+	for {
+		wait := time.NewTimer(time.Duration(float64(r.lease) / 3 * (0.8 + 0.4*rand.Float64())))
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		case <-wait.C:
+		}
+		var leases []api.Lease
+		r.mu.Lock()
+		for name, w := range r.want {
+			if w.settled && !w.silent && w.status != api.Gone {
+				leases = append(leases, api.Lease{Name: name, Incarnation: w.g.Incarnation})
+			}
+		}
+		r.mu.Unlock()
+		if len(leases) == 0 {
+			continue
+		}
+		one, cancel := context.WithTimeout(ctx, r.lease)
+		lost, err := r.c.Renew(one, leases)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			r.says("", err)
+		}
+		r.mu.Lock()
+		for _, name := range lost {
+			if w := r.want[name]; w != nil && w.status == api.Ready {
+				w.settled = false
+			}
+		}
+		r.mu.Unlock()
+		if len(lost) > 0 {
+			select {
+			case r.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
