sidecar: discovery may be a list service of several replicas

Need: a sidecar that outlives the replica it watches. Change: where discovery holds several addresses, the list service's client follows them; with one, nothing changes. Measured: TestSeveralReplicasAreFollowed: told Terminating in a list that is doubted, it stops using that one at once and keeps the rest.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"mosslead/balancer"
@@ -91,8 +92,10 @@
 		if a.key == "ops" && a.address == "" {
 			continue // no door
 		}
-		if err := checkAddress(a.address); err != nil {
-			return nil, fmt.Errorf("%s: %w", a.key, err)
+		for _, one := range addressesOf(a.key, a.address) {
+			if err := checkAddress(one); err != nil {
+				return nil, fmt.Errorf("%s: %w", a.key, err)
+			}
 		}
 	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
@@ -185,6 +188,14 @@
 	return nil
 }
 
+// addressesOf takes a key's value apart: only discovery may be at several addresses, as replicas of a list service are.
+func addressesOf(key, value string) []string {
+	if key != "discovery" {
+		return []string{value}
+	}
+	return strings.Split(value, ",")
+}
+
 func checkAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -41,20 +41,27 @@
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, err
 	}
+	if err := l.check(); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *listing) check() error {
 	if l.Index == nil {
-		return nil, errors.New("no index")
+		return errors.New("no index")
 	}
 	for _, e := range l.Endpoints {
 		if e.Name == "" || e.Status == "" {
-			return nil, errors.New("an endpoint without name or status")
+			return errors.New("an endpoint without name or status")
 		}
 		if e.Status == statusReady {
 			if err := checkAddress(e.Address); err != nil {
-				return nil, fmt.Errorf("endpoint %s: address: %w", e.Name, err)
+				return fmt.Errorf("endpoint %s: address: %w", e.Name, err)
 			}
 		}
 	}
-	return l, nil
+	return nil
 }
 
 // clock is the sidecar's one clock. It is monotonic, and starts late enough that the times at which upstreams
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -107,6 +107,12 @@
 			}
 		}
 		address, at, end := w.here(ctx)
+		if several(address) {
+			w.follow(at, address)
+			standing = errors.Is(context.Cause(at), errMoved)
+			end(nil)
+			continue
+		}
 		told, err := w.watch(at, address)
 		standing = errors.Is(context.Cause(at), errMoved)
 		switch {
--- /dev/null
+++ b/internal/sidecar/replicas_test.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import (
+	"testing"
+
+	"mosslead/balancer"
+)
+
+// Guards against a sidecar that hangs on one replica of a list service: it goes on at another from the version it has,
+// doubts a list that empties at once, and is bound by what that list says drains.
+func TestSeveralReplicasAreFollowed(t *testing.T) {
+	ends := func(_ int, send func(string), _ <-chan struct{}) {
+		send(list(6, false, entry("a", "127.0.0.2:1", "Ready"), entry("b", "127.0.0.2:2", "Ready")))
+		send(list(9, true, entry("b", "127.0.0.2:2", "Terminating")))
+	}
+	one, other := newDiscovery(t, ends), newDiscovery(t, ends)
+	dir, told := watch(t, &fakeDiscovery{address: one.address + "," + other.address}, patience, entry("a", "127.0.0.2:1", "Ready"))
+	if m := next(t, told); m.Kind != balancer.Change || len(m.Entries) != 2 {
+		t.Errorf("first told %+v", m)
+	}
+	m := next(t, told)
+	if m.Kind != balancer.Change || len(m.Entries) != 1 || m.Entries[0].Upstream != "b" || m.Entries[0].State != balancer.Leaving {
+		t.Errorf("of a list that is doubted, told %+v", m)
+	}
+	if _, ok := dir.place("a"); !ok {
+		t.Error("a list without anybody ready was believed unread")
+	}
+	if _, ok := dir.place("b"); ok {
+		t.Error("who drains is still used")
+	}
+}
+
+func TestDiscoveryAtSeveralAddresses(t *testing.T) {
+	if c := testConfig(t, "127.0.0.1:1,127.0.0.2:1"); !several(c.Discovery) {
+		t.Error("not taken")
+	}
+	if _, err := parseConfig([]byte(`{"name":"n1","listen":"127.0.0.1:9000","discovery":"127.0.0.1:1,here","seed":"8c"}`)); err == nil {
+		t.Error("an address that is none was taken")
+	}
+}
