--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,10 +64,11 @@
 
 func (a *app) root() *cobra.Command {
 	root := group(&cobra.Command{
-		Use:           "mosslead",
-		Short:         "Carry fleets of sidecars through failures",
-		Long:          "mosslead is what stands around the sidecar orchiddrift: the laboratory in which fleets of it are broken on purpose.",
-		Example:       "  mosslead lab run experiments/crash.toml\n  mosslead lab list",
+		Use:   "mosslead",
+		Short: "Carry fleets of sidecars through failures",
+		Long: "mosslead is what stands around the sidecar orchiddrift: the list service, what processes keep on disk, and the " +
+			"laboratory in which fleets of it are broken on purpose.",
+		Example:       "  mosslead registry serve --dev\n  mosslead list get\n  mosslead lab run experiments/crash.toml",
 		Version:       version(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
@@ -76,20 +77,27 @@
 			if a.verbose {
 				level = slog.LevelInfo
 			}
-			options := &slog.HandlerOptions{Level: level}
-			if a.terminal {
-				a.log = slog.New(slog.NewTextHandler(a.err, options))
-			} else {
-				a.log = slog.New(slog.NewJSONHandler(a.err, options))
-			}
+			a.log = a.logAt(level)
 		},
 	})
 	root.PersistentFlags().BoolVarP(&a.verbose, "verbose", "v", false, "log what happens, not only what goes wrong")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(a.lab(), a.state())
+	root.AddCommand(a.lab(), a.state(), a.registry(), a.list())
 	return root
 }
 
+// logAt logs to the error output: text on a terminal, JSON lines otherwise.
+func (a *app) logAt(level slog.Level) *slog.Logger {
+	options := &slog.HandlerOptions{Level: level}
+	if a.terminal {
+		return slog.New(slog.NewTextHandler(a.err, options))
+	}
+	return slog.New(slog.NewJSONHandler(a.err, options))
+}
+
+// serverLog is that of a command that serves: what happens is said too.
+func (a *app) serverLog() *slog.Logger { return a.logAt(slog.LevelInfo) }
+
 // version is the module's, with the revision that it was built from.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -30,7 +30,7 @@
 			"discovery, clients whose load is drawn from a seed, and faults on a timeline.",
 		Example: "  mosslead lab list\n  mosslead lab run experiments/crash.toml\n  mosslead lab faults",
 	})
-	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labNaive())
+	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labService(), a.labNaive())
 	return c
 }
 
@@ -68,7 +68,8 @@
 			if err != nil {
 				return fmt.Errorf("finding this program: %w", err)
 			}
-			r, err := campaign.Run(c.Context(), e, campaign.Options{Dir: out, Self: []string{self, "lab", "naive"}, KeepLogs: keep, Log: a.log, Progress: a.progress})
+			r, err := campaign.Run(c.Context(), e, campaign.Options{Dir: out, Self: []string{self, "lab", "naive"},
+				Replica: []string{self, "registry", "serve", "--config"}, KeepLogs: keep, Log: a.log, Progress: a.progress})
 			if r != nil {
 				if format == "json" {
 					enc := json.NewEncoder(a.out)
--- /dev/null
+++ b/internal/cli/list.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+func (a *app) list() *cobra.Command {
+	c := group(&cobra.Command{
+		Use:   "list",
+		Short: "Read and change the list of upstreams",
+		Example: "  mosslead list get\n  mosslead list watch -o json\n  mosslead list drain s-5be2a07c\n" +
+			"  mosslead list register s-1 --address 10.0.0.18:9000 --zone a",
+	})
+	at := registryFlag(c)
+	c.AddCommand(a.listGet(at), a.listWatch(at), a.listRegister(at), a.listHand(at, "drain NAME", api.HandDrain,
+		"Take nothing new at a server, whatever it says itself, until it is lifted"),
+		a.listHand(at, "ban NAME", api.HandBan, "Keep a server out of the list, whatever it says itself, until it is lifted"),
+		a.listHand(at, "lift NAME", api.HandNone, "Take an operator's drain or ban back"), a.listRemove(at))
+	return c
+}
+
+func (a *app) listGet(at *string) *cobra.Command {
+	var sure bool
+	c := &cobra.Command{
+		Use:     "get [NAME]",
+		Short:   "Show the list, or one entry",
+		Example: "  mosslead list get\n  mosslead list get s-1 --consistent -o json",
+		Args:    args(cobra.MaximumNArgs(1)),
+	}
+	format := outputFlag(c)
+	c.Flags().BoolVar(&sure, "consistent", false, "ask the leader for what is certain to be the newest")
+	c.RunE = func(c *cobra.Command, given []string) error {
+		return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+			var all api.Records
+			var err error
+			if len(given) == 1 {
+				var one api.Record
+				one, err = service.Record(ctx, given[0], sure)
+				if err == nil && one.Version == 0 {
+					err = api.Fail(api.CodeNone, "%s", given[0])
+				}
+				all.Records = []api.Record{one}
+			} else {
+				all, err = service.Records(ctx, sure)
+			}
+			if err != nil {
+				return err
+			}
+			return a.print(*format, all, func(w io.Writer) {
+				fmt.Fprintln(w, "name\taddress\tzone\ttype\tgroup\tstatus\tweight\tversion\tincarnation\tby hand")
+				for _, r := range all.Records {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%g\t%d\t%d\t%s\n", r.Name, r.Address, r.Zone, r.Type, r.Group, r.Status, r.Weight,
+						r.Version, r.Incarnation, r.Hand)
+				}
+			})
+		})
+	}
+	return c
+}
+
+func (a *app) listWatch(at *string) *cobra.Command {
+	c := &cobra.Command{
+		Use:     "watch",
+		Short:   "Print changes as they come, until interrupted",
+		Example: "  mosslead list watch\n  mosslead list watch -o json | jq .",
+		Args:    args(cobra.NoArgs),
+	}
+	format := outputFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *format != "table" && *format != "json" {
+			return usageError{fmt.Errorf("--output: table or json, not %q", *format)}
+		}
+		addresses, err := client.Addresses(*at)
+		if err != nil {
+			return usageError{fmt.Errorf("--registry: %w", err)}
+		}
+		service := client.New(addresses)
+		defer service.Close()
+		service.Watch(c.Context(), nil, client.Watcher{
+			Take: func(l api.Listing) error {
+				if *format == "json" {
+					return json.NewEncoder(a.out).Encode(l)
+				}
+				for _, e := range l.Endpoints {
+					fmt.Fprintf(a.out, "%d  %-12s %s  %s  zone %s\n", l.Index, e.Status, e.Name, e.Address, e.Zone)
+				}
+				return nil
+			},
+			Says: func(at string, why error) { a.log.Warn("watch", "component", "list", "peer", at, "err", why) },
+		})
+		return nil
+	}
+	return c
+}
+
+func (a *app) listRegister(at *string) *cobra.Command {
+	g := api.Registration{}
+	c := &cobra.Command{
+		Use:     "register NAME",
+		Short:   "List a server by hand, without a lease",
+		Example: "  mosslead list register s-1 --address 10.0.0.18:9000 --zone a --type m2 --weight 2",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			if err := g.Check(given[0]); err != nil {
+				return usageError{err}
+			}
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+				_, err := service.Register(ctx, given[0], g)
+				return err
+			})
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&g.Address, "address", "", "host:port")
+	f.StringVar(&g.Zone, "zone", "", "zone")
+	f.StringVar(&g.Type, "type", "", "kind of machine")
+	f.IntVar(&g.Group, "group", 0, "cell")
+	f.Float64Var(&g.Weight, "weight", 1, "share of the work of one like it")
+	f.Int64Var(&g.SinceMs, "since-ms", 0, "Unix time of its start in milliseconds; 0: long ago")
+	f.Int64Var(&g.Incarnation, "incarnation", 0, "number that rises with each start")
+	return c
+}
+
+func (a *app) listHand(at *string, use, hand, short string) *cobra.Command {
+	return &cobra.Command{
+		Use:     use,
+		Short:   short,
+		Example: "  mosslead list " + use,
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+				_, err := service.Hand(ctx, given[0], api.Ask{Hand: hand})
+				return err
+			})
+		},
+	}
+}
+
+func (a *app) listRemove(at *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "remove NAME",
+		Short:   "End an entry; a server that still gives signs of life registers again",
+		Example: "  mosslead list remove s-1",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+				err := service.Leave(ctx, given[0], api.Ask{})
+				if api.IsCode(err, api.CodeNone) {
+					return errors.New(given[0] + " is not in the list")
+				}
+				return err
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/registry.go
@@ -0,0 +1,288 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mosslead/internal/registry"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	registryEnv  = "MOSSLEAD_REGISTRY"
+	devAddress   = "127.0.0.1:7600"
+	callPatience = 10 * time.Second
+)
+
+func (a *app) registry() *cobra.Command {
+	c := group(&cobra.Command{
+		Use:   "registry",
+		Short: "Run the list service, and look after its replicas",
+		Example: "  mosslead registry serve --dev\n  mosslead registry serve --config registry.toml\n" +
+			"  mosslead registry status --registry 10.0.0.1:7600,10.0.0.2:7600,10.0.0.3:7600",
+	})
+	at := registryFlag(c)
+	c.AddCommand(a.registryServe(), a.registryStatus(at), a.registryAdd(at), a.registryRemove(at), a.registryBackup(at),
+		a.registryRestore(at), a.registryCheck(), a.registryOverrule(at))
+	return c
+}
+
+// registryFlag is where the replicas are.
+func registryFlag(c *cobra.Command) *string {
+	given := os.Getenv(registryEnv)
+	if given == "" {
+		given = devAddress
+	}
+	return c.PersistentFlags().String("registry", given, "replicas of the list service, host:port,host:port ("+registryEnv+")")
+}
+
+// asking makes a client, and bounds what is asked with it.
+func asking(ctx context.Context, at string) (*client.Client, context.Context, context.CancelFunc, error) {
+	addresses, err := client.Addresses(at)
+	if err != nil {
+		return nil, nil, nil, usageError{fmt.Errorf("--registry: %w", err)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callPatience)
+	c := client.New(addresses)
+	return c, ctx, func() { cancel(); c.Close() }, nil
+}
+
+// ask runs f with a client.
+func ask(c *cobra.Command, at string, f func(context.Context, *client.Client) error) error {
+	service, ctx, cancel, err := asking(c.Context(), at)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	err = f(ctx, service)
+	if api.IsCode(err, api.CodeBad) {
+		return usageError{err}
+	}
+	return err
+}
+
+// outputFlag is table or json.
+func outputFlag(c *cobra.Command) *string {
+	return c.Flags().StringP("output", "o", "table", "table or json")
+}
+
+// print writes x as JSON, or as table does.
+func (a *app) print(format string, x any, table func(w io.Writer)) error {
+	switch format {
+	case "json":
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", " ")
+		return enc.Encode(x)
+	case "table":
+		w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
+		table(w)
+		return w.Flush()
+	}
+	return usageError{fmt.Errorf("--output: table or json, not %q", format)}
+}
+
+func (a *app) registryServe() *cobra.Command {
+	var path, listen string
+	var dev bool
+	c := &cobra.Command{
+		Use:     "serve",
+		Short:   "Run one replica, until SIGTERM",
+		Example: "  mosslead registry serve --dev\n  mosslead registry serve --config registry.toml",
+		Args:    args(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			var conf *registry.Config
+			switch {
+			case dev == (path != ""):
+				return usageError{errors.New("registry serve: --config FILE, or --dev")}
+			case dev:
+				conf = registry.Dev(listen)
+			default:
+				var err error
+				if conf, err = registry.LoadConfig(path); err != nil {
+					return usageError{err}
+				}
+			}
+			node, err := registry.Open(conf, a.serverLog())
+			if err != nil {
+				return err
+			}
+			return node.Run(c.Context())
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "configuration of the replica")
+	c.Flags().BoolVar(&dev, "dev", false, "one replica in memory: for a try")
+	c.Flags().StringVar(&listen, "listen", devAddress, "with --dev: where it answers")
+	return c
+}
+
+func (a *app) registryStatus(at *string) *cobra.Command {
+	c := &cobra.Command{
+		Use:     "status",
+		Short:   "Show each replica, who leads, and whether the service doubts itself",
+		Example: "  mosslead registry status\n  mosslead registry status -o json | jq .",
+		Args:    args(cobra.NoArgs),
+	}
+	format := outputFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+			said, silent := service.Status(ctx)
+			failures := map[string]string{}
+			for address, err := range silent {
+				failures[address] = err.Error()
+			}
+			err := a.print(*format, map[string]any{"replicas": said, "failed": failures}, func(w io.Writer) {
+				fmt.Fprintln(w, "address\tname\tstate\tleader\tepoch\tversion\tentries\twatches\told\tstarts")
+				for _, address := range slices.Sorted(keys(said)) {
+					s := said[address]
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%d\n", address, s.Replica.Name, s.State, s.Leader, s.Term, s.Version,
+						s.Entries, s.Watchers, time.Duration(s.StaleMs)*time.Millisecond, s.Replica.Starts)
+				}
+				for _, address := range slices.Sorted(keys(said)) {
+					if s := said[address]; s.Preserving {
+						fmt.Fprintf(w, "\n%d servers fell silent at once; the service suspects itself and keeps them: %s\n", len(s.Silent), strings.Join(s.Silent, " "))
+						fmt.Fprintln(w, "If they are gone: mosslead registry overrule")
+					}
+				}
+				for _, address := range slices.Sorted(keys(failures)) {
+					fmt.Fprintf(w, "\n%s: %s\n", address, failures[address])
+				}
+			})
+			if err == nil && len(said) == 0 {
+				return errors.New("no replica answers")
+			}
+			return err
+		})
+	}
+	return c
+}
+
+func keys[V any](m map[string]V) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func (a *app) registryAdd(at *string) *cobra.Command {
+	var m api.Replica
+	c := &cobra.Command{
+		Use:     "add NAME",
+		Short:   "Take a replica in; it is to run with join = true",
+		Example: "  mosslead registry add r4 --raft 10.0.0.4:7601 --api 10.0.0.4:7600",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			m.Name = given[0]
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error { return service.Add(ctx, m) })
+		},
+	}
+	c.Flags().StringVar(&m.Raft, "raft", "", "host:port for other replicas")
+	c.Flags().StringVar(&m.API, "api", "", "host:port where it answers")
+	return c
+}
+
+func (a *app) registryRemove(at *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "remove NAME",
+		Short:   "Take a replica out",
+		Example: "  mosslead registry remove r4",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error { return service.Remove(ctx, given[0]) })
+		},
+	}
+}
+
+func (a *app) registryOverrule(at *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "overrule",
+		Short:   "End the entries of silent servers that the service keeps since too many fell silent at once",
+		Example: "  mosslead registry overrule",
+		Args:    args(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+				ended, err := service.Overrule(ctx)
+				for _, name := range ended {
+					fmt.Fprintln(a.out, name)
+				}
+				return err
+			})
+		},
+	}
+}
+
+func (a *app) registryBackup(at *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "backup FILE",
+		Short:   "Write all of the list to a file",
+		Example: "  mosslead registry backup list-$(date +%F).json",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
+				text, err := service.Backup(ctx)
+				if err != nil {
+					return err
+				}
+				return registry.WriteBackup(given[0], text)
+			})
+		},
+	}
+}
+
+// backupFile reads a backup that is whole.
+func backupFile(path string) ([]byte, int, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, 0, usageError{err}
+	}
+	s, err := registry.CheckBackup(text)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", path, err)
+	}
+	return text, len(s.Records), nil
+}
+
+func (a *app) registryRestore(at *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "restore FILE",
+		Short:   "Put a backup in place of the list; versions go on, and all watchers get the whole list",
+		Example: "  mosslead registry restore list-2026-11-30.json",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, given []string) error {
+			text, _, err := backupFile(given[0])
+			if err != nil {
+				return err
+			}
+			return ask(c, *at, func(ctx context.Context, service *client.Client) error { return service.Restore(ctx, text) })
+		},
+	}
+}
+
+func (a *app) registryCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Tell whether a backup is whole",
+		Example: "  mosslead registry check list-2026-11-30.json",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(_ *cobra.Command, given []string) error {
+			_, records, err := backupFile(given[0])
+			if err == nil {
+				fmt.Fprintf(a.out, "whole: %d records\n", records)
+			}
+			return err
+		},
+	}
+}
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -18,6 +18,10 @@
 	doorPort            = 9800
 	agentPort           = 8500
 	upstreamPort        = 9000
+	windowPorts         = 8600 // and up, one for each replica
+	replicaAPIPort      = 7600
+	replicaRaftPort     = 7601
+	replicaLinkPorts    = 7700  // and up, two for each other replica
 	linkPorts           = 10000 // and up, one for each sidecar; below the ports that the kernel gives out by itself
 )
 
@@ -43,6 +47,13 @@
 	return fmt.Sprintf("%s:%d", a.host(100, i), port)
 }
 
+func (a *addresses) replica(i, port int) string { return fmt.Sprintf("%s:%d", a.host(200, i), port) }
+
+// replicaLink is where a replica finds another one's log, or its answers.
+func (a *addresses) replicaLink(from, to, port int) string {
+	return a.replica(from, replicaLinkPorts+2*to+port-replicaAPIPort)
+}
+
 func (a *addresses) upstream(i int) string {
 	return fmt.Sprintf("%s:%d", a.host(1, i), upstreamPort)
 }
--- /dev/null
+++ b/internal/lab/burden/burden.go
@@ -0,0 +1,371 @@
+// Package burden owns the measurement of what the list service bears: how late a change reaches many watchers, what they
+// cost, and how many signs of life a quorum takes in.
+package burden
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"mosslead/internal/lab/proc"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	serveWithin = 15 * time.Second
+	settle      = 3 * time.Second // of watchers, before memory is read
+	changeEvery = 400 * time.Millisecond
+	hearWithin  = 5 * time.Second
+	together    = 200 // connections that are opened at once
+)
+
+// Watchers is what watchers of one replica were found to cost.
+type Watchers struct {
+	Watchers     int     `json:"watchers"`
+	Entries      int     `json:"entries"`
+	Changes      int     `json:"changes"`
+	P50Ms        float64 `json:"p50_ms"` // from the write's call to a watcher's line
+	P99Ms        float64 `json:"p99_ms"`
+	MostMs       float64 `json:"most_ms"`
+	Unheard      int     `json:"unheard"`        // lines that did not come in time
+	KBPerWatcher float64 `json:"kb_per_watcher"` // resident memory of the replica, while all is quiet
+	CPUPerChange float64 `json:"cpu_ms_per_change"`
+}
+
+// Runner starts replicas. Command is the program with its words up to "serve".
+type Runner struct {
+	Command []string
+	Dir     string // of logs and data
+}
+
+// MeasureWatchers has so many watch a list of so many entries on one replica, and changes it.
+func (r Runner) MeasureWatchers(ctx context.Context, watchers, entries, changes int) (w Watchers, err error) {
+	w = Watchers{Watchers: watchers, Entries: entries, Changes: changes}
+	at, err := freeAddress()
+	if err != nil {
+		return w, err
+	}
+	child, err := r.start("dev", "--dev", "--listen", at)
+	if err != nil {
+		return w, err
+	}
+	defer func() { _ = child.Kill() }() // whatever came of it
+	c := client.New([]string{at})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := await(ctx, c, 1); err != nil {
+		return w, err
+	}
+	version := int64(0)
+	for i := range entries {
+		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return w, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	before, err := child.Use()
+	if err != nil {
+		return w, err
+	}
+	heard := make(chan time.Time, watchers)
+	if err := open(ctx, at, version, watchers, heard); err != nil {
+		return w, err
+	}
+	if !sleep(ctx, settle) {
+		return w, ctx.Err()
+	}
+	quiet, err := child.Use()
+	if err != nil {
+		return w, err
+	}
+	w.KBPerWatcher = (quiet.MemoryMB - before.MemoryMB) * 1024 / float64(watchers)
+	var lags []time.Duration
+	for i := range changes {
+		begun := time.Now()
+		if _, err := c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
+			return w, err
+		}
+		late := time.After(hearWithin)
+		for n := 0; n < watchers; n++ {
+			select {
+			case t := <-heard:
+				lags = append(lags, t.Sub(begun))
+			case <-late:
+				w.Unheard += watchers - n
+				n = watchers
+			}
+		}
+		if !sleep(ctx, changeEvery) {
+			return w, ctx.Err()
+		}
+	}
+	after, err := child.Use()
+	if err != nil {
+		return w, err
+	}
+	w.CPUPerChange = float64((after.CPU - quiet.CPU).Microseconds()) / 1e3 / float64(max(1, changes))
+	slices.Sort(lags)
+	if n := len(lags); n > 0 {
+		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
+		w.P50Ms, w.P99Ms, w.MostMs = ms(lags[n/2]), ms(lags[n*99/100]), ms(lags[n-1])
+	}
+	return w, nil
+}
+
+func registration(i int) api.Registration {
+	return api.Registration{Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: "makati", Type: "std-4", Weight: 1}
+}
+
+// open has watchers follow from a version on; the moment of each line but empty ones goes to heard.
+func open(ctx context.Context, at string, version int64, n int, heard chan<- time.Time) error {
+	var d net.Dialer
+	errs := make(chan error, n)
+	room := make(chan struct{}, together)
+	for range n {
+		room <- struct{}{}
+		go func() {
+			defer func() { <-room }()
+			conn, err := d.DialContext(ctx, "tcp", at)
+			if err == nil {
+				_, err = fmt.Fprintf(conn, "GET /api/targets?watch=1&from=%d HTTP/1.1\r\nHost: lab\r\n\r\n", version)
+			}
+			if err != nil {
+				errs <- err
+				return
+			}
+			first := make(chan error, 1)
+			go follow(ctx, conn, first, heard)
+			errs <- <-first
+		}()
+	}
+	for range n {
+		if err := <-errs; err != nil {
+			return fmt.Errorf("opening a watch: %w", err)
+		}
+	}
+	return nil
+}
+
+// follow reads a watch until ctx ends. Chunks are lines here: the service writes one line a chunk.
+func follow(ctx context.Context, conn net.Conn, first chan<- error, heard chan<- time.Time) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	in := bufio.NewReaderSize(conn, 512)
+	for body := false; ; {
+		line, err := in.ReadSlice('\n')
+		if err != nil && err != bufio.ErrBufferFull {
+			if first != nil {
+				first <- err
+			}
+			return
+		}
+		text := bytes.TrimSpace(line)
+		switch {
+		case first != nil && len(text) == 0 && !body:
+			body = true
+		case first != nil && body:
+			first <- nil
+			first = nil
+		case first == nil && bytes.HasPrefix(text, []byte(`{"index"`)):
+			select {
+			case heard <- time.Now():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// Renewals is what a quorum was found to take in.
+type Renewals struct {
+	Replicas int     `json:"replicas"`
+	Servers  int     `json:"servers"`
+	Asked    float64 `json:"asked_per_s"`
+	Took     float64 `json:"took_per_s"`
+	Failed   int     `json:"failed"`
+	Lost     int     `json:"lost"` // leases that the service did not hold
+	P99Ms    float64 `json:"p99_ms"`
+	Cores    float64 `json:"cores"`     // of all replicas together
+	OwnCores float64 `json:"own_cores"` // of those who call
+}
+
+// MeasureRenewals has servers renew their leases one by one, each through any of the replicas.
+func (r Runner) MeasureRenewals(ctx context.Context, replicas, servers int, rate float64, length time.Duration) (m Renewals, err error) {
+	m = Renewals{Replicas: replicas, Servers: servers, Asked: rate}
+	at, children, err := r.quorum(replicas)
+	defer func() {
+		for _, c := range children {
+			_ = c.Kill() // whatever came of it
+		}
+	}()
+	if err != nil {
+		return m, err
+	}
+	c := client.New(at)
+	defer c.Close()
+	if err := await(ctx, c, replicas); err != nil {
+		return m, err
+	}
+	for i := range servers {
+		g := registration(i)
+		g.LeaseMs, g.Incarnation = 30_000, 1
+		if _, err := c.Register(ctx, fmt.Sprint("u", i), g); err != nil {
+			return m, fmt.Errorf("server %d: %w", i, err)
+		}
+	}
+	use := func() (sum time.Duration) {
+		for _, child := range children {
+			if u, err := child.Use(); err == nil {
+				sum += u.CPU
+			}
+		}
+		return sum
+	}
+	before, ownBefore, begun := use(), ownCPU(), time.Now()
+	var mu sync.Mutex
+	var lags []time.Duration
+	var all sync.WaitGroup
+	// Each caller has a connection to one replica, and an even part of the rate.
+	callers := 60
+	for k := range callers {
+		all.Go(func() {
+			one := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer one.CloseIdleConnections()
+			each := time.Duration(float64(callers) / rate * float64(time.Second))
+			for i := 0; ctx.Err() == nil; i++ {
+				due := begun.Add(time.Duration(k)*each/time.Duration(callers) + time.Duration(i)*each)
+				if due.Sub(begun) > length || !sleep(ctx, time.Until(due)) {
+					return
+				}
+				lost, err := renewOne(one, at[k%len(at)], fmt.Sprint("u", (k+i*callers)%servers))
+				mu.Lock()
+				lags = append(lags, time.Since(due))
+				m.Lost += lost
+				if err != nil {
+					m.Failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	took := time.Since(begun).Seconds()
+	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (ownCPU()-ownBefore).Seconds()/took
+	m.Took = float64(len(lags)-m.Failed) / took
+	slices.Sort(lags)
+	if n := len(lags); n > 0 {
+		m.P99Ms = float64(lags[n*99/100].Microseconds()) / 1e3
+	}
+	return m, ctx.Err()
+}
+
+func renewOne(c *http.Client, at, name string) (lost int, err error) {
+	text, err := json.Marshal(api.Renewals{Leases: []api.Lease{{Name: name, Incarnation: 1}}})
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.Post("http://"+at+"/v1/renew", "application/json", bytes.NewReader(text))
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var done api.Renewed
+	if err := json.NewDecoder(resp.Body).Decode(&done); err != nil {
+		return 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("answered %s", resp.Status)
+	}
+	return len(done.Lost), nil
+}
+
+// quorum starts replicas that form one.
+func (r Runner) quorum(n int) (at []string, children []*proc.Child, err error) {
+	var peers []map[string]any
+	for i := range n {
+		a, err1 := freeAddress()
+		b, err2 := freeAddress()
+		if err1 != nil || err2 != nil {
+			return nil, nil, fmt.Errorf("no free address: %v %v", err1, err2)
+		}
+		peers = append(peers, map[string]any{"name": fmt.Sprint("r", i), "api": a, "raft": b})
+		at = append(at, a)
+	}
+	for i := range n {
+		name := fmt.Sprint("r", i)
+		text, err := toml.Marshal(map[string]any{"name": name, "dir": filepath.Join(r.Dir, name), "replica": peers})
+		if err != nil {
+			return nil, children, err
+		}
+		path := filepath.Join(r.Dir, name+".toml")
+		if err := os.WriteFile(path, text, 0o644); err != nil {
+			return nil, children, err
+		}
+		child, err := r.start(name, "--config", path)
+		if err != nil {
+			return nil, children, err
+		}
+		children = append(children, child)
+	}
+	return at, children, nil
+}
+
+func (r Runner) start(name string, words ...string) (*proc.Child, error) {
+	return proc.Start(proc.Spec{Name: name, Path: r.Command[0], Args: append(r.Command[1:len(r.Command):len(r.Command)], words...), Dir: r.Dir,
+		LogFile: filepath.Join(r.Dir, name+".log")})
+}
+
+// await returns once all replicas serve.
+func await(ctx context.Context, c *client.Client, replicas int) error {
+	ctx, cancel := context.WithTimeout(ctx, serveWithin)
+	defer cancel()
+	for {
+		said, _ := c.Status(ctx)
+		serving := 0
+		for _, s := range said {
+			if s.Leader != "" && s.StaleMs < 1000 {
+				serving++
+			}
+		}
+		if serving == replicas {
+			return nil
+		}
+		if !sleep(ctx, 20*time.Millisecond) {
+			return fmt.Errorf("%d of %d replicas serve", serving, replicas)
+		}
+	}
+}
+
+// freeAddress is one that nobody listens at now.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Dir      string   // of the result, made if it is not there
 	Self     []string // how to start this program, as the naive sidecar: its path, and the words before the rule to break
+	Replica  []string // how to start this program as a replica of the list service, before the path of its configuration
 	KeepLogs bool     // of plays in which all was well, too
 	Log      *slog.Logger
 	// Progress is told before each play, and at the end with done = total.
@@ -97,7 +98,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("directory of the play: %w", err)
 	}
-	out, err := lab.Play(ctx, e, v, seed, dir, run.command, o.Log)
+	out, err := lab.Play(ctx, e, v, seed, dir, lab.Programs{Sidecar: run.command, Replica: o.Replica}, o.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -42,6 +42,8 @@
 	Fleet     Fleet     `toml:"fleet"`
 	Net       Net       `toml:"net"`
 	Discovery Discovery `toml:"discovery"`
+	Registry  Registry  `toml:"registry"`
+	History   History   `toml:"history"`
 	Rules     Rules     `toml:"rules"`
 	Load      Load      `toml:"load"`
 	Kinds     []Kind    `toml:"kind"`
@@ -81,6 +83,20 @@
 	SilentNotice Duration `toml:"silent_notice"` // one that fell silent
 }
 
+// Registry is the list service, where a variant has sidecars ask it in place of the stand-in for discovery.
+type Registry struct {
+	Lease    Duration `toml:"lease"` // of an upstream
+	Grace    Duration `toml:"grace"` // from its end to the entry's
+	Preserve float64  `toml:"preserve"`
+	Stale    Duration `toml:"stale"`
+}
+
+// History is who calls the list service beside the fleet, for the proof that its answers hang together.
+type History struct {
+	Callers int `toml:"callers"` // absent: nobody
+	Names   int `toml:"names"`   // entries that they fight over; absent: 4
+}
+
 // Rules are the figures that the sidecars are told.
 type Rules struct {
 	DrainGrace   Duration `toml:"drain_grace"`
@@ -170,24 +186,27 @@
 
 // Variant is one side of a comparison.
 type Variant struct {
-	Name     string            `toml:"name"`
-	Revision string            `toml:"revision"` // of this repository; absent: the work tree
-	Patch    string            `toml:"patch"`    // a file in the repository, applied before the build
-	Tags     string            `toml:"tags"`     // of the build, as go build takes them; lossyfs: what is not synced dies with the process
-	Program  string            `toml:"program"`  // a path, or "naive"
-	Breaks   string            `toml:"breaks"`   // the rule that a naive sidecar breaks
-	State    bool              `toml:"state"`    // sidecars have a directory that outlives them
-	Known    string            `toml:"known"`    // the list in the configuration of a restarted sidecar: "latest" (absent) or "none"
-	Calm     bool              `toml:"calm"`     // without the faults
-	Only     []string          `toml:"only"`     // of the faults, by name; absent: all
-	Config   map[string]any    `toml:"config"`   // more keys of the sidecars' configuration
-	Env      map[string]string `toml:"env"`
+	Name     string `toml:"name"`
+	Revision string `toml:"revision"` // of this repository; absent: the work tree
+	Patch    string `toml:"patch"`    // a file in the repository, applied before the build
+	Tags     string `toml:"tags"`     // of the build, as go build takes them; lossyfs: what is not synced dies with the process
+	Program  string `toml:"program"`  // a path, or "naive"
+	Breaks   string `toml:"breaks"`   // the rule that a naive sidecar breaks
+	State    bool   `toml:"state"`    // sidecars have a directory that outlives them
+	Known    string `toml:"known"`    // the list in the configuration of a restarted sidecar: "latest" (absent) or "none"
+	Registry int    `toml:"registry"` // replicas of the list service that sidecars ask; absent: the stand-in for discovery
+	// ServiceBreaks makes the list service lie, for the proof that its checkers see that.
+	ServiceBreaks string            `toml:"service_breaks"`
+	Calm          bool              `toml:"calm"`   // without the faults
+	Only          []string          `toml:"only"`   // of the faults, by name; absent: all
+	Config        map[string]any    `toml:"config"` // more keys of the sidecars' configuration
+	Env           map[string]string `toml:"env"`
 }
 
 // Parties selects some of a kind of party.
 type Parties struct {
-	Kind  string   `toml:"kind"` // sidecar, upstream, discovery
-	Names []string `toml:"names"`
+	Kind  string   `toml:"kind"`  // sidecar, upstream, discovery, replica
+	Names []string `toml:"names"` // of replicas also "leader", who it is when the fault begins
 	Zone  string   `toml:"zone"`
 	Count int      `toml:"count"` // so many, drawn
 	Share float64  `toml:"share"` // or such a share, drawn; all where neither is given
@@ -234,12 +253,12 @@
 
 // FaultKinds are the faults, each with the kind of party that it befalls and what it does.
 var FaultKinds = map[string]struct{ Party, Says string }{
-	"kill":           {"sidecar or upstream", "kill -9, and a new start after the time down"},
+	"kill":           {"sidecar or upstream or replica", "kill -9, and a new start after the time down"},
 	"term":           {"sidecar", "SIGTERM, and a new start once it has ended"},
-	"stop":           {"sidecar", "SIGSTOP; SIGCONT at the end"},
+	"stop":           {"sidecar or replica", "SIGSTOP; SIGCONT at the end"},
 	"hup":            {"sidecar", "SIGHUP with the configuration as it is"},
 	"ban":            {"sidecar", "the upstreams in 'to' are disabled at its door, and enabled at the end"},
-	"cut":            {"sidecar", "its links to the parties in 'to' are cut, one way or both, silent or reset"},
+	"cut":            {"sidecar or replica", "its links to the parties in 'to' are cut, one way or both, silent or reset"},
 	"delay":          {"sidecar", "its links are slower by 'delay' each way"},
 	"throttle":       {"sidecar", "its links carry 'rate' bytes a second"},
 	"chop":           {"sidecar", "its links pass on pieces of 'chop' bytes"},
@@ -250,6 +269,8 @@
 	"choke":          {"upstream", "turned slow as by a crowd"},
 	"replace":        {"upstream", "drained, ended, and replaced by a cold one under another name, in waves"},
 	"lose":           {"upstream", "falls silent; comes back cold at the end"},
+	"disk-lost":      {"replica", "kill -9, its directory deleted, and a new start"},
+	"disk-old":       {"replica", "kill -9, and a new start with its directory as it was at the fault's begin, at its end"},
 	"late":           {"discovery", "the list comes later by 'delay'"},
 	"silent":         {"discovery", "no list, and no news on open watches"},
 	"rewind":         {"discovery", "an old list comes under its old number"},
@@ -336,6 +357,9 @@
 		if v.Breaks != "" && v.Program != "naive" {
 			return fmt.Errorf("variant %s: breaks goes with program = \"naive\"", v.Name)
 		}
+		if v.Registry < 0 || v.Registry > 7 {
+			return fmt.Errorf("variant %s: registry: %d is not from 0 to 7 replicas", v.Name, v.Registry)
+		}
 		if v.Known != "latest" && v.Known != "none" {
 			return fmt.Errorf("variant %s: known: %q is neither latest nor none", v.Name, v.Known)
 		}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -21,6 +21,10 @@
 // befall lets a fault happen, and returns once it is undone.
 func (p *play) befall(ev *event) {
 	f := ev.Fault
+	if f.Of.Kind == "replica" {
+		p.befallReplicas(ev)
+		return
+	}
 	switch f.Kind {
 	case "kill", "term":
 		p.together(ev, func(s *sidecar) { p.restart(s, f) }, func(u *upstream) { p.crash(u, f) })
@@ -30,7 +34,13 @@
 		p.together(ev, func(s *sidecar) { p.signal(s, syscall.SIGHUP) }, nil)
 	case "ban":
 		p.together(ev, func(s *sidecar) { p.ban(s, ev.to, f.For.Duration) }, nil)
-	case "cut", "delay", "throttle", "chop", "resets":
+	case "cut":
+		if f.To.Kind == "replica" {
+			during(p, f, p.windowsOf(ev), func(v *standin.View) { v.Silent, v.Reset = f.Mode != "reset", f.Mode == "reset" })
+			return
+		}
+		during(p, ev.Fault, p.linksOf(ev), linkChange(ev.Fault))
+	case "delay", "throttle", "chop", "resets":
 		during(p, ev.Fault, p.linksOf(ev), linkChange(ev.Fault))
 	case "slow", "fail", "hang":
 		p.trouble(ev)
@@ -91,6 +101,7 @@
 // crash kills an upstream's process; the list notices, and it comes back cold after its time down.
 func (p *play) crash(u *upstream, f experiment.Fault) {
 	p.end(u)
+	p.silence(u)
 	down := f.Down.Duration
 	if notice := p.e.Discovery.Notice.Duration; f.Stays || notice < down {
 		if !p.sleep(notice) {
@@ -232,6 +243,9 @@
 			o.add("lost", func(s *relay.State) { s.SilentForth, s.SilentBack = true, true })
 		})
 	}
+	for _, u := range ev.ups {
+		p.silence(u)
+	}
 	notice := p.e.Discovery.SilentNotice.Duration
 	left := ev.Fault.For.Duration
 	if notice < left {
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,178 @@
+// Package history owns concurrent calls on the list service while it is broken on purpose, and the judgement of what they
+// were answered: whether all of it can have been done one call after another, and whether each watch told every change.
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	callPatience = 1500 * time.Millisecond
+	restMost     = 30 * time.Millisecond // between two calls of one caller
+	prefix       = "h-"                  // of names: apart from those of real upstreams
+)
+
+// Spec says who calls what.
+type Spec struct {
+	Replicas []string // where they answer
+	Callers  int
+	Names    int
+	Seed     uint64
+}
+
+// op is what a call asks.
+type op struct {
+	kind      string // read, register, drain, leave, hand
+	name      string
+	address   string // register: unlike any other
+	hand      string
+	ifVersion int64 // -1: none
+}
+
+// out is what it was answered.
+type out struct {
+	record  api.Record // read
+	version int64      // of a write
+	code    string     // of a failure that is certain; "": done
+	unknown bool       // it may have been done, or may be yet
+}
+
+// call is one call with its time.
+type call struct {
+	caller   int
+	op       op
+	out      out
+	from, to time.Duration
+}
+
+// Run is a set of callers and watchers under way.
+type Run struct {
+	spec  Spec
+	begin time.Time
+
+	mu      sync.Mutex
+	calls   []call
+	watches []*watch
+	all     sync.WaitGroup
+}
+
+// Start begins to call and watch, until ctx ends.
+func Start(ctx context.Context, s Spec) *Run {
+	r := &Run{spec: s, begin: time.Now()}
+	for i := range s.Callers {
+		r.all.Go(func() { r.caller(ctx, i) })
+	}
+	for i, at := range s.Replicas {
+		w := &watch{at: at, index: -1, hashes: map[int64]uint64{}}
+		r.watches = append(r.watches, w)
+		r.all.Go(func() { w.follow(ctx, i%2 == 0) })
+	}
+	return r
+}
+
+func (r *Run) caller(ctx context.Context, i int) {
+	rng := rand.New(rand.NewPCG(r.spec.Seed, uint64(i)))
+	c := client.New(r.spec.Replicas)
+	defer c.Close()
+	known := map[string]int64{} // versions as last heard
+	for n := 0; ctx.Err() == nil; n++ {
+		name := fmt.Sprintf("%s%d", prefix, rng.IntN(r.spec.Names))
+		o := op{name: name, ifVersion: -1}
+		switch p := rng.Float64(); {
+		case p < 0.4:
+			o.kind = "read"
+		case p < 0.7:
+			o.kind, o.address, o.ifVersion = "register", fmt.Sprintf("127.0.0.1:%d", 1+(i*1000+n)%65000), known[name]
+		case p < 0.8:
+			o.kind, o.ifVersion = "drain", known[name]
+		case p < 0.9:
+			o.kind, o.ifVersion = "leave", known[name]
+		default:
+			o.kind, o.ifVersion = "hand", known[name]
+			if rng.IntN(2) == 0 {
+				o.hand = api.HandDrain
+			}
+		}
+		x := call{caller: i, op: o, from: time.Since(r.begin)}
+		x.out = r.ask(ctx, c, o)
+		x.to = time.Since(r.begin)
+		if x.out.code == "" && !x.out.unknown {
+			known[name] = max(x.out.version, x.out.record.Version)
+		} else if x.out.code == api.CodeConflict {
+			delete(known, name) // to be read, or found absent
+		}
+		r.mu.Lock()
+		r.calls = append(r.calls, x)
+		r.mu.Unlock()
+		select {
+		case <-time.After(time.Duration(rng.Int64N(int64(restMost)))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// ask makes a call, once: whatever is conditional is not repeated by the client either.
+func (r *Run) ask(ctx context.Context, c *client.Client, o op) (x out) {
+	ctx, cancel := context.WithTimeout(ctx, callPatience)
+	defer cancel()
+	var err error
+	switch o.kind {
+	case "read":
+		x.record, err = c.Record(ctx, o.name, true)
+	case "register":
+		x.version, err = c.Register(ctx, o.name, api.Registration{Address: o.address, Weight: 1, IfVersion: &o.ifVersion})
+	case "drain":
+		x.version, err = c.Drain(ctx, o.name, api.Ask{IfVersion: &o.ifVersion})
+	case "leave":
+		err = c.Leave(ctx, o.name, api.Ask{IfVersion: &o.ifVersion})
+	case "hand":
+		x.version, err = c.Hand(ctx, o.name, api.Ask{Hand: o.hand, IfVersion: &o.ifVersion})
+	}
+	switch {
+	case err == nil:
+	case api.IsCode(err, api.CodeConflict):
+		x.code = api.CodeConflict
+	case api.IsCode(err, api.CodeNone):
+		x.code = api.CodeNone
+	default:
+		x.unknown = true
+	}
+	return x
+}
+
+// Breach is what was seen that must not be.
+type Breach struct {
+	Rule string // linearizable or watch
+	At   time.Duration
+	Text string
+}
+
+// Count says how much was seen.
+type Count struct {
+	Calls, Unknown, Messages, Restarts int
+}
+
+// End waits for all, which end with the context of Start, and judges. final is the list as it is sure to be now, read by
+// the caller; it stands for the version that watches are compared with.
+func (r *Run) End(final api.Listing) ([]Breach, Count) {
+	r.all.Wait()
+	n := Count{Calls: len(r.calls)}
+	for _, c := range r.calls {
+		if c.out.unknown {
+			n.Unknown++
+		}
+	}
+	found := r.linearizable()
+	for _, w := range r.watches {
+		n.Messages += w.messages
+		n.Restarts += w.restarts
+	}
+	return append(found, r.watched(final)...), n
+}
--- /dev/null
+++ b/internal/lab/history/linear.go
@@ -0,0 +1,183 @@
+package history
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"mosslead/internal/registry/api"
+)
+
+const (
+	checkPatience = 20 * time.Second
+	anyVersion    = -1 // after a write whose answer did not come
+)
+
+// entry is the model: one entry of the list, as calls may find it.
+type entry struct {
+	present bool
+	address string
+	own     string
+	hand    string
+	version int64 // anyVersion: above floor
+	floor   int64 // no version was above it
+}
+
+// is tells whether the entry can be at a version, and gives it with the version known.
+func (e entry) is(version int64) (entry, bool) {
+	if e.version == anyVersion {
+		if version <= e.floor {
+			return e, false
+		}
+		e.version, e.floor = version, version
+		return e, true
+	}
+	return e, e.version == version
+}
+
+// at is the entry's version as conditions name it.
+func (e entry) matches(ifVersion int64) (entry, bool) {
+	if !e.present {
+		return e, ifVersion == 0
+	}
+	return e.is(ifVersion)
+}
+
+func (e entry) status() string {
+	if e.hand == api.HandDrain {
+		return api.Terminating
+	}
+	return e.own
+}
+
+// step is what a call does to an entry; false: it can't have been answered so.
+func step(e entry, o op, x out) (entry, bool) {
+	if o.kind == "read" {
+		if x.unknown {
+			return e, true
+		}
+		r := x.record
+		if r.Version == 0 {
+			return e, !e.present && r.Hand == e.hand
+		}
+		if !e.present || r.Address != e.address || r.Own != e.own || r.Hand != e.hand || r.Status != e.status() {
+			return e, false
+		}
+		return e.is(r.Version)
+	}
+	next, match := e.matches(o.ifVersion)
+	switch {
+	case x.unknown && !match:
+		return e, true // it was not done
+	case x.code == api.CodeConflict:
+		return e, !match || e.version == anyVersion
+	case !match:
+		return e, false
+	}
+	was := next
+	switch o.kind {
+	case "register":
+		next.present, next.address, next.own = true, o.address, api.Ready
+	case "drain", "leave":
+		if !e.present {
+			return e, x.unknown || x.code == api.CodeNone
+		}
+		if next.own = api.Terminating; o.kind == "leave" {
+			next = entry{hand: next.hand, floor: max(next.floor, next.version)}
+		}
+	case "hand":
+		next.hand = o.hand
+	}
+	if x.code != "" {
+		return e, false
+	}
+	switch {
+	case !next.present:
+		return next, x.unknown || x.version == 0
+	case next == was: // nothing changed
+		if x.unknown {
+			return next, true
+		}
+		return next.is(x.version)
+	case x.unknown:
+		next.floor, next.version = max(next.floor, was.version), anyVersion
+		return next, true
+	case x.version <= next.floor:
+		return e, false
+	}
+	next.version, next.floor = x.version, x.version
+	return next, true
+}
+
+var model = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		by := map[string][]porcupine.Operation{}
+		for _, o := range all {
+			name := o.Input.(op).name
+			by[name] = append(by[name], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range by {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return entry{} },
+	Step: func(state, input, output any) (bool, any) {
+		next, ok := step(state.(entry), input.(op), output.(out))
+		return ok, next
+	},
+	Equal: func(a, b any) bool { return a.(entry) == b.(entry) },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v: %+v", input, output)
+	},
+}
+
+// linearizable looks for an order of all calls in which each was answered as if it had been alone.
+func (r *Run) linearizable() []Breach {
+	var all []porcupine.Operation
+	for _, c := range r.calls {
+		o := porcupine.Operation{ClientId: c.caller, Input: c.op, Output: c.out, Call: int64(c.from), Return: int64(c.to)}
+		if c.out.unknown {
+			if c.op.kind == "read" {
+				continue
+			}
+			o.Return = math.MaxInt64 // it may be done at any time yet
+		}
+		all = append(all, o)
+	}
+	switch porcupine.CheckOperationsTimeout(model, all, checkPatience) {
+	case porcupine.Illegal:
+		return []Breach{{Rule: "linearizable", Text: fmt.Sprintf("no order of %d calls explains their answers; %s", len(all), r.shortest(all))}}
+	case porcupine.Unknown:
+		return []Breach{{Rule: "linearizable", Text: fmt.Sprintf("%d calls could not be judged within %v", len(all), checkPatience)}}
+	}
+	return nil
+}
+
+// shortest names the entry, and the first call by whose answer no order is left.
+func (r *Run) shortest(all []porcupine.Operation) string {
+	for _, part := range model.Partition(all) {
+		if porcupine.CheckOperationsTimeout(model, part, checkPatience) != porcupine.Illegal {
+			continue
+		}
+		least, most := 0, len(part) // a history is legal up to some call's return, and illegal from there on
+		byReturn := append([]porcupine.Operation{}, part...)
+		sortByReturn(byReturn)
+		for least < most {
+			mid := (least + most) / 2
+			if porcupine.CheckOperationsTimeout(model, upTo(part, byReturn[mid].Return), checkPatience) == porcupine.Illegal {
+				most = mid
+			} else {
+				least = mid + 1
+			}
+		}
+		if least < len(byReturn) {
+			o := byReturn[least]
+			return fmt.Sprintf("first at %v: %s", time.Duration(o.Return).Round(time.Millisecond), model.DescribeOperation(o.Input, o.Output))
+		}
+	}
+	return ""
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	out, err := lab.Play(t.Context(), e, experiment.Variant{Name: breaks, Known: "latest"}, 1, t.TempDir(), []string{self, "naive", breaks}, slog.New(slog.DiscardHandler))
+	out, err := lab.Play(t.Context(), e, experiment.Variant{Name: breaks, Known: "latest"}, 1, t.TempDir(), lab.Programs{Sidecar: []string{self, "naive", breaks}}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,7 +102,7 @@
 
 func play(ctx context.Context, t *testing.T, e *experiment.Experiment, program ...string) (*lab.Outcome, error) {
 	t.Helper()
-	return lab.Play(ctx, e, experiment.Variant{Name: "v", Known: "latest"}, 1, t.TempDir(), program, slog.New(slog.DiscardHandler))
+	return lab.Play(ctx, e, experiment.Variant{Name: "v", Known: "latest"}, 1, t.TempDir(), lab.Programs{Sidecar: program}, slog.New(slog.DiscardHandler))
 }
 
 func naiveCommand(t *testing.T) []string {
@@ -121,7 +121,7 @@
 	e := quick(t, "[[fault]]\nkind = \"slow\"\ntimes = 2\nfor = \"1h\"\nof = { kind = \"upstream\", count = 1 }\n")
 	var hashes [][2]string
 	for _, seed := range []uint64{1, 1, 2} {
-		out, err := lab.Play(t.Context(), e, experiment.Variant{Name: "v", Known: "latest"}, seed, t.TempDir(), naiveCommand(t), slog.New(slog.DiscardHandler))
+		out, err := lab.Play(t.Context(), e, experiment.Variant{Name: "v", Known: "latest"}, seed, t.TempDir(), lab.Programs{Sidecar: naiveCommand(t)}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -40,17 +40,18 @@
 
 // play is one play under way.
 type play struct {
-	ctx     context.Context
-	e       *experiment.Experiment
-	v       experiment.Variant
-	seed    uint64
-	dir     string
-	program []string
-	rec     *record.Record
-	block   *addresses
-	log     *slog.Logger
+	ctx      context.Context
+	e        *experiment.Experiment
+	v        experiment.Variant
+	seed     uint64
+	dir      string
+	programs Programs
+	rec      *record.Record
+	block    *addresses
+	log      *slog.Logger
 
 	discovery *standin.Discovery
+	service   *service   // nil: sidecars ask the stand-in
 	mu        sync.Mutex // guards what follows, and each sidecar's links
 	upstreams []*upstream
 	sidecars  []*sidecar
@@ -62,10 +63,16 @@
 	tasks sync.WaitGroup
 }
 
-// Play plays an experiment once. dir is an empty directory of its own; program is what sidecars run. An error means that
+// Programs are what the parties run: a path, and the words that come first.
+type Programs struct {
+	Sidecar []string
+	Replica []string // of the list service; the path of its configuration follows
+}
+
+// Play plays an experiment once. dir is an empty directory of its own. An error means that
 // the play could not be held; a sidecar that does badly is no error. When ctx ends, what was seen until then comes back
 // marked as partial.
-func Play(ctx context.Context, e *experiment.Experiment, v experiment.Variant, seed uint64, dir string, program []string, log *slog.Logger) (out *Outcome, err error) {
+func Play(ctx context.Context, e *experiment.Experiment, v experiment.Variant, seed uint64, dir string, programs Programs, log *slog.Logger) (out *Outcome, err error) {
 	if err := room(e); err != nil {
 		return nil, err
 	}
@@ -75,7 +82,7 @@
 	}
 	defer block.release()
 	running, stop := context.WithCancel(ctx)
-	p := &play{ctx: running, e: e, v: v, seed: seed, dir: dir, program: program, rec: record.New(), block: block, log: log,
+	p := &play{ctx: running, e: e, v: v, seed: seed, dir: dir, programs: programs, rec: record.New(), block: block, log: log,
 		number: map[string]int{}}
 	p.discovery = standin.NewDiscovery(p.rec)
 	defer func() { // whatever happened: nothing of the play is left
@@ -97,7 +104,9 @@
 	clients := load.NewClients(p.rec, names, at, e.Load.Connections)
 	p.background(p.watch)
 	faults := p.follow(timeline, out.Begin)
+	judge := p.callService()
 	clients.Run(ctx, out.Plan, out.Begin)
+	judge(ctx)
 	stop() // faults that are still on end now
 	faults.Wait()
 	p.rec.Partial = ctx.Err() != nil
@@ -138,6 +147,11 @@
 
 // build brings up all parties, and returns once all sidecars are ready.
 func (p *play) build() error {
+	if p.v.Registry > 0 {
+		if err := p.addService(); err != nil {
+			return err
+		}
+	}
 	specs, entries := drawUpstreams(p.e, p.e.Fleet.Upstreams, p.seed)
 	for i := range specs {
 		if err := specs[i].Check(); err != nil {
@@ -151,6 +165,14 @@
 			return err
 		}
 		p.discovery.Change(u.entry)
+		if p.service != nil {
+			p.register(u, u.entry)
+		}
+	}
+	if p.service != nil {
+		if err := p.awaitService(len(specs)); err != nil {
+			return err
+		}
 	}
 	for i := range p.e.Fleet.Sidecars {
 		if err := p.addSidecar(i); err != nil {
@@ -262,8 +284,14 @@
 		for _, l := range s.links {
 			l.Close()
 		}
+		for _, w := range s.windows {
+			w.Close()
+		}
 		s.agent.Close()
 	}
+	if p.service != nil {
+		p.service.close(p)
+	}
 	for _, u := range p.upstreams {
 		u.Close()
 	}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -109,6 +109,20 @@
 	Usable            bool // false: draining, gone or banned from now on
 }
 
+// Listed is a change of the list as the service was asked for it, before anybody was told.
+type Listed struct {
+	At       time.Duration
+	Upstream string
+	Usable   bool
+}
+
+// Reported is a breach that its checker found beside this record.
+type Reported struct {
+	Rule string
+	At   time.Duration
+	Text string
+}
+
 // Source says who told: a ban and the list bind apart from each other.
 type Source int
 
@@ -178,6 +192,11 @@
 	Requests []*Request
 	Attempts []*Attempt
 	Told     []Told
+	Listed   []Listed
+	Reported []Reported
+	Calls    int // on the list service by callers of a history
+	Unknown  int // of them, without an answer
+	Watched  int // messages of watches that were checked
 	Lives    []*Life
 	Colds    []*ColdStart
 	Samples  []Sample
@@ -221,6 +240,9 @@
 // Tell takes in news.
 func (r *Record) Tell(t Told) { r.mu.Lock(); r.Told = append(r.Told, t); r.mu.Unlock() }
 
+// List takes in a change of the list.
+func (r *Record) List(l Listed) { r.mu.Lock(); r.Listed = append(r.Listed, l); r.mu.Unlock() }
+
 // Life takes in a process that starts.
 func (r *Record) Life(l *Life) { r.mu.Lock(); r.Lives = append(r.Lives, l); r.mu.Unlock() }
 
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -38,6 +38,11 @@
 	{"first_served_ms", "from a restart to the first request served, median"},
 	{"lost_per_restart", "worth lost by a sidecar's clients in the 5 s after it was ended, for each such end"},
 	{"dark_served", "share of the worth earned of what clients asked restarted sidecars, from 1 s after the restart on"},
+	{"news_ms", "from a change of the list to a sidecar's being told, median; changes that servers or operators asked for"},
+	{"news_max_ms", "the same, the longest"},
+	{"calls", "calls on the list service whose answers were judged"},
+	{"calls_unknown", "of them, those without an answer"},
+	{"watched", "messages of watches that were judged"},
 	{"cpu_ms", "processor time of the sidecars for each try of a client, in ms"},
 	{"memory_mb", "most memory of a sidecar"},
 	{"descriptors", "most descriptors of a sidecar"},
@@ -75,6 +80,7 @@
 	if whole {
 		f.restarts(o, all)
 		f.uses(o.Record, some)
+		f.news(o)
 	}
 	return f
 }
@@ -247,6 +253,38 @@
 	}
 }
 
+// news measures how late sidecars hear of changes. One that another change overtook, or that a process that was not there
+// could not hear, does not count.
+func (f Figures) news(o *lab.Outcome) {
+	if o.Record.Calls > 0 {
+		f["calls"], f["calls_unknown"], f["watched"] = float64(o.Record.Calls), float64(o.Record.Unknown), float64(o.Record.Watched)
+	}
+	var lags []time.Duration
+	for i, c := range o.Record.Listed {
+		if c.At < o.Begin {
+			continue
+		}
+		end := o.Record.Length
+		for _, later := range o.Record.Listed[i+1:] {
+			if later.Upstream == c.Upstream {
+				end = later.At
+				break
+			}
+		}
+		for sidecar := range o.Record.Limits {
+			for _, t := range o.Record.Told {
+				if t.Sidecar == sidecar && t.Upstream == c.Upstream && t.Source == record.List && t.Usable == c.Usable && t.At >= c.At && t.At < end {
+					lags = append(lags, t.At-c.At)
+					break
+				}
+			}
+		}
+	}
+	if len(lags) > 0 {
+		f["news_ms"], f["news_max_ms"] = quantile(lags, 0.5), quantile(lags, 1)
+	}
+}
+
 func (f Figures) uses(rec *record.Record, some []*wish) {
 	cpu := map[[2]any]time.Duration{}
 	for _, s := range rec.Samples {
--- a/internal/lab/sidecars.go
+++ b/internal/lab/sidecars.go
@@ -40,6 +40,9 @@
 	mood   *overlay[standin.Mood]
 	links  map[string]*link // by upstream
 
+	windows  map[string]*window // by replica, where there is a list service
+	replicas []string           // the windows' addresses
+
 	mu       sync.Mutex // held while a process is started or ended
 	child    *proc.Child
 	life     *record.Life
@@ -76,6 +79,11 @@
 		return err
 	}
 	s.mood = newOverlay(standin.Mood{}, s.agent.Set)
+	if p.service != nil {
+		if err := p.addWindows(s); err != nil {
+			return err
+		}
+	}
 	p.rec.Zones[s.name] = s.zone
 	p.rec.Limits[s.name] = record.Limits{Descriptors: p.e.Fleet.Sockets, MemoryMB: p.e.Fleet.MemoryMB}
 	p.sidecars = append(p.sidecars, s)
@@ -91,7 +99,7 @@
 // config words a sidecar's configuration as the platform does.
 func (p *play) config(s *sidecar, known *standin.Listing) ([]byte, error) {
 	c := map[string]any{
-		"name": s.name, "listen": p.block.sidecar(s.number, sidecarPort), "discovery": s.agent.Address(),
+		"name": s.name, "listen": p.block.sidecar(s.number, sidecarPort), "discovery": s.discovery(),
 		"seed":     fmt.Sprintf("%x", p.seed*1_000_003+uint64(s.number)*7919+uint64(s.starts)+1),
 		"limits":   map[string]any{"cores": p.e.Fleet.Cores, "memory_mb": p.e.Fleet.MemoryMB, "sockets": p.e.Fleet.Sockets},
 		"settings": settings(p.e, s.zone, s.number),
@@ -109,6 +117,14 @@
 	return json.MarshalIndent(c, "", " ")
 }
 
+// discovery is where the sidecar asks for the list.
+func (s *sidecar) discovery() string {
+	if len(s.replicas) > 0 {
+		return strings.Join(s.replicas, ",")
+	}
+	return s.agent.Address()
+}
+
 // settings words the settings as the platform's configuration has them.
 func settings(e *experiment.Experiment, zone string, me int) map[string]any {
 	ms := func(d experiment.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
@@ -144,7 +160,7 @@
 		return nil
 	}
 	var known *standin.Listing
-	if s.starts == 0 || p.v.Known != "none" {
+	if p.service == nil && (s.starts == 0 || p.v.Known != "none") { // the service has versions of its own
 		l := s.agent.Known()
 		known = &l
 	}
@@ -168,7 +184,7 @@
 		env = append(env, key+"="+value)
 	}
 	life := &record.Life{Party: s.name, Start: p.rec.Now()}
-	child, err := proc.Start(proc.Spec{Name: s.name, Path: p.program[0], Args: p.program[1:], Env: env, Dir: s.dir, LogFile: filepath.Join(s.dir, "log")})
+	child, err := proc.Start(proc.Spec{Name: s.name, Path: p.programs.Sidecar[0], Args: p.programs.Sidecar[1:], Env: env, Dir: s.dir, LogFile: filepath.Join(s.dir, "log")})
 	if err != nil {
 		s.mu.Unlock()
 		return err
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -82,6 +82,7 @@
 	Sidecar string
 
 	d       *Discovery
+	told    *Teller
 	address func(upstream string) string
 	late    time.Duration
 	server  *http.Server
@@ -89,9 +90,8 @@
 
 	mu      sync.Mutex
 	mood    Mood
-	visible int             // changes that it has
-	told    map[string]bool // usable, as this sidecar's process was told
-	changed chan struct{}   // closed when there is news
+	visible int           // changes that it has
+	changed chan struct{} // closed when there is news
 	timer   *time.Timer
 	closed  bool
 	listen  string
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery of %s: %w", sidecar, err)
 	}
-	a := &Agent{Sidecar: sidecar, d: d, address: address, late: late, told: map[string]bool{},
+	a := &Agent{Sidecar: sidecar, d: d, address: address, late: late, told: newTeller(d.rec, sidecar),
 		changed: make(chan struct{}), listen: ln.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/targets", a.targets)
@@ -145,14 +145,10 @@
 }
 
 // Restarted says that a process of the sidecar begins from nothing, but for the list that it is handed.
-func (a *Agent) Restarted(known *Listing) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.told = map[string]bool{}
-	if known != nil {
-		a.tell(*known)
-	}
-}
+func (a *Agent) Restarted(known *Listing) { a.told.restarted(known) }
+
+// Teller is what this agent notes of the news that reach its sidecar, for others that bring it news too.
+func (a *Agent) Teller() *Teller { return a.told }
 
 // Known is the list as this sidecar last could have it.
 func (a *Agent) Known() Listing {
@@ -251,30 +247,6 @@
 	return e
 }
 
-// tell notes what a message that was written told. The caller holds mu.
-func (a *Agent) tell(l Listing) {
-	now := a.d.rec.Now()
-	note := func(name string, usable bool) {
-		if was, known := a.told[name]; known && was == usable {
-			return
-		}
-		a.told[name] = usable
-		a.d.rec.Tell(record.Told{At: now, Sidecar: a.Sidecar, Upstream: name, Usable: usable})
-	}
-	listed := map[string]bool{}
-	for _, e := range l.Endpoints {
-		listed[e.Name] = true
-		note(e.Name, e.Status == Ready)
-	}
-	if l.Snapshot {
-		for name := range a.told {
-			if !listed[name] {
-				note(name, false)
-			}
-		}
-	}
-}
-
 // targets answers the whole list, or follows a watch until it ends.
 func (a *Agent) targets(w http.ResponseWriter, r *http.Request) {
 	watch := r.URL.Query().Get("watch") == "1"
@@ -316,7 +288,7 @@
 			line, tell, sent = encode(l), true, a.visible
 		}
 		if tell { // it counts as told from before the write: a sidecar that acts at once is not early
-			a.tell(l)
+			a.told.tell(l)
 		}
 		a.mu.Unlock()
 		if line != "" {
--- /dev/null
+++ b/internal/lab/standin/teller.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"sync"
+
+	"mosslead/internal/lab/record"
+)
+
+// Teller notes what a sidecar's process has been told of upstreams.
+type Teller struct {
+	rec     *record.Record
+	sidecar string
+
+	mu   sync.Mutex
+	told map[string]bool // usable
+}
+
+func newTeller(rec *record.Record, sidecar string) *Teller {
+	return &Teller{rec: rec, sidecar: sidecar, told: map[string]bool{}}
+}
+
+func (t *Teller) restarted(known *Listing) {
+	t.mu.Lock()
+	t.told = map[string]bool{}
+	t.mu.Unlock()
+	if known != nil {
+		t.tell(*known)
+	}
+}
+
+// tell notes what a message that is about to be written tells.
+func (t *Teller) tell(l Listing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.rec.Now()
+	note := func(name string, usable bool) {
+		if was, known := t.told[name]; known && was == usable {
+			return
+		}
+		t.told[name] = usable
+		t.rec.Tell(record.Told{At: now, Sidecar: t.sidecar, Upstream: name, Usable: usable})
+	}
+	listed := map[string]bool{}
+	for _, e := range l.Endpoints {
+		listed[e.Name] = true
+		note(e.Name, e.Status == Ready)
+	}
+	if l.Snapshot {
+		for name := range t.told {
+			if !listed[name] {
+				note(name, false)
+			}
+		}
+	}
+}
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -21,6 +21,7 @@
 	Fault    experiment.Fault
 	Of, To   []string
 	sidecars []*sidecar
+	replicas []*replica // who of them leads is found out when the fault begins
 	ups, to  []*upstream
 }
 
@@ -33,7 +34,15 @@
 		}
 		rng := rand.New(rand.NewPCG(p.seed, faultStream+uint64(i)))
 		ev := &event{Fault: f}
-		if f.Of.Kind == "upstream" {
+		if f.Of.Kind == "replica" {
+			if ev.Of = f.Of.Names; p.service != nil {
+				by := f.Of
+				if slices.Contains(by.Names, "leader") {
+					by.Names = nil
+				}
+				ev.replicas = choose(p.service.replicas, by, rng, func(r *replica) (string, string) { return r.name, "" })
+			}
+		} else if f.Of.Kind == "upstream" {
 			ev.ups = choose(p.upstreams, f.Of, rng, func(u *upstream) (string, string) { return u.Name, u.entry.Zone })
 			for _, u := range ev.ups {
 				ev.Of = append(ev.Of, u.Name)
--- a/internal/lab/upstreams.go
+++ b/internal/lab/upstreams.go
@@ -7,6 +7,7 @@
 
 	"mosslead/internal/lab/experiment"
 	"mosslead/internal/lab/model"
+	"mosslead/internal/lab/record"
 	"mosslead/internal/lab/relay"
 	"mosslead/internal/lab/standin"
 )
@@ -19,6 +20,7 @@
 	trouble *overlay[standin.Trouble]
 	seed    uint64
 	starts  uint64
+	dead    bool // ended without a word; guarded by play.mu
 }
 
 // streams numbers the independent random streams of a seed, apart from those of load.
@@ -107,7 +109,10 @@
 
 // start begins a process of the upstream, and the links to it take connections.
 func (p *play) start(u *upstream, cold bool) error {
+	p.mu.Lock()
 	u.starts++
+	u.dead = false
+	p.mu.Unlock()
 	if err := u.Start(u.seed+u.starts*7919, cold); err != nil {
 		return err
 	}
@@ -124,6 +129,7 @@
 // fell is told when the upstream was pushed over: it stays down, and discovery notices.
 func (p *play) fell(u *upstream) {
 	p.end(u)
+	p.silence(u)
 	p.tellAfter(p.e.Discovery.Notice.Duration, u, standin.Gone)
 }
 
@@ -137,15 +143,32 @@
 	}
 }
 
-// tell changes the upstream's entry in the list.
+// silence says that the upstream died or was cut off, without a word to the list service.
+func (p *play) silence(u *upstream) {
+	p.mu.Lock()
+	u.dead = true
+	p.mu.Unlock()
+	if p.service != nil {
+		p.service.registrar.Silence(u.Name)
+	}
+}
+
+// tell changes the upstream's entry in the list. Of one that died without a word the list service is not told: its lease
+// lapses.
 func (p *play) tell(u *upstream, status string, since bool) {
 	p.mu.Lock()
 	u.entry.Status = status
 	if since {
 		u.entry.SinceMs = time.Now().UnixMilli()
 	}
-	e := u.entry
+	e, dead := u.entry, u.dead
 	p.mu.Unlock()
+	if !dead {
+		p.rec.List(record.Listed{At: p.rec.Now(), Upstream: e.Name, Usable: status == standin.Ready})
+	}
+	if p.service != nil && !dead {
+		p.register(u, e)
+	}
 	p.discovery.Change(e)
 }
 
--- a/internal/lab/verdict/verdict.go
+++ b/internal/lab/verdict/verdict.go
@@ -55,6 +55,8 @@
 	{"attempts", "more attempts were made than a request may have", attempts},
 	{"limits", "a process held more descriptors or memory than it may", limits},
 	{"crash", "a process ended by itself", crash},
+	{"linearizable", "calls on the list service were answered as no order of them explains", reported("linearizable")},
+	{"watch", "a watch of the list skipped or repeated a change, or told another list than others at that version", reported("watch")},
 }
 
 // Judge gives every breach, by rule and time.
@@ -69,6 +71,18 @@
 	return all
 }
 
+// reported are breaches of a rule whose checker sees more than the record holds.
+func reported(rule string) func(*account) []Violation {
+	return func(a *account) (found []Violation) {
+		for _, r := range a.Reported {
+			if r.Rule == rule {
+				found = append(found, Violation{Rule: rule, At: r.At, Text: r.Text})
+			}
+		}
+		return found
+	}
+}
+
 // account is a record, sorted for the checks.
 type account struct {
 	*record.Record
