registry: a replica with a full disk stands still instead of ending

Change: terms and votes wait for room, others go on; SIGXFSZ is an error of the write. In the laboratory a replica that ends by itself is a broken rule (crash), disk-full befalls replicas, upstreams can be killed again and again. The guard for a second form of commands, which could not fail yet, is gone.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -271,6 +271,7 @@
 	"lose":           {"upstream", "falls silent; comes back cold at the end"},
 	"disk-lost":      {"replica", "kill -9, its directory deleted, and a new start"},
 	"disk-old":       {"replica", "kill -9, and a new start with its directory as it was at the fault's begin, at its end"},
+	"disk-full":      {"replica", "no room on its disk"},
 	"late":           {"discovery", "the list comes later by 'delay'"},
 	"silent":         {"discovery", "no list, and no news on open watches"},
 	"rewind":         {"discovery", "an old list comes under its old number"},
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -27,7 +27,7 @@
 	}
 	switch f.Kind {
 	case "kill", "term":
-		p.together(ev, func(s *sidecar) { p.restart(s, f) }, func(u *upstream) { p.crash(u, f) })
+		p.together(ev, func(s *sidecar) { p.restart(s, f) }, func(u *upstream) { p.crashes(u, f) })
 	case "stop":
 		p.together(ev, func(s *sidecar) { p.pause(s, f.For.Duration) }, nil)
 	case "hup":
@@ -98,6 +98,17 @@
 	}
 }
 
+// crashes kills an upstream's process; with every, again and again as long as the fault lasts.
+func (p *play) crashes(u *upstream, f experiment.Fault) {
+	for until := p.rec.Now() + f.For.Duration; ; {
+		next := p.rec.Now() + f.Every.Duration
+		p.crash(u, f)
+		if f.Every.Duration <= 0 || f.Stays || next >= until || !p.sleep(next-p.rec.Now()) {
+			return
+		}
+	}
+}
+
 // crash kills an upstream's process; the list notices, and it comes back cold after its time down.
 func (p *play) crash(u *upstream, f experiment.Fault) {
 	p.end(u)
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -279,6 +279,9 @@
 		s.mu.Unlock()
 		p.kill(s)
 	}
+	if p.service != nil {
+		p.service.close(p)
+	}
 	p.tasks.Wait()
 	for _, s := range p.sidecars {
 		for _, l := range s.links {
@@ -289,9 +292,6 @@
 		}
 		s.agent.Close()
 	}
-	if p.service != nil {
-		p.service.close(p)
-	}
 	for _, u := range p.upstreams {
 		u.Close()
 	}
--- a/internal/lab/replicas.go
+++ b/internal/lab/replicas.go
@@ -140,7 +140,21 @@
 	}
 	run := p.programs.Replica
 	r.child, err = proc.Start(proc.Spec{Name: r.name, Path: run[0], Args: append(run[1:len(run):len(run)], path), Dir: r.dir, LogFile: filepath.Join(r.dir, "log")})
-	return err
+	if err != nil {
+		return err
+	}
+	child := r.child
+	p.background(func() { // notes an end that nobody asked for
+		<-child.Ended()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.child == child {
+			p.rec.Change(func() {
+				p.rec.Reported = append(p.rec.Reported, record.Reported{Rule: "crash", At: p.rec.Now(), Text: r.name + " ended by itself: " + child.Exit()})
+			})
+		}
+	})
+	return nil
 }
 
 func (p *play) killReplica(r *replica) {
@@ -202,6 +216,10 @@
 				p.signalReplica(r, syscall.SIGSTOP)
 				p.sleep(f.For.Duration)
 				p.signalReplica(r, syscall.SIGCONT)
+			case "disk-full":
+				p.roomReplica(r, new(uint64))
+				p.sleep(f.For.Duration)
+				p.roomReplica(r, nil)
 			case "disk-lost":
 				p.killReplica(r)
 				p.note(os.RemoveAll(r.data()))
@@ -240,6 +258,15 @@
 	}
 }
 
+// roomReplica bounds the size of the files that the replica writes; nil lifts the bound.
+func (p *play) roomReplica(r *replica, bytes *uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.child != nil {
+		p.note(r.child.FileLimit(bytes))
+	}
+}
+
 // oldDisk copies the replica's directory while it is down for a moment, and puts the copy in place at the end.
 func (p *play) oldDisk(r *replica, after time.Duration) {
 	old := filepath.Join(r.dir, "old")
@@ -362,9 +389,11 @@
 			}
 		}
 		found, n := run.End(final)
-		for _, b := range found {
-			p.rec.Reported = append(p.rec.Reported, record.Reported{Rule: b.Rule, At: b.At, Text: b.Text})
-		}
+		p.rec.Change(func() {
+			for _, b := range found {
+				p.rec.Reported = append(p.rec.Reported, record.Reported{Rule: b.Rule, At: b.At, Text: b.Text})
+			}
+		})
 		p.rec.Calls, p.rec.Unknown, p.rec.Watched = n.Calls, n.Unknown, n.Messages
 	}
 }
--- a/internal/lab/verdict/verdict.go
+++ b/internal/lab/verdict/verdict.go
@@ -54,7 +54,7 @@
 	{"cold", "a cold upstream was sent more than its budget", cold},
 	{"attempts", "more attempts were made than a request may have", attempts},
 	{"limits", "a process held more descriptors or memory than it may", limits},
-	{"crash", "a process ended by itself", crash},
+	{"crash", "a process ended by itself", func(a *account) []Violation { return append(crash(a), reported("crash")(a)...) }},
 	{"linearizable", "calls on the list service were answered as no order of them explains", reported("linearizable")},
 	{"watch", "a watch of the list skipped or repeated a change, or told another list than others at that version", reported("watch")},
 }
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -48,8 +48,7 @@
 	// the same address everywhere.
 	Dial map[string]Peer `toml:"dial"`
 
-	Dev    bool   `toml:"-"` // one replica, in memory
-	Schema int    `toml:"schema"`
+	Dev    bool   `toml:"-"`      // one replica, in memory
 	Breaks string `toml:"breaks"` // makes the service lie, for the proof that its checkers see that; never elsewhere
 }
 
--- a/internal/registry/list/list.go
+++ b/internal/registry/list/list.go
@@ -21,8 +21,8 @@
 	Restore  = "restore"
 )
 
-// Schema is the newest form of commands that this program understands. A leader proposes none that a member does not:
-// else the lists of old and new replicas would part.
+// Schema is the newest form of commands and backups that this program understands. Replicas tell each other theirs; the
+// program that brings a second form must propose none of it while a member's schema is below, or lists would part.
 const Schema = 1
 
 // History is how many changed entries are remembered, gone ones among them: a watch from before gets the whole list.
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -15,9 +15,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -74,11 +76,7 @@
 	n.client = &http.Client{Timeout: raftTimeout + writePatienceRaft,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	self := c.self()
-	schema := list.Schema
-	if c.Schema > 0 {
-		schema = c.Schema
-	}
-	n.me = api.Replica{Name: c.Name, Raft: self.Raft, API: self.API, Disk: rand.Text(), Starts: 1, Schema: schema}
+	n.me = api.Replica{Name: c.Name, Raft: self.Raft, API: self.API, Disk: rand.Text(), Starts: 1, Schema: list.Schema}
 	if c.Dev {
 		return n, nil
 	}
@@ -136,6 +134,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	signal.Ignore(syscall.SIGXFSZ) // a bound on files is an error of the write, and no reason to end
 	server := n.server(ctx)
 	var running sync.WaitGroup
 	running.Go(func() {
@@ -178,7 +177,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	r, stop, err := n.startRaft(form)
+	r, stop, err := n.startRaft(ctx, form)
 	if err != nil {
 		return err
 	}
@@ -206,7 +205,7 @@
 }
 
 // startRaft starts the log, from the directory or in memory. form, if not empty, is the quorum that begins here.
-func (n *Node) startRaft(form []raft.Server) (r *raft.Raft, stop func(), err error) {
+func (n *Node) startRaft(ctx context.Context, form []raft.Server) (r *raft.Raft, stop func(), err error) {
 	c := raft.DefaultConfig()
 	c.LocalID = raft.ServerID(n.me.Name)
 	c.HeartbeatTimeout, c.ElectionTimeout = n.c.Heartbeat.Duration, n.c.Heartbeat.Duration
@@ -237,7 +236,7 @@
 			return nil, stop, fmt.Errorf("log: %w", err)
 		}
 		closers = append(closers, store)
-		logs, stable = store, store
+		logs, stable = store, patient{store, ctx, n.log}
 		if snaps, err = raft.NewFileSnapshotStoreWithLogger(n.c.Dir, snapshotsKept, c.Logger); err != nil {
 			return nil, stop, fmt.Errorf("snapshots: %w", err)
 		}
@@ -264,7 +263,15 @@
 		return nil, stop, fmt.Errorf("log: %w", err)
 	}
 	rest := stop
-	return r, func() { _ = r.Shutdown().Error(); rest() }, nil
+	return r, func() {
+		ended := make(chan struct{})
+		go func() { _ = r.Shutdown().Error(); close(ended) }()
+		select {
+		case <-ended:
+			rest()
+		case <-time.After(raftTimeout): // it stands still for want of a disk; the process is about to end
+		}
+	}, nil
 }
 
 // stream is TCP, with the address that others know.
@@ -469,11 +476,6 @@
 	if r == nil {
 		return list.Result{}, errStarting
 	}
-	for name, m := range n.members() { // an old member would not do what a new form asks
-		if m.Schema < list.Schema && newForm(c) {
-			return list.Result{}, api.Fail(api.CodeBad, "replica %s is too old for this", name)
-		}
-	}
 	text, err := json.Marshal(c)
 	if err != nil {
 		return list.Result{}, fmt.Errorf("command: %w", err)
@@ -493,9 +495,6 @@
 	return result, nil
 }
 
-// newForm tells whether a command is of a form that came with the present schema. Schema 1 is the first.
-func newForm(list.Command) bool { return false }
-
 // consistent returns once all that was committed before is in the list here, and this replica is sure to lead.
 func (n *Node) consistent() error {
 	r := n.raft.Load()
