registry: a replica that never had contact says so, and is not taken for fresh

Cause: a list that was never fresh was counted as old as the process, so that in its first second a replica looked ready, and watches opened then were refused: 309 of 1,000 watchers heard of nothing in lab service with 100 entries. Change: status says -1 until there was contact; lab service takes a refused watch for the error that it is.

--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -174,6 +174,9 @@
 		}
 		text := bytes.TrimSpace(line)
 		switch {
+		case first != nil && bytes.HasPrefix(text, []byte("HTTP/")) && !bytes.Contains(text, []byte(" 200 ")):
+			first <- fmt.Errorf("answered %q", text)
+			return
 		case first != nil && len(text) == 0 && !body:
 			body = true
 		case first != nil && body:
@@ -336,7 +339,7 @@
 		said, _ := c.Status(ctx)
 		serving := 0
 		for _, s := range said {
-			if s.Leader != "" && s.StaleMs < 1000 {
+			if s.Leader != "" && s.StaleMs >= 0 && s.StaleMs < 1000 {
 				serving++
 			}
 		}
--- a/internal/lab/replicas.go
+++ b/internal/lab/replicas.go
@@ -98,7 +98,7 @@
 		said, failed := p.service.client.Status(ctx)
 		serving := 0
 		for _, s := range said {
-			if s.Leader != "" && s.Entries >= entries && time.Duration(s.StaleMs)*time.Millisecond < statusWithin {
+			if s.Leader != "" && s.Entries >= entries && s.StaleMs >= 0 && time.Duration(s.StaleMs)*time.Millisecond < statusWithin {
 				serving++
 			}
 		}
--- a/internal/registry/api/api.go
+++ b/internal/registry/api/api.go
@@ -123,7 +123,7 @@
 	Version    int64              `json:"version"`
 	Entries    int                `json:"entries"`
 	Watchers   int                `json:"watchers"`
-	StaleMs    int64              `json:"stale_ms"` // the list may be so old
+	StaleMs    int64              `json:"stale_ms"` // the list may be so old; -1: it was never known to be the service's
 	Preserving bool               `json:"preserving"`
 	Silent     []string           `json:"silent"` // servers whose lease has lapsed, as the leader knows
 	Members    map[string]Replica `json:"members"`
--- a/internal/registry/processes_test.go
+++ b/internal/registry/processes_test.go
@@ -151,7 +151,7 @@
 	q.until(fmt.Sprintf("%d serve", n), func(said map[string]api.Status) bool {
 		serving, known := 0, true
 		for _, s := range said {
-			if s.Leader != "" && s.StaleMs < 1000 && len(s.Members) >= n {
+			if s.Leader != "" && s.StaleMs >= 0 && s.StaleMs < 1000 && len(s.Members) >= n {
 				serving++
 				known = known && s.Members[s.Replica.Name] == s.Replica
 				leader = s.Leader
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -283,8 +283,10 @@
 
 // Status is what this replica knows of itself and of the service.
 func (n *Node) Status() api.Status {
-	s := api.Status{Replica: n.me, State: "starting", Members: n.members(), Voters: n.voterNames(), Watchers: n.watches.watching(),
-		StaleMs: (n.now() - time.Duration(n.freshAt.Load())).Milliseconds()}
+	s := api.Status{Replica: n.me, State: "starting", Members: n.members(), Voters: n.voterNames(), Watchers: n.watches.watching(), StaleMs: -1}
+	if at := time.Duration(n.freshAt.Load()); at > 0 {
+		s.StaleMs = (n.now() - at).Milliseconds()
+	}
 	n.machine.read(func(l *list.List) { s.Version, s.Entries = l.Version(), l.Len() })
 	n.mu.Lock()
 	if n.leading {
