--- a/internal/cli/burden.go
+++ b/internal/cli/burden.go
@@ -14,7 +14,7 @@
 
 func (a *app) labService() *cobra.Command {
 	var watchers, entries []int
-	var changes int
+	var changes, rush int
 	var renewals float64
 	var length time.Duration
 	var out string
@@ -31,6 +31,7 @@
 	c.Flags().IntVar(&changes, "changes", 20, "changes for each")
 	c.Flags().Float64Var(&renewals, "renewals", 2000, "renewals a second, of a quorum of three; 0: none are measured")
 	c.Flags().DurationVar(&length, "length", 10*time.Second, "how long leases are renewed")
+	c.Flags().IntVar(&rush, "rush", 10000, "watchers that come back within a second; a tenth of them watch 1,500 of 5,000 entries change in 7 s; 0: none")
 	c.Flags().StringVar(&out, "out", "", "directory of watchers.svg and of the replicas' logs (logs/lab/service-TIME)")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		self, err := os.Executable()
@@ -50,6 +51,8 @@
 		var found struct {
 			Watchers []burden.Watchers `json:"watchers"`
 			Renewals []burden.Renewals `json:"renewals"`
+			Churn    []burden.Churn    `json:"churn"`
+			Return   []burden.Return   `json:"return"`
 		}
 		for _, e := range entries {
 			for _, n := range watchers {
@@ -75,11 +78,30 @@
 			}
 			found.Renewals = append(found.Renewals, r)
 		}
+		if rush > 0 {
+			m, err := run.MeasureChurn(c.Context(), rush/10, 5000, 1500, 7*time.Second)
+			if err != nil {
+				return err
+			}
+			back, err := run.MeasureReturn(c.Context(), rush, 5000, time.Second)
+			if err != nil {
+				return err
+			}
+			found.Churn, found.Return = append(found.Churn, m), append(found.Return, back)
+		}
 		return a.print(*format, found, func(w io.Writer) {
 			fmt.Fprintln(w, "watchers\tentries\tchanges\tp50 ms\tp99 ms\tmost ms\tunheard\tKB a watcher\tCPU ms a change")
 			for _, x := range found.Watchers {
 				fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.1f\t%.1f\n", x.Watchers, x.Entries, x.Changes, x.P50Ms, x.P99Ms, x.MostMs, x.Unheard, x.KBPerWatcher, x.CPUPerChange)
 			}
+			fmt.Fprintln(w, "\nwatchers\tentries\tchanges\tin s\tp99 ms\tchanges a line\tall heard\tMB")
+			for _, x := range found.Churn {
+				fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%v\t%.0f\n", x.Watchers, x.Entries, x.Changes, x.Seconds, x.P99Ms, x.Joined, x.AllHeard, x.MemoryMB)
+			}
+			fmt.Fprintln(w, "\ncome back\tentries\twithin s\tall back s\tp99 ms\tfailed\tMB")
+			for _, x := range found.Return {
+				fmt.Fprintf(w, "%d\t%d\t%.1f\t%.2f\t%.1f\t%d\t%.0f\n", x.Watchers, x.Entries, x.Within, x.AllBack, x.P99Ms, x.Failed, x.MemoryMB)
+			}
 			fmt.Fprintln(w, "\nreplicas\tservers\tasked/s\ttook/s\tfailed\tlost\tp99 ms\tcores\tcallers' cores")
 			for _, x := range found.Renewals {
 				fmt.Fprintf(w, "%d\t%d\t%.0f\t%.0f\t%d\t%d\t%.1f\t%.2f\t%.2f\n", x.Replicas, x.Servers, x.Asked, x.Took, x.Failed, x.Lost, x.P99Ms, x.Cores, x.OwnCores)
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -53,28 +53,16 @@
 // MeasureWatchers has so many watch a list of so many entries on one replica, and changes it.
 func (r Runner) MeasureWatchers(ctx context.Context, watchers, entries, changes int) (w Watchers, err error) {
 	w = Watchers{Watchers: watchers, Entries: entries, Changes: changes}
-	at, err := freeAddress()
-	if err != nil {
-		return w, err
+	at, c, child, version, err := r.filled(ctx, entries)
+	if child != nil {
+		defer func() { _ = child.Kill() }() // whatever came of it
 	}
-	child, err := r.start("dev", "--dev", "--listen", at)
 	if err != nil {
 		return w, err
 	}
-	defer func() { _ = child.Kill() }() // whatever came of it
-	c := client.New([]string{at})
 	defer c.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if err := await(ctx, c, 1); err != nil {
-		return w, err
-	}
-	version := int64(0)
-	for i := range entries {
-		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return w, fmt.Errorf("entry %d: %w", i, err)
-		}
-	}
 	before, err := child.Use()
 	if err != nil {
 		return w, err
@@ -124,6 +112,26 @@
 	return w, nil
 }
 
+// filled is one replica in memory with so many entries, and the version that it is at.
+func (r Runner) filled(ctx context.Context, entries int) (at string, c *client.Client, child *proc.Child, version int64, err error) {
+	if at, err = freeAddress(); err != nil {
+		return at, nil, nil, 0, err
+	}
+	if child, err = r.start("dev", "--dev", "--listen", at); err != nil {
+		return at, nil, nil, 0, err
+	}
+	c = client.New([]string{at})
+	if err = await(ctx, c, 1); err != nil {
+		return at, c, child, 0, err
+	}
+	for i := range entries {
+		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return at, c, child, 0, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	return at, c, child, version, nil
+}
+
 func registration(i int) api.Registration {
 	return api.Registration{Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: "makati", Type: "std-4", Weight: 1}
 }
--- /dev/null
+++ b/internal/lab/history/history_test.go
@@ -0,0 +1,77 @@
+package history
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func record(version int64, address string) api.Record {
+	return api.Record{Entry: api.Entry{Name: "h-0", Address: address, Status: api.Ready}, Version: version, Own: api.Ready}
+}
+
+func TestHistoriesAreJudged(t *testing.T) {
+	register := func(from, to int, address string, ifVersion int64, x out) call {
+		return call{op: op{kind: "register", name: "h-0", address: address, ifVersion: ifVersion}, out: x, from: ms(from), to: ms(to)}
+	}
+	read := func(from, to int, r api.Record) call {
+		return call{op: op{kind: "read", name: "h-0", ifVersion: -1}, out: out{record: r}, from: ms(from), to: ms(to)}
+	}
+	for _, x := range []struct {
+		name  string
+		calls []call
+		bad   bool
+	}{
+		{"written, then read", []call{register(0, 1, "a", 0, out{version: 5}), read(2, 3, record(5, "a"))}, false},
+		{"a stale read", []call{register(0, 1, "a", 0, out{version: 5}), read(2, 3, api.Record{})}, true},
+		{"a stale read of the time before", []call{register(0, 1, "a", 0, out{version: 5}), register(2, 3, "b", 5, out{version: 7}), read(4, 5, record(5, "a"))}, true},
+		{"a read beside the write", []call{register(0, 10, "a", 0, out{version: 5}), read(2, 3, api.Record{}), read(4, 5, record(5, "a"))}, false},
+		{"back and forth beside the write", []call{register(0, 10, "a", 0, out{version: 5}), read(2, 3, record(5, "a")), read(4, 5, api.Record{})}, true},
+		{"two on one condition", []call{register(0, 1, "a", 0, out{version: 5}), register(2, 3, "b", 0, out{version: 6})}, true},
+		{"one without an answer, done later", []call{register(0, 1, "a", 0, out{unknown: true}), read(2, 3, api.Record{}), read(4, 5, record(6, "a"))}, false},
+		{"one without an answer, done and undone", []call{register(0, 1, "a", 0, out{unknown: true}), read(2, 3, record(6, "a")), read(4, 5, api.Record{})}, true},
+		{"a version that goes back", []call{register(0, 1, "a", 0, out{version: 5}), register(2, 3, "b", 5, out{version: 4})}, true},
+		{"a conflict where there is none", []call{register(0, 1, "a", 0, out{code: api.CodeConflict})}, true},
+	} {
+		r := &Run{calls: x.calls}
+		if found := r.linearizable(); (len(found) > 0) != x.bad {
+			t.Errorf("%s: %v", x.name, found)
+		}
+	}
+}
+
+func TestWatchesAreJudged(t *testing.T) {
+	const whole = `{"index":3,"snapshot":true,"endpoints":[{"name":"a","status":"Ready"},{"name":"b","status":"Ready"}]}`
+	for _, x := range []struct {
+		name, want string
+		lines      []string
+	}{
+		{"in order", "", []string{whole, `{"index":4,"endpoints":[{"name":"a","status":"Gone"}]}`}},
+		{"a change that was skipped", "another list", []string{whole, `{"index":5,"endpoints":[{"name":"c","status":"Ready"}]}`}},
+		{"a version twice", "version 3 after 3", []string{whole, `{"index":3,"endpoints":[]}`}},
+		{"back", "version 2 after 3", []string{whole, `{"index":2,"snapshot":true,"endpoints":[]}`}},
+		{"an entry twice", "twice", []string{whole, `{"index":4,"endpoints":[{"name":"a","status":"Gone"},{"name":"a","status":"Ready"}]}`}},
+		{"changes to nothing", "no list", []string{`{"index":4,"endpoints":[{"name":"a","status":"Gone"}]}`}},
+	} {
+		w := &watch{at: "r", index: -1, hashes: map[int64]uint64{}}
+		var said []string
+		for _, line := range x.lines {
+			if text := w.take([]byte(line)); text != "" {
+				said = append(said, text)
+			}
+		}
+		// At the end of all a is gone at version 4, and c is there at 5.
+		final := api.Listing{Index: 5, Endpoints: []api.Entry{{Name: "b", Status: api.Ready}, {Name: "c", Status: api.Ready}}}
+		for _, b := range (&Run{watches: []*watch{w}}).watched(final) {
+			said = append(said, b.Text)
+		}
+		got := strings.Join(said, "; ")
+		if (x.want == "") != (got == "") || !strings.Contains(got, x.want) {
+			t.Errorf("%s: %q, want %q", x.name, got, x.want)
+		}
+	}
+}
