--- a/internal/lab/build/build.go
+++ b/internal/lab/build/build.go
@@ -42,6 +42,15 @@
 
 // Sidecar builds cmd/orchiddrift into a directory, as the deploy file links it, and says from what.
 func Sidecar(ctx context.Context, root, dir string, s Source) (path, from string, err error) {
+	return program(ctx, root, dir, "orchiddrift", s)
+}
+
+// Service builds cmd/mosslead, of which the list service is a part, into a directory, and says from what.
+func Service(ctx context.Context, root, dir string, s Source) (path, from string, err error) {
+	return program(ctx, root, dir, "mosslead", s)
+}
+
+func program(ctx context.Context, root, dir, name string, s Source) (path, from string, err error) {
 	tree := root
 	if s.Revision == "" && s.Patch != "" {
 		s.Revision = "HEAD"
@@ -62,8 +71,8 @@
 		}
 		from += " with " + s.Patch
 	}
-	path = filepath.Join(dir, "orchiddrift")
-	if _, err := run(ctx, tree, "go", "build", "-ldflags=-linkmode=external", "-tags="+s.Tags, "-o", path, "./cmd/orchiddrift"); err != nil {
+	path = filepath.Join(dir, name)
+	if _, err := run(ctx, tree, "go", "build", "-ldflags=-linkmode=external", "-tags="+s.Tags, "-o", path, "./cmd/"+name); err != nil {
 		return "", "", fmt.Errorf("building %s: %w", from, err)
 	}
 	if s.Tags != "" {
--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -32,6 +32,7 @@
 // program is what a variant runs.
 type program struct {
 	command []string
+	first   []string // of the first replica of the list service; none: this program, as the others
 	from    string
 }
 
@@ -56,6 +57,11 @@
 		if programs[v.Name], err = o.program(ctx, filepath.Join(work, v.Name), v, programs, e.Variants); err != nil {
 			return nil, fmt.Errorf("variant %s: %w", v.Name, err)
 		}
+		if v.ServiceRevision != "" {
+			if programs[v.Name], err = o.older(ctx, filepath.Join(work, v.Name+"-service"), v.ServiceRevision, programs[v.Name]); err != nil {
+				return nil, fmt.Errorf("variant %s: %w", v.Name, err)
+			}
+		}
 		r.Programs[v.Name] = programs[v.Name].from
 	}
 	err = o.plays(ctx, e, r, programs, total)
@@ -98,7 +104,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("directory of the play: %w", err)
 	}
-	out, err := lab.Play(ctx, e, v, seed, dir, lab.Programs{Sidecar: run.command, Replica: o.Replica}, o.Log)
+	out, err := lab.Play(ctx, e, v, seed, dir, lab.Programs{Sidecar: run.command, Replica: o.Replica, First: run.first}, o.Log)
 	if err != nil {
 		return err
 	}
@@ -110,6 +116,24 @@
 	return nil
 }
 
+// older has the first replica run an earlier revision of this program.
+func (o Options) older(ctx context.Context, dir, revision string, p program) (program, error) {
+	root, err := build.Root(".")
+	if err != nil {
+		return p, err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return p, err
+	}
+	path, from, err := build.Service(ctx, root, dir, build.Source{Revision: revision})
+	if err != nil {
+		return p, err
+	}
+	p.first = append([]string{path}, o.Replica[1:]...)
+	p.from += ", first replica " + strings.TrimSpace(from)
+	return p, nil
+}
+
 // program builds or finds what a variant runs. Variants of the same source share it.
 func (o Options) program(ctx context.Context, dir string, v experiment.Variant, have map[string]program, all []experiment.Variant) (program, error) {
 	switch {
@@ -118,7 +142,7 @@
 		if v.Breaks != "" {
 			from += " that breaks " + v.Breaks
 		}
-		return program{append(append([]string{}, o.Self...), "--break="+v.Breaks), from}, nil
+		return program{command: append(append([]string{}, o.Self...), "--break="+v.Breaks), from: from}, nil
 	case v.Program != "":
 		path, err := filepath.Abs(v.Program)
 		if err != nil {
@@ -127,7 +151,7 @@
 		if _, err := os.Stat(path); err != nil {
 			return program{}, fmt.Errorf("program: %w", err)
 		}
-		return program{[]string{path}, filepath.Base(path)}, nil
+		return program{command: []string{path}, from: filepath.Base(path)}, nil
 	}
 	for _, other := range all {
 		if other.Name == v.Name {
@@ -148,5 +172,5 @@
 	if err != nil {
 		return program{}, err
 	}
-	return program{[]string{path}, strings.TrimSpace(from)}, nil
+	return program{command: []string{path}, from: strings.TrimSpace(from)}, nil
 }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -195,6 +195,8 @@
 	State    bool   `toml:"state"`    // sidecars have a directory that outlives them
 	Known    string `toml:"known"`    // the list in the configuration of a restarted sidecar: "latest" (absent) or "none"
 	Registry int    `toml:"registry"` // replicas of the list service that sidecars ask; absent: the stand-in for discovery
+	// ServiceRevision is what the first replica is built from; absent: this program, as the others.
+	ServiceRevision string `toml:"service_revision"`
 	// ServiceBreaks makes the list service lie, for the proof that its checkers see that.
 	ServiceBreaks string            `toml:"service_breaks"`
 	Calm          bool              `toml:"calm"`   // without the faults
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -67,6 +67,7 @@
 type Programs struct {
 	Sidecar []string
 	Replica []string // of the list service; the path of its configuration follows
+	First   []string // of the first replica, where it differs
 }
 
 // Play plays an experiment once. dir is an empty directory of its own. An error means that
--- a/internal/lab/replicas.go
+++ b/internal/lab/replicas.go
@@ -139,6 +139,9 @@
 		return fmt.Errorf("configuration of %s: %w", r.name, err)
 	}
 	run := p.programs.Replica
+	if r.number == 0 && len(p.programs.First) > 0 {
+		run = p.programs.First
+	}
 	r.child, err = proc.Start(proc.Spec{Name: r.name, Path: run[0], Args: append(run[1:len(run):len(run)], path), Dir: r.dir, LogFile: filepath.Join(r.dir, "log")})
 	if err != nil {
 		return err
