registry: watchers that need the same line share it, the whole list too

Change: lines are shared by the version that they lead on from, first ones too; all versions that are not remembered share the whole list.

--- a/internal/cli/burden.go
+++ b/internal/cli/burden.go
@@ -83,11 +83,14 @@
 			if err != nil {
 				return err
 			}
-			back, err := run.MeasureReturn(c.Context(), rush, 5000, time.Second)
-			if err != nil {
-				return err
+			found.Churn = append(found.Churn, m)
+			for _, whole := range []bool{false, true} {
+				back, err := run.MeasureReturn(c.Context(), rush, 500, whole, time.Second)
+				if err != nil {
+					return err
+				}
+				found.Return = append(found.Return, back)
 			}
-			found.Churn, found.Return = append(found.Churn, m), append(found.Return, back)
 		}
 		return a.print(*format, found, func(w io.Writer) {
 			fmt.Fprintln(w, "watchers\tentries\tchanges\tp50 ms\tp99 ms\tmost ms\tunheard\tKB a watcher\tCPU ms a change")
@@ -98,9 +101,9 @@
 			for _, x := range found.Churn {
 				fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%v\t%.0f\n", x.Watchers, x.Entries, x.Changes, x.Seconds, x.P99Ms, x.Joined, x.AllHeard, x.MemoryMB)
 			}
-			fmt.Fprintln(w, "\ncome back\tentries\twithin s\tall back s\tp99 ms\tfailed\tMB")
+			fmt.Fprintln(w, "\ncome back\tentries\twhole list\twithin s\tall back s\tp99 ms\tfailed\tMB")
 			for _, x := range found.Return {
-				fmt.Fprintf(w, "%d\t%d\t%.1f\t%.2f\t%.1f\t%d\t%.0f\n", x.Watchers, x.Entries, x.Within, x.AllBack, x.P99Ms, x.Failed, x.MemoryMB)
+				fmt.Fprintf(w, "%d\t%d\t%v\t%.1f\t%.2f\t%.1f\t%d\t%.0f\n", x.Watchers, x.Entries, x.Whole, x.Within, x.AllBack, x.P99Ms, x.Failed, x.MemoryMB)
 			}
 			fmt.Fprintln(w, "\nreplicas\tservers\tasked/s\ttook/s\tfailed\tlost\tp99 ms\tcores\tcallers' cores")
 			for _, x := range found.Renewals {
--- a/internal/registry/list/list.go
+++ b/internal/registry/list/list.go
@@ -130,10 +130,13 @@
 	return w
 }
 
+// Knows tells whether what changed after a version is remembered: else it is one from long ago, or from another service.
+func (l *List) Knows(version int64) bool { return version >= l.floor && version <= l.version }
+
 // Since is what changed after a version, each entry once, in the order of their last changes; the whole list where that
 // is no longer known, or was never: a version from another service.
 func (l *List) Since(version int64) api.Listing {
-	if version < l.floor || version > l.version {
+	if !l.Knows(version) {
 		return l.Whole()
 	}
 	c := api.Listing{Index: l.version, Endpoints: []api.Entry{}}
--- a/internal/registry/watches.go
+++ b/internal/registry/watches.go
@@ -67,20 +67,30 @@
 	w.changed = make(chan struct{})
 }
 
+// anew stands for every version after which the whole list is to be told, so that all who need it share one line.
+const anew = -1
+
 // line is what is to be said after a version, the version it leads to, and a channel that is closed on the next news.
 // Nil: nothing.
-func (w *watches) line(from int64, first bool) (text []byte, to int64, next <-chan struct{}, err error) {
+func (w *watches) line(from int64) (text []byte, to int64, next <-chan struct{}, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next = w.changed
-	if from == w.told && !first {
+	if from == w.told {
 		return nil, from, next, nil
 	}
-	if text, ok := w.lines[from]; ok && !first {
+	var l api.Listing
+	w.m.read(func(of *list.List) {
+		if !of.Knows(from) {
+			from = anew
+		}
+		if text = w.lines[from]; text == nil {
+			l = of.Since(from)
+		}
+	})
+	if text != nil {
 		return text, w.told, next, nil
 	}
-	var l api.Listing
-	w.m.read(func(of *list.List) { l = of.Since(from) })
 	if !l.Snapshot && len(l.Endpoints) == 0 { // nothing, or only what did not outlast the moment
 		return nil, max(from, l.Index), next, nil
 	}
@@ -159,7 +169,7 @@
 			out.end(err)
 			return
 		}
-		text, to, next, err := w.line(from, first)
+		text, to, next, err := w.line(from)
 		if err != nil {
 			out.end(err)
 			return
