lab: rules of the list service are tested where their checkers are

Cause: two tests counted on the sidecars to break every rule, and on each sidecar's state directory to be there. Change: linearizable and watch are left to internal/lab/history; a directory that is gone is nothing to make read-only.

--- a/internal/lab/disk.go
+++ b/internal/lab/disk.go
@@ -25,6 +25,10 @@
 		p.sleep(f.For.Duration)
 		p.full(s, -1)
 	case "state-readonly":
+		if _, err := os.Stat(dir); err != nil {
+			p.note(errNoFiles)
+			return
+		}
 		p.note(readOnly(dir, true))
 		p.sleep(f.For.Duration)
 		p.note(readOnly(dir, false))
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -75,6 +75,9 @@
 		}
 	}
 	for _, rule := range append([]verdict.Rule{{}}, verdict.All...) {
+		if rule.Name == "linearizable" || rule.Name == "watch" {
+			continue // the list service's: see internal/lab/history
+		}
 		t.Run("breaks "+rule.Name, func(t *testing.T) {
 			t.Parallel()
 			found := judge(e, naivePlay(t, e, rule.Name))
