registry, lab, cli: one piece of code where there were two

Need: read over once more, the list service had twins of itself. Change: answers are read by api.ReadAnswer, addresses checked by api.IsAddress, on both ends; other replicas come from one list; lab service makes its replica, opens watches and takes quantiles in one place each; names of parties are looked up with slices; a call's client is made in one place; maps.Keys for a copy of it. Gone: a flag that said what Dev says, a method that only called another, a wrapper of bytes.NewReader. state show prints as other commands do, and so refuses an -o that is neither table nor json, which it took for a table before.

--- a/internal/cli/list.go
+++ b/internal/cli/list.go
@@ -79,13 +79,12 @@
 		if *format != "table" && *format != "json" {
 			return usageError{fmt.Errorf("--output: table or json, not %q", *format)}
 		}
-		addresses, err := client.Addresses(*at)
+		s, err := service(*at)
 		if err != nil {
-			return usageError{fmt.Errorf("--registry: %w", err)}
+			return err
 		}
-		service := client.New(addresses)
-		defer service.Close()
-		service.Watch(c.Context(), nil, client.Watcher{
+		defer s.Close()
+		s.Watch(c.Context(), nil, client.Watcher{
 			Take: func(l api.Listing) error {
 				if *format == "json" {
 					return json.NewEncoder(a.out).Encode(l)
--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -47,25 +48,25 @@
 	return c.PersistentFlags().String("registry", given, "replicas of the list service, host:port,host:port ("+registryEnv+")")
 }
 
-// asking makes a client, and bounds what is asked with it.
-func asking(ctx context.Context, at string) (*client.Client, context.Context, context.CancelFunc, error) {
+// service is a client of the replicas at these addresses.
+func service(at string) (*client.Client, error) {
 	addresses, err := client.Addresses(at)
 	if err != nil {
-		return nil, nil, nil, usageError{fmt.Errorf("--registry: %w", err)}
+		return nil, usageError{fmt.Errorf("--registry: %w", err)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callPatience)
-	c := client.New(addresses)
-	return c, ctx, func() { cancel(); c.Close() }, nil
+	return client.New(addresses), nil
 }
 
-// ask runs f with a client.
+// ask runs f with a client, within a bounded time.
 func ask(c *cobra.Command, at string, f func(context.Context, *client.Client) error) error {
-	service, ctx, cancel, err := asking(c.Context(), at)
+	s, err := service(at)
 	if err != nil {
 		return err
 	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(c.Context(), callPatience)
 	defer cancel()
-	err = f(ctx, service)
+	err = f(ctx, s)
 	if api.IsCode(err, api.CodeBad) {
 		return usageError{err}
 	}
@@ -143,18 +144,18 @@
 			}
 			err := a.print(*format, map[string]any{"replicas": said, "failed": failures}, func(w io.Writer) {
 				fmt.Fprintln(w, "address\tname\tstate\tleader\tepoch\tversion\tentries\twatches\told\tstarts")
-				for _, address := range slices.Sorted(keys(said)) {
+				for _, address := range slices.Sorted(maps.Keys(said)) {
 					s := said[address]
 					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%d\n", address, s.Replica.Name, s.State, s.Leader, s.Term, s.Version,
 						s.Entries, s.Watchers, time.Duration(s.StaleMs)*time.Millisecond, s.Replica.Starts)
 				}
-				for _, address := range slices.Sorted(keys(said)) {
+				for _, address := range slices.Sorted(maps.Keys(said)) {
 					if s := said[address]; s.Preserving {
 						fmt.Fprintf(w, "\n%d servers fell silent at once; the service suspects itself and keeps them: %s\n", len(s.Silent), strings.Join(s.Silent, " "))
 						fmt.Fprintln(w, "If they are gone: mosslead registry overrule")
 					}
 				}
-				for _, address := range slices.Sorted(keys(failures)) {
+				for _, address := range slices.Sorted(maps.Keys(failures)) {
 					fmt.Fprintf(w, "\n%s: %s\n", address, failures[address])
 				}
 			})
@@ -167,16 +168,6 @@
 	return c
 }
 
-func keys[V any](m map[string]V) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 func (a *app) registryAdd(at *string) *cobra.Command {
 	var m api.Replica
 	c := &cobra.Command{
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -1,13 +1,12 @@
 package cli
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -37,46 +36,42 @@
 }
 
 func (a *app) stateShow() *cobra.Command {
-	var format string
 	c := &cobra.Command{
 		Use:     "show DIR",
 		Short:   "Show what is kept: bans, the list, what was learnt, how the last process ended",
 		Example: "  mosslead state show /var/lib/orchiddrift\n  mosslead state show DIR -o json | jq .bans",
 		Args:    args(cobra.ExactArgs(1)),
-		RunE: func(_ *cobra.Command, given []string) error {
-			s, _, err := summary(given[0])
-			if err != nil {
-				return err
-			}
-			if format == "json" {
-				enc := json.NewEncoder(a.out)
-				enc.SetIndent("", " ")
-				return enc.Encode(s)
-			}
-			w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
-			fmt.Fprintf(w, "sidecar\t%s\nlast start\t%s\nits end\t%s\nearly ends in a row\t%d\n", s.Sidecar, s.Started, s.Ended, s.EarlyEnds)
-			fmt.Fprintf(w, "list\t%d upstreams, version %d of %s, %s old\n", s.Upstreams, s.ListIndex, s.ListSource, age(s.ListAgeS))
-			fmt.Fprintf(w, "learnt\tof %d upstreams, %s old\n", s.LearntOf, age(s.LearntAgeS))
-			fmt.Fprintf(w, "left out\t%s\n", strings.Join(s.Ejected, " "))
-			var bans []string
-			for id, since := range s.Bans {
-				bans = append(bans, fmt.Sprintf("%s since %s", id, since))
-			}
-			slices.Sort(bans)
-			fmt.Fprintf(w, "bans\t%s\n", strings.Join(bans, "\n\t"))
-			for _, text := range slices.Concat(s.Notes, s.Damages) {
-				fmt.Fprintf(w, "note\t%s\n", text)
-			}
-			for _, name := range s.Quarantined {
-				fmt.Fprintf(w, "in quarantine\t%s\n", name)
-			}
-			return w.Flush()
-		},
 	}
-	c.Flags().StringVarP(&format, "output", "o", "table", "table or json")
+	format := outputFlag(c)
+	c.RunE = func(_ *cobra.Command, given []string) error {
+		s, _, err := summary(given[0])
+		if err != nil {
+			return err
+		}
+		return a.print(*format, s, func(w io.Writer) { stateTable(w, s) })
+	}
 	return c
 }
 
+func stateTable(w io.Writer, s state.Summary) {
+	fmt.Fprintf(w, "sidecar\t%s\nlast start\t%s\nits end\t%s\nearly ends in a row\t%d\n", s.Sidecar, s.Started, s.Ended, s.EarlyEnds)
+	fmt.Fprintf(w, "list\t%d upstreams, version %d of %s, %s old\n", s.Upstreams, s.ListIndex, s.ListSource, age(s.ListAgeS))
+	fmt.Fprintf(w, "learnt\tof %d upstreams, %s old\n", s.LearntOf, age(s.LearntAgeS))
+	fmt.Fprintf(w, "left out\t%s\n", strings.Join(s.Ejected, " "))
+	var bans []string
+	for id, since := range s.Bans {
+		bans = append(bans, fmt.Sprintf("%s since %s", id, since))
+	}
+	slices.Sort(bans)
+	fmt.Fprintf(w, "bans\t%s\n", strings.Join(bans, "\n\t"))
+	for _, text := range slices.Concat(s.Notes, s.Damages) {
+		fmt.Fprintf(w, "note\t%s\n", text)
+	}
+	for _, name := range s.Quarantined {
+		fmt.Fprintf(w, "in quarantine\t%s\n", name)
+	}
+}
+
 func age(s float64) string {
 	return time.Duration(s * float64(time.Second)).Round(time.Second).String()
 }
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -53,28 +53,25 @@
 // MeasureWatchers has so many watch a list of so many entries on one replica, and changes it.
 func (r Runner) MeasureWatchers(ctx context.Context, watchers, entries, changes int) (w Watchers, err error) {
 	w = Watchers{Watchers: watchers, Entries: entries, Changes: changes}
-	at, c, child, version, err := r.filled(ctx, entries)
-	if child != nil {
-		defer func() { _ = child.Kill() }() // whatever came of it
-	}
+	b, err := r.filled(ctx, entries)
 	if err != nil {
 		return w, err
 	}
-	defer c.Close()
+	defer b.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	before, err := child.Use()
+	before, err := b.child.Use()
 	if err != nil {
 		return w, err
 	}
 	heard := make(chan time.Time, watchers)
-	if err := open(ctx, at, version, watchers, heard); err != nil {
+	if err := open(ctx, b, watchers, heard); err != nil {
 		return w, err
 	}
 	if !sleep(ctx, settle) {
 		return w, ctx.Err()
 	}
-	quiet, err := child.Use()
+	quiet, err := b.child.Use()
 	if err != nil {
 		return w, err
 	}
@@ -82,7 +79,7 @@
 	var lags []time.Duration
 	for i := range changes {
 		begun := time.Now()
-		if _, err := c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
+		if _, err := b.c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
 			return w, err
 		}
 		late := time.After(hearWithin)
@@ -99,37 +96,62 @@
 			return w, ctx.Err()
 		}
 	}
-	after, err := child.Use()
+	after, err := b.child.Use()
 	if err != nil {
 		return w, err
 	}
 	w.CPUPerChange = float64((after.CPU - quiet.CPU).Microseconds()) / 1e3 / float64(max(1, changes))
-	slices.Sort(lags)
-	if n := len(lags); n > 0 {
-		ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
-		w.P50Ms, w.P99Ms, w.MostMs = ms(lags[n/2]), ms(lags[n*99/100]), ms(lags[n-1])
-	}
+	w.P50Ms, w.P99Ms, w.MostMs = quantile(lags, 50), quantile(lags, 99), quantile(lags, 100)
 	return w, nil
 }
 
-// filled is one replica in memory with so many entries, and the version that it is at.
-func (r Runner) filled(ctx context.Context, entries int) (at string, c *client.Client, child *proc.Child, version int64, err error) {
-	if at, err = freeAddress(); err != nil {
-		return at, nil, nil, 0, err
+// bed is one replica in memory with entries, and the version that it is at.
+type bed struct {
+	at      string
+	c       *client.Client
+	child   *proc.Child
+	version int64
+}
+
+func (b *bed) close() {
+	b.c.Close()
+	_ = b.child.Kill() // whatever came of it
+}
+
+// filled starts a replica and fills it. Nothing of it is left after an error.
+func (r Runner) filled(ctx context.Context, entries int) (b *bed, err error) {
+	at, err := freeAddress()
+	if err != nil {
+		return nil, err
 	}
-	if child, err = r.start("dev", "--dev", "--listen", at); err != nil {
-		return at, nil, nil, 0, err
+	child, err := r.start("dev", "--dev", "--listen", at)
+	if err != nil {
+		return nil, err
 	}
-	c = client.New([]string{at})
-	if err = await(ctx, c, 1); err != nil {
-		return at, c, child, 0, err
+	b = &bed{at: at, c: client.New([]string{at}), child: child}
+	defer func() {
+		if err != nil {
+			b.close()
+		}
+	}()
+	if err := await(ctx, b.c, 1); err != nil {
+		return nil, err
 	}
 	for i := range entries {
-		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return at, c, child, 0, fmt.Errorf("entry %d: %w", i, err)
+		if b.version, err = b.c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return nil, fmt.Errorf("entry %d: %w", i, err)
 		}
 	}
-	return at, c, child, version, nil
+	return b, nil
+}
+
+// quantile is that of so many in a hundred, in ms; 0 of none. It sorts lags.
+func quantile(lags []time.Duration, percent int) float64 {
+	if len(lags) == 0 {
+		return 0
+	}
+	slices.Sort(lags)
+	return float64(lags[min(len(lags)*percent/100, len(lags)-1)].Microseconds()) / 1e3
 }
 
 func registration(i int) api.Registration {
@@ -137,18 +159,14 @@
 }
 
 // open has watchers follow from a version on; the moment of each line but empty ones goes to heard.
-func open(ctx context.Context, at string, version int64, n int, heard chan<- time.Time) error {
-	var d net.Dialer
+func open(ctx context.Context, b *bed, n int, heard chan<- time.Time) error {
 	errs := make(chan error, n)
 	room := make(chan struct{}, together)
 	for range n {
 		room <- struct{}{}
 		go func() {
 			defer func() { <-room }()
-			conn, err := d.DialContext(ctx, "tcp", at)
-			if err == nil {
-				_, err = fmt.Fprintf(conn, "GET /api/targets?watch=1&from=%d HTTP/1.1\r\nHost: lab\r\n\r\n", version)
-			}
+			conn, err := watchFrom(ctx, b.at, b.version)
 			if err != nil {
 				errs <- err
 				return
@@ -168,8 +186,6 @@
 
 // follow reads a watch until ctx ends. Chunks are lines here: the service writes one line a chunk.
 func follow(ctx context.Context, conn net.Conn, first chan<- error, heard chan<- time.Time) {
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
 	defer conn.Close()
 	in := bufio.NewReaderSize(conn, 512)
 	for body := false; ; {
@@ -276,10 +292,7 @@
 	took := time.Since(begun).Seconds()
 	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (ownCPU()-ownBefore).Seconds()/took
 	m.Took = float64(len(lags)-m.Failed) / took
-	slices.Sort(lags)
-	if n := len(lags); n > 0 {
-		m.P99Ms = float64(lags[n*99/100].Microseconds()) / 1e3
-	}
+	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
--- a/internal/lab/burden/rush.go
+++ b/internal/lab/burden/rush.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,14 +30,11 @@
 // MeasureChurn changes a part of a large list within a time, while so many watch.
 func (r Runner) MeasureChurn(ctx context.Context, watchers, entries, changes int, within time.Duration) (m Churn, err error) {
 	m = Churn{Watchers: watchers, Entries: entries, Changes: changes}
-	at, c, child, version, err := r.filled(ctx, entries)
-	if child != nil {
-		defer func() { _ = child.Kill() }() // whatever came of it
-	}
+	b, err := r.filled(ctx, entries)
 	if err != nil {
 		return m, err
 	}
-	defer c.Close()
+	defer b.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make([]atomic.Int64, changes+1) // when a version was confirmed, in ns since begun; by version from the first on
@@ -48,9 +44,9 @@
 	var lags []time.Duration
 	var last sync.WaitGroup
 	last.Add(watchers)
-	first := version
+	first := b.version
 	for range watchers {
-		conn, err := watchFrom(ctx, at, version)
+		conn, err := watchFrom(ctx, b.at, b.version)
 		if err != nil {
 			return m, err
 		}
@@ -88,7 +84,7 @@
 			for i := k; i < changes && ctx.Err() == nil; i += side {
 				due := begun.Add(within * time.Duration(i) / time.Duration(changes))
 				sleep(ctx, time.Until(due))
-				v, err := c.Hand(ctx, fmt.Sprint("u", i), api.Ask{Hand: api.HandDrain})
+				v, err := b.c.Hand(ctx, fmt.Sprint("u", i), api.Ask{Hand: api.HandDrain})
 				if err == nil {
 					done[v-first].Store(int64(time.Since(begun)))
 				}
@@ -105,16 +101,13 @@
 	case <-time.After(2 * time.Second):
 	case <-ctx.Done():
 	}
-	if u, err := child.Use(); err == nil {
+	if u, err := b.child.Use(); err == nil {
 		m.MemoryMB = u.MemoryMB
 	}
 	m.Joined = float64(heard.Load()) / float64(max(1, lines.Load()))
 	mu.Lock()
 	defer mu.Unlock()
-	slices.Sort(lags)
-	if n := len(lags); n > 0 {
-		m.P99Ms = float64(lags[n*99/100].Microseconds()) / 1e3
-	}
+	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
@@ -133,17 +126,15 @@
 // MeasureReturn has so many watchers open within a time, each with a version ten changes old, or with none.
 func (r Runner) MeasureReturn(ctx context.Context, watchers, entries int, whole bool, within time.Duration) (m Return, err error) {
 	m = Return{Watchers: watchers, Entries: entries, Whole: whole, Within: within.Seconds()}
-	at, c, child, version, err := r.filled(ctx, entries)
-	if child != nil {
-		defer func() { _ = child.Kill() }() // whatever came of it
-	}
+	b, err := r.filled(ctx, entries)
 	if err != nil {
 		return m, err
 	}
-	defer c.Close()
+	defer b.close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if version -= 10; whole {
+	version := b.version - 10
+	if whole {
 		version = -1
 	}
 	begun := time.Now()
@@ -157,7 +148,7 @@
 				return
 			}
 			from := time.Now()
-			conn, err := watchFrom(ctx, at, version)
+			conn, err := watchFrom(ctx, b.at, version)
 			if err == nil {
 				got := false
 				stop := time.AfterFunc(hearWithin, func() { conn.Close() })
@@ -178,13 +169,10 @@
 	}
 	all.Wait()
 	m.AllBack = time.Since(begun).Seconds()
-	if u, err := child.Use(); err == nil {
+	if u, err := b.child.Use(); err == nil {
 		m.MemoryMB = u.MemoryMB
 	}
-	slices.Sort(lags)
-	if n := len(lags); n > 0 {
-		m.P99Ms = float64(lags[n*99/100].Microseconds()) / 1e3
-	}
+	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
--- a/internal/lab/replicas.go
+++ b/internal/lab/replicas.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -285,16 +284,9 @@
 // replicaLinks are the links between the chosen replicas and those in 'to', each way's in its sense: forth is from the
 // chosen ones.
 func (p *play) replicaLinks(ev *event, chosen []*replica) (all []*overlay[relay.State]) {
+	to := ev.Fault.To
 	isTo := func(r *replica) bool {
-		if ev.Fault.To.Kind != "replica" || len(ev.Fault.To.Names) == 0 {
-			return true
-		}
-		for _, name := range ev.Fault.To.Names {
-			if name == r.name {
-				return true
-			}
-		}
-		return false
+		return to.Kind != "replica" || len(to.Names) == 0 || slices.Contains(to.Names, r.name)
 	}
 	in := map[string]bool{}
 	for _, r := range chosen {
@@ -333,7 +325,7 @@
 func (p *play) windowsOf(ev *event) (all []*overlay[standin.View]) {
 	for _, s := range ev.sidecars {
 		for name, w := range s.windows {
-			if len(ev.Fault.To.Names) == 0 || strings.Contains(" "+strings.Join(ev.Fault.To.Names, " ")+" ", " "+name+" ") {
+			if len(ev.Fault.To.Names) == 0 || slices.Contains(ev.Fault.To.Names, name) {
 				all = append(all, w.overlay)
 			}
 		}
--- /dev/null
+++ b/internal/registry/api/answer.go
@@ -0,0 +1,40 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+const maxAnswer = 64 << 20 // a backup of the most entries is below
+
+// ReadAnswer reads the answer to a call into answer, which may be nil. An error is the *Failure that was said, where one
+// was.
+func ReadAnswer(resp *http.Response, answer any) error {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		f := &Failure{}
+		if json.Unmarshal(text, f) == nil && f.Code != "" {
+			return f
+		}
+		return fmt.Errorf("%s answered %s", resp.Request.URL.Host, resp.Status)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return fmt.Errorf("%s: %w", resp.Request.URL.Host, err)
+	}
+	return nil
+}
+
+// IsAddress tells whether s is host:port, with neither empty.
+func IsAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && host != "" && port != ""
+}
--- a/internal/registry/api/api.go
+++ b/internal/registry/api/api.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 )
 
 // The states of an entry, as discovery words them.
@@ -173,11 +172,10 @@
 
 // Check names what is wrong with a registration under a name; nil: nothing.
 func (r *Registration) Check(name string) error {
-	host, port, err := net.SplitHostPort(r.Address)
 	switch {
 	case name == "" || len(name) > MaxName:
 		return Fail(CodeBad, "name: 1 to %d bytes", MaxName)
-	case len(r.Address) > MaxAddress || err != nil || host == "" || port == "":
+	case len(r.Address) > MaxAddress || !IsAddress(r.Address):
 		return Fail(CodeBad, "address: host:port of at most %d bytes", MaxAddress)
 	case len(r.Zone) > MaxWord || len(r.Type) > MaxWord:
 		return Fail(CodeBad, "zone and type: at most %d bytes", MaxWord)
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,7 +23,6 @@
 const (
 	dialPatience = 500 * time.Millisecond
 	callPatience = 3 * time.Second // of one try: a write waits for a quorum
-	maxAnswer    = 64 << 20
 )
 
 // Client asks a list service of one or several replicas. Safe for concurrent use.
@@ -41,7 +39,7 @@
 	var all []string
 	for _, a := range strings.Split(text, ",") {
 		a = strings.TrimSpace(a)
-		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" {
+		if !api.IsAddress(a) {
 			return nil, fmt.Errorf("host:port, not %q", a)
 		}
 		if slices.Contains(all, a) {
@@ -139,24 +137,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		f := &api.Failure{}
-		if json.Unmarshal(text, f) == nil && f.Code != "" {
-			return f
-		}
-		return fmt.Errorf("%s answered %s", at, resp.Status)
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(text, answer); err != nil {
-		return fmt.Errorf("%s: %w", at, err)
-	}
-	return nil
+	return api.ReadAnswer(resp, answer)
 }
 
 func entry(name, op string) string {
--- a/internal/registry/client/doubt.go
+++ b/internal/registry/client/doubt.go
@@ -16,6 +16,7 @@
 	d.take(l)
 }
 
+// take believes a message.
 func (d *doubt) take(l api.Listing) {
 	d.index, d.known = l.Index, true
 	if l.Snapshot || d.ready == nil {
@@ -61,9 +62,6 @@
 	return ""
 }
 
-// believe takes a message in.
-func (d *doubt) believe(l api.Listing) { d.take(l) }
-
 // bind is what of a doubted message holds all the same; false: nothing.
 func (d *doubt) bind(l api.Listing) (api.Listing, bool) {
 	c := api.Listing{Index: d.index, Endpoints: []api.Entry{}}
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -111,7 +111,7 @@
 		if err := w.Take(l); err != nil {
 			return err
 		}
-		d.believe(l)
+		d.take(l)
 	}
 	if err := lines.Err(); err != nil {
 		return err
@@ -147,6 +147,6 @@
 	if err := w.Take(second); err != nil {
 		return err
 	}
-	d.believe(second)
+	d.take(second)
 	return fmt.Errorf("list %d is believed: %s", second.Index, strange)
 }
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -5,12 +5,13 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"mosslead/internal/registry/api"
 )
 
 // Duration is one that a file words as time.ParseDuration reads it.
@@ -103,9 +104,9 @@
 		switch {
 		case p.Name == "" || seen[p.Name]:
 			return fmt.Errorf("replica.name: %q is absent or there twice", p.Name)
-		case !isAddress(p.Raft):
+		case !api.IsAddress(p.Raft):
 			return fmt.Errorf("replica.raft of %s: host:port, not %q", p.Name, p.Raft)
-		case !isAddress(p.API):
+		case !api.IsAddress(p.API):
 			return fmt.Errorf("replica.api of %s: host:port, not %q", p.Name, p.API)
 		}
 		seen[p.Name] = true
@@ -120,11 +121,11 @@
 		return errors.New("dir: absent; a replica keeps its log there")
 	case !c.Join && !seen[c.Name]:
 		return fmt.Errorf("replica: %s is not among them", c.Name)
-	case !isAddress(c.Listen):
+	case !api.IsAddress(c.Listen):
 		return fmt.Errorf("listen: host:port, not %q", c.Listen)
-	case !isAddress(c.RaftBind):
+	case !api.IsAddress(c.RaftBind):
 		return fmt.Errorf("raft_bind: host:port, not %q", c.RaftBind)
-	case c.Metrics != "" && !isAddress(c.Metrics):
+	case c.Metrics != "" && !api.IsAddress(c.Metrics):
 		return fmt.Errorf("metrics: host:port, not %q", c.Metrics)
 	case !(c.Preserve > 0 && c.Preserve <= 1):
 		return fmt.Errorf("preserve: above 0, at most 1, not %g", c.Preserve)
@@ -136,11 +137,6 @@
 	return nil
 }
 
-func isAddress(s string) bool {
-	host, port, err := net.SplitHostPort(s)
-	return err == nil && host != "" && port != ""
-}
-
 // self is this replica as others are to know it.
 func (c *Config) self() Peer {
 	for _, p := range c.Peers {
--- a/internal/registry/forming.go
+++ b/internal/registry/forming.go
@@ -1,14 +1,15 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -30,7 +31,7 @@
 // remembers (an old copy), what it has is set aside and it is taken in anew, since a vote that was given and forgotten
 // could undo what was committed.
 func (n *Node) form(ctx context.Context) ([]raft.Server, error) {
-	if n.alone {
+	if n.c.Dev {
 		return []raft.Server{{ID: raft.ServerID(n.me.Name), Address: "dev"}}, nil
 	}
 	formed := n.wasFormed()
@@ -46,9 +47,9 @@
 				return nil, nil
 			}
 			n.log.Warn("not taken in", "component", "registry", "node", n.me.Name, "err", err)
-		case formed && (answered == n.others() || time.Since(begun) > askLong):
+		case formed && (answered == len(n.others()) || time.Since(begun) > askLong):
 			return nil, nil
-		case !formed && !n.c.Join && answered == n.others() && err == nil:
+		case !formed && !n.c.Join && answered == len(n.others()) && err == nil:
 			return n.first(), nil
 		case !formed && n.c.Join && answered > 0:
 			if err = n.askIn(ctx); err == nil {
@@ -70,13 +71,9 @@
 	return err == nil && json.Unmarshal(text, &known) == nil && known.Formed
 }
 
-func (n *Node) others() (count int) {
-	for _, p := range n.c.Peers {
-		if p.Name != n.c.Name {
-			count++
-		}
-	}
-	return count
+// others are the configured replicas but this one.
+func (n *Node) others() []Peer {
+	return slices.DeleteFunc(slices.Clone(n.c.Peers), func(p Peer) bool { return p.Name == n.c.Name })
 }
 
 func (n *Node) first() (servers []raft.Server) {
@@ -91,10 +88,7 @@
 
 // askOthers asks who they are. known is what a formed quorum knows of this replica, by whoever knows most.
 func (n *Node) askOthers(ctx context.Context) (answered int, known *api.Replica, err error) {
-	for _, p := range n.c.Peers {
-		if p.Name == n.c.Name {
-			continue
-		}
+	for _, p := range n.others() {
 		var id api.Identity
 		if n.call(ctx, http.MethodGet, n.apiOf(p.Name, p.API)+"/v1/identity", nil, &id) != nil {
 			continue
@@ -138,10 +132,7 @@
 // askIn asks any of the others to have this replica taken in.
 func (n *Node) askIn(ctx context.Context) error {
 	err := errors.New("nobody to ask")
-	for _, p := range n.c.Peers {
-		if p.Name == n.c.Name {
-			continue
-		}
+	for _, p := range n.others() {
 		if err = n.call(ctx, http.MethodPost, n.apiOf(p.Name, p.API)+"/v1/replicas", n.me, nil); err == nil {
 			return nil
 		}
@@ -157,8 +148,6 @@
 	return "http://" + known
 }
 
-const maxAnswer = 64 << 20 // a backup of the most entries is below
-
 // call asks another replica.
 func (n *Node) call(ctx context.Context, method, url string, ask, answer any) error {
 	var body io.Reader
@@ -167,7 +156,7 @@
 		if err != nil {
 			return err
 		}
-		body = newBody(text)
+		body = bytes.NewReader(text)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
@@ -178,21 +167,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		f := &api.Failure{}
-		if json.Unmarshal(text, f) == nil && f.Code != "" {
-			return f
-		}
-		return fmt.Errorf("%s answered %s", url, resp.Status)
-	}
-	if answer == nil {
-		return nil
-	}
-	return json.Unmarshal(text, answer)
+	return api.ReadAnswer(resp, answer)
 }
 
 // takeIn is the leader's part: a replica is added, or its address or disk changed.
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -57,7 +57,6 @@
 	leading bool // and all that was committed before is applied here
 
 	freshAt atomic.Int64 // time since start at which the list was known to be the service's
-	alone   bool         // nobody else is asked
 }
 
 // identity is what a replica keeps of itself.
@@ -69,7 +68,7 @@
 
 // Open prepares a replica. An error means that its directory can't be used, or is in use.
 func Open(c *Config, log *slog.Logger) (*Node, error) {
-	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}, alone: c.Dev}
+	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}}
 	n.leases = leases{grace: c.Grace.Duration, share: c.Preserve}
 	n.machine.touched = n.touched
 	n.watches = newWatches(n.machine, c.Watchers, n.freshEnough)
@@ -194,7 +193,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if r.State() == raft.Leader && !n.alone { // others need not wait for a silence
+			if r.State() == raft.Leader && !n.c.Dev { // others need not wait for a silence
 				_ = r.LeadershipTransfer().Error()
 			}
 			return nil
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -20,13 +20,11 @@
 )
 
 const (
-	maxBody    = 1 << 20 // of a call; a renewal of 10,000 leases is below
-	maxRestore = 64 << 20
+	maxBody    = 1 << 20  // of a call; a renewal of 10,000 leases is below
+	maxRestore = 64 << 20 // and of an answer that is passed on
 	forwarded  = "X-Registry-Forwarded"
 )
 
-func newBody(text []byte) io.Reader { return bytes.NewReader(text) }
-
 // server answers calls. Reads of the list are answered by any replica that is fresh enough; all else by the leader, to
 // whom other replicas pass a call on, once.
 func (n *Node) server(ctx context.Context) *http.Server {
@@ -116,7 +114,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxRestore))
 	if err != nil {
 		refuse(rw, api.Fail(api.CodeUnknown, "%v", err))
 		return
@@ -333,7 +331,7 @@
 	if err := read(body, &m); err != nil {
 		return nil, err
 	}
-	if m.Name == "" || len(m.Name) > api.MaxName || !isAddress(m.Raft) || !isAddress(m.API) {
+	if m.Name == "" || len(m.Name) > api.MaxName || !api.IsAddress(m.Raft) || !api.IsAddress(m.API) {
 		return nil, api.Fail(api.CodeBad, "a replica has a name, and host:port for raft and api")
 	}
 	return struct{}{}, n.takeIn(m)
