peer: design of sidecars that share, and the words between them as types

Need: 300 sidecars find out about one bad server 300 times, nothing is done once for all, and one that is short of processor or servers can only refuse.

Ways not taken. Sharing estimates: the design says that they come from a balancer's own outcomes, and one sidecar's view of a path is not another's. A vote of members by messages of our own: failure detection and gossip have a library with years of service. A leader among the sidecars: the list service has a log already, and an epoch from it needs no second consensus. Breakers in the policy file: what only works among peers stands beside it. CBOR in its deterministic form (fxamacker/cbor) instead of JSON: a record has to fit one datagram, and equal words are equal bytes.

--- /dev/null
+++ b/internal/peer/api/api.go
@@ -0,0 +1,175 @@
+// Package api owns the words that sidecars say to each other, and the bounds on them.
+package api
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Schema is the newest form of these words that this program speaks. Members tell each other theirs. A later one may add
+// fields, which an earlier one does not read; it may not change what a field means.
+const Schema = 1
+
+// Bounds on what is said, in bytes where nothing else stands. What is beyond them is not taken in.
+const (
+	NameMost   = 64   // a member, an upstream, a class, a duty
+	BodyMost   = 1024 // the body of a record, encoded
+	RecordMost = 1400 // a record with its head, encoded: one datagram holds it
+	OwnerMost  = 256  // records of one owner
+	TTLMost    = time.Minute
+)
+
+// Incarnation tells the processes of one member apart.
+type Incarnation struct {
+	StartedMs int64  `cbor:"1,keyasint"` // Unix time of the process's start by its own clock, in milliseconds
+	ID        uint64 `cbor:"2,keyasint"` // random
+}
+
+// Newer tells whether i is of a later process than other: by the start; of two that started together the higher id is.
+// A clock set back makes a new process look old until it has passed the old one's start: it is told so, and starts with
+// the old one's time plus one.
+func (i Incarnation) Newer(other Incarnation) bool { return i.compare(other) > 0 }
+
+func (i Incarnation) compare(other Incarnation) int {
+	return cmp.Or(cmp.Compare(i.StartedMs, other.StartedMs), cmp.Compare(i.ID, other.ID))
+}
+
+// Member is a process that takes part.
+type Member struct {
+	Name        string      `cbor:"1,keyasint"` // the same after a restart
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	Site        string      `cbor:"3,keyasint"` // data centre
+	Version     string      `cbor:"4,keyasint"` // of the program
+	Schema      int         `cbor:"5,keyasint"`
+	Forward     string      `cbor:"6,keyasint"` // host:port that takes forwarded requests; empty: takes none
+}
+
+// Kind is what a record is about.
+type Kind uint8
+
+// The kinds. One that is unknown is carried on and not read.
+const (
+	Breaker  Kind = 1 // body: Report; named by upstream and class
+	Load     Kind = 2 // body: Pressure; one for each owner
+	Digest   Kind = 3 // body: Summary; from the holder of a site's digest
+	Incident Kind = 4 // body: Announcement
+	Trial    Kind = 5 // body: Tried; from the holder of an upstream's trials
+)
+
+// Key names a record. There is one of each key at a time.
+type Key struct {
+	Owner string `cbor:"1,keyasint"` // the member that says it
+	Kind  Kind   `cbor:"2,keyasint"`
+	Name  string `cbor:"3,keyasint"` // among the owner's of this kind
+}
+
+// Record is the one thing that travels. Records form a join-semilattice by key: the later one is the join, so order, loss and
+// repetition make no difference.
+type Record struct {
+	Key
+	Incarnation Incarnation   `cbor:"4,keyasint"` // of the owner
+	Seq         uint64        `cbor:"5,keyasint"` // rises with each record of the owner's process
+	TTL         time.Duration `cbor:"6,keyasint"` // what is left of it when sent; each hop ages it by its own monotonic clock
+	Over        bool          `cbor:"7,keyasint"` // the owner takes back what it said; kept until its TTL ends
+	Body        []byte        `cbor:"8,keyasint"` // of the kind
+}
+
+// Later tells whether r takes the place of other, which has the same key.
+func (r *Record) Later(other *Record) bool {
+	return cmp.Or(r.Incarnation.compare(other.Incarnation), cmp.Compare(r.Seq, other.Seq)) > 0
+}
+
+var errBounds = errors.New("out of bounds")
+
+// Check tells what of a record can't be taken in.
+func (r *Record) Check() error {
+	switch {
+	case r.Owner == "" || len(r.Owner) > NameMost || len(r.Name) > 2*NameMost:
+		return fmt.Errorf("%w: names of %d and %d bytes", errBounds, len(r.Owner), len(r.Name))
+	case len(r.Body) > BodyMost:
+		return fmt.Errorf("%w: a body of %d bytes", errBounds, len(r.Body))
+	case r.TTL <= 0 || r.TTL > TTLMost:
+		return fmt.Errorf("%w: a time to live of %v", errBounds, r.TTL)
+	}
+	return nil
+}
+
+// BreakerState is what a sidecar does with an upstream by its own evidence.
+type BreakerState uint8
+
+// The states.
+const (
+	Closed   BreakerState = iota // it is used
+	Open                         // it is left out
+	HalfOpen                     // a trial is out
+)
+
+// Evidence is why a sidecar left an upstream out.
+type Evidence uint8
+
+// The kinds of evidence. Errors are the server's own answers; the other two may be the path's doing.
+const (
+	Errors  Evidence = iota + 1 // error answers
+	Breaks                      // connections refused or broken
+	Silence                     // no answer
+	Full                        // it turns all away
+)
+
+// Report is what a sidecar says of an upstream, from its own outcomes alone.
+type Report struct {
+	Upstream string       `cbor:"1,keyasint"`
+	SinceMs  int64        `cbor:"2,keyasint"` // its start by the list: what is said holds for that life only
+	Class    string       `cbor:"3,keyasint"` // whose requests the evidence is of; empty: any
+	State    BreakerState `cbor:"4,keyasint"`
+	Evidence Evidence     `cbor:"5,keyasint"`
+	Count    int          `cbor:"6,keyasint"` // attempts that the evidence consists of
+	Version  int64        `cbor:"7,keyasint"` // of the list that the reporter has
+	Doubt    float64      `cbor:"8,keyasint"` // 0 to 1: how far the reporter doubts itself (stopped, starved, cut off)
+}
+
+// Pressure is how much of a sidecar is used: 0 nothing, 1 full. Parts beside the sum, so that operators see which it is.
+type Pressure struct {
+	Total   float64 `cbor:"1,keyasint"`
+	CPU     float64 `cbor:"2,keyasint"` // delay of its own loop, stolen time
+	Sockets float64 `cbor:"3,keyasint"`
+	Heap    float64 `cbor:"4,keyasint"`
+	InHand  float64 `cbor:"5,keyasint"` // against what admission allows
+	Site    float64 `cbor:"6,keyasint"` // what its site's upstreams are used
+}
+
+// Tried is what a trial came to.
+type Tried struct {
+	Upstream string `cbor:"1,keyasint"`
+	SinceMs  int64  `cbor:"2,keyasint"`
+	Epoch    uint64 `cbor:"3,keyasint"` // of the duty under which it was made: an older one is refused
+	OK       bool   `cbor:"4,keyasint"`
+	Step     int    `cbor:"5,keyasint"` // of the closing: how many in a row went well
+}
+
+// Summary is what the holder of a site's digest says for the members of its site.
+type Summary struct {
+	Site     string   `cbor:"1,keyasint"`
+	Epoch    uint64   `cbor:"2,keyasint"`
+	Reports  []Report `cbor:"3,keyasint"` // the site's open breakers, added up
+	Members  int      `cbor:"4,keyasint"` // who stand behind them
+	Pressure float64  `cbor:"5,keyasint"` // mean
+}
+
+// Trouble is what an incident is about.
+type Trouble uint8
+
+// The troubles of a site.
+const (
+	SiteLost Trouble = iota + 1 // its members and upstreams are silent
+	SiteCut                     // its upstreams are silent for others while they answer at home
+)
+
+// Announcement is an incident of a site, said once for the fleet.
+type Announcement struct {
+	Site    string  `cbor:"1,keyasint"`
+	Trouble Trouble `cbor:"2,keyasint"`
+	Epoch   uint64  `cbor:"3,keyasint"`
+	Over    bool    `cbor:"4,keyasint"`
+}
