--- a/balancer/api.go
+++ b/balancer/api.go
@@ -73,9 +73,11 @@
 	WarmUp       time.Duration // and is warm after at most this long
 	FallMultiple float64       // times present capacity that pushes it over; absent: no such rule
 	FallTime     time.Duration // when kept up for this long
+
+	Reports bool // what own evidence says of upstreams is wanted, as Report
 }
 
-// Event is anything a sidecar reports: Members, Ban, Retune, Learnt, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
+// Event is anything a sidecar reports: Members, Ban, Retune, Hearsay, Learnt, Request, Whole, FirstByte, Outcome, Gone, Wake, ProbeResult, Peer.
 type Event interface{ event() }
 
 // State is an upstream's state in the list.
@@ -213,6 +215,7 @@
 	SetTimer                    // report Wake at time At; an earlier SetTimer may be dropped
 	Subscribe                   // ask for the list and its changes
 	Log                         // a line for the operators
+	Report                      // own evidence on the life of Upstream that began At, for other sidecars; only where Settings ask for it
 )
 
 // Action is one thing to do. Only the fields named at its Kind are set.
@@ -225,4 +228,6 @@
 	RetryIn  time.Duration
 	At       time.Duration
 	Text     string
+	Evidence Evidence // NoEvidence: it is used again
+	Count    int      // attempts that it rests on
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,15 +89,18 @@
 	est      estimate
 	out      []*attempt // attempts without outcome, oldest first
 
-	heard       time.Duration // when it last answered
-	answered    time.Duration // when the latest of the attempts that it served was sent
-	fails       int           // attempts sent since then that failed
-	silentSince time.Duration // when the first of them was sent
-	errors      int           // error answers in a row
-	fulls       int           // times in a row that it turned away what it was sent
-	slow        int           // answers in a row that took much longer than most do
-	ejections   int           // in a row, without an answer between
-	until       time.Duration // ejected until
+	heard       time.Duration            // when it last answered
+	answered    time.Duration            // when the latest of the attempts that it served was sent
+	fails       int                      // attempts sent since then that failed
+	silentSince time.Duration            // when the first of them was sent
+	errors      int                      // error answers in a row
+	broke       bool                     // the latest failure was a connection refused or broken
+	fulls       int                      // times in a row that it turned away what it was sent
+	slow        int                      // answers in a row that took much longer than most do
+	ejections   int                      // in a row, without an answer between
+	until       time.Duration            // ejected until
+	hearsay     map[string]time.Duration // by class: kept out until, on what others say, see hearsay.go
+	hearsayAt   time.Duration
 
 	cold     bool
 	coldFrom time.Duration // start of its warm-up
@@ -242,6 +245,8 @@
 		b.ban(e)
 	case Retune:
 		b.retune(e.Settings)
+	case Hearsay:
+		b.hear(e)
 	case Learnt:
 		if e.usable() {
 			b.resume(e)
@@ -743,7 +748,7 @@
 
 // ready: after an ejection one trial at a time, and not with what cannot be sent again.
 func (b *Balancer) ready(u *upstream, r *request) bool {
-	if b.now < u.until {
+	if b.now < u.until || b.keptOut(u, r) {
 		return false
 	}
 	return u.ejections == 0 || len(u.out) == 0 && r.class.Effect != Unsafe
@@ -780,6 +785,7 @@
 		}
 		if u.ejections > 0 {
 			b.log("return %s after %d ejections", u.id, u.ejections)
+			b.report(u, NoEvidence, 0)
 		}
 		u.fails, u.errors, u.ejections, u.until = 0, 0, 0, 0
 	case Timeout, ConnectFailed, Reset, Cancelled:
@@ -789,6 +795,7 @@
 		if res == Timeout && a.sent < u.heard || res == Cancelled && (a.sent < u.heard || !late) {
 			return // slow, not silent
 		}
+		u.broke = res == Reset || res == ConnectFailed
 		if u.fails++; u.fails == 1 {
 			u.silentSince = a.sent
 		}
@@ -807,6 +814,7 @@
 	d = time.Duration(float64(d) * (0.75 + 0.5*b.rng.Float64()))
 	u.ejections++
 	u.until = b.now + d
+	b.report(u, u.evidence(), max(u.fails, u.errors, u.fulls))
 	if u.ejections == 1 {
 		b.log("eject %s: %d failures unheard, %d errors, %d times full in a row", u.id, u.fails, u.errors, u.fulls)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -25,6 +25,7 @@
 	State     string // directory of what outlives the process; empty: nothing does
 	Seed      uint64
 	Limits    Limits
+	Peers     *Peers   // nil: the sidecar shares nothing
 	Known     *listing // the list of upstreams as last held; nil: none
 	Settings  wire.Settings
 
@@ -76,6 +77,7 @@
 	var file struct {
 		Name, Listen, Discovery, Seed string
 		Ops, State                    string
+		Peers                         *Peers
 		Limits                        *Limits
 		Known                         json.RawMessage
 		Settings                      json.RawMessage
@@ -87,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{keys: keys, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops, State: file.State}
+	c := &Config{keys: keys, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops, State: file.State, Peers: file.Peers}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"ops", c.Ops}} {
 		if a.key == "ops" && a.address == "" {
 			continue // no door
@@ -127,6 +129,12 @@
 	if c.keys["settings.Limits.SendCap"] && c.Settings.MaxAttempts < 1 {
 		return nil, fmt.Errorf("settings: Limits.SendCap: %d is not above 0", c.Settings.MaxAttempts)
 	}
+	if c.Peers != nil {
+		if err := c.Peers.check(); err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+		c.Settings.Reports = true
+	}
 	if _, err = balancer.New(c.Settings.Settings, c.Seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -139,6 +147,31 @@
 	return c, nil
 }
 
+// check names the key that can't be used.
+func (p *Peers) check() error {
+	if err := checkAddress(p.Address); err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	for i, seed := range p.Seeds {
+		if err := checkAddress(seed); err != nil {
+			return fmt.Errorf("seeds: number %d: %w", i+1, err)
+		}
+	}
+	if p.Forward != "" {
+		if err := checkAddress(p.Forward); err != nil {
+			return fmt.Errorf("forward: %w", err)
+		}
+	}
+	if p.Service != "" {
+		for one := range strings.SplitSeq(p.Service, ",") {
+			if err := checkAddress(one); err != nil {
+				return fmt.Errorf("service: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
 // keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
 // of them hold. What discovery words is left out: its entries hold what they need to.
 func keysOf(text []byte) (map[string]bool, error) {
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/breaker"
 )
 
 // listing is one message of discovery: the whole list, or what changed.
@@ -239,6 +240,27 @@
 	return "gone"
 }
 
+// life is when a listed upstream started, by the list, and where it stands.
+func (d *directory) life(name string) (sinceMs int64, zone string, listed bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	e, listed := d.entries[name]
+	return int64(e.SinceMs), e.Zone, listed
+}
+
+// lives are the ready upstreams, as breakers know them.
+func (d *directory) lives() []breaker.Upstream {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	all := make([]breaker.Upstream, 0, len(d.entries))
+	for name, e := range d.entries {
+		if e.Status == statusReady {
+			all = append(all, breaker.Upstream{Name: name, Site: e.Zone, SinceMs: int64(e.SinceMs)})
+		}
+	}
+	return all
+}
+
 // ready tells whether an upstream takes requests, and still does so at that place.
 func (d *directory) ready(name string, at place) bool {
 	now, ok := d.place(name)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/ring"
 )
 
 // loop owns the Balancer: one goroutine that turns what happens into events and carries out the actions,
@@ -16,6 +17,7 @@
 	b       *balancer.Balancer
 	send    func(ctx context.Context, upstream string, r *clientRequest) reply
 	ask     func()
+	shared  *sharing    // nil: nothing is shared
 	started atomic.Bool // the known list is in
 
 	bad     *lines                    // on requests that ended badly
@@ -169,6 +171,10 @@
 		look = ticker.C
 		l.look(nil)
 	}
+	var verdicts *ring.Ring[string, balancer.Hearsay]
+	if l.shared != nil {
+		verdicts = l.shared.verdicts
+	}
 	for {
 		select {
 		case e := <-l.news:
@@ -183,6 +189,10 @@
 			l.event(e)
 		case <-l.timer.C:
 			l.handle(balancer.Wake{})
+		case <-verdicts.Wake():
+			for h, ok := verdicts.Take(); ok; h, ok = verdicts.Take() {
+				l.handle(h)
+			}
 		case <-tell.C:
 			now := l.stats.snapshot()
 			note(slog.LevelInfo, ofCounts, "counts", append(now.since(&l.told), l.counts.attempts(),
@@ -328,6 +338,8 @@
 		l.timer.Reset(a.At - l.clock.now())
 	case balancer.Subscribe:
 		l.ask()
+	case balancer.Report:
+		l.shared.report(a)
 	case balancer.Log:
 		note(slog.LevelInfo, ofDecisions, a.Text)
 	}
--- /dev/null
+++ b/internal/sidecar/share_test.go
@@ -0,0 +1,47 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+
+	"mosslead/balancer"
+)
+
+// Two sidecars leave an upstream out by their own evidence; the third, which never met the fault, is told.
+func TestAThirdSidecarIsToldOfABreaker(t *testing.T) {
+	var all []*sharing
+	var seeds []string
+	for i, zone := range []string{"makati", "cebu", "cebu"} {
+		c := &Config{Name: fmt.Sprintf("n%d", i), Peers: &Peers{Address: "127.0.0.1:0", Seeds: seeds, Zone: zone}}
+		clk := newClock()
+		dir := newDirectory(clk, func(string) {})
+		index := int64(1)
+		dir.apply(&listing{Index: &index, Snapshot: true, Endpoints: []endpoint{{Name: "s-1", Address: "127.0.0.1:1", Zone: "davao", Status: statusReady, SinceMs: 5}}})
+		s, err := share(c, dir, clk, "test")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.close)
+		all, seeds = append(all, s), append(seeds, s.carrier.Address())
+	}
+	eventually(t, "all know each other", func() bool {
+		for _, s := range all {
+			if s.carrier.Present() < len(all) {
+				return false
+			}
+		}
+		return true
+	})
+	all[0].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1", Evidence: balancer.ByErrors, Count: 3})
+	all[1].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1", Evidence: balancer.BySilence, Count: 3})
+	var h balancer.Hearsay
+	eventually(t, "a verdict", func() (ok bool) { h, ok = all[2].verdicts.Take(); return ok })
+	if h.Upstream != "s-1" || h.Until <= all[2].clock.now() {
+		t.Errorf("told %+v", h)
+	}
+	all[0].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1"})
+	eventually(t, "its end", func() (ok bool) { h, ok = all[2].verdicts.Take(); return ok })
+	if h.Upstream != "s-1" || h.Until != 0 {
+		t.Errorf("told %+v of the end", h)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -116,6 +116,12 @@
 	if learnt != nil {
 		p.loop.postNews(*learnt) // holds more than one
 	}
+	if c.Peers != nil {
+		if p.loop.shared, err = share(c, p.up.dir, p.loop.clock, program()); err != nil {
+			return err
+		}
+		defer p.loop.shared.close()
+	}
 	go p.loop.run(known)
 	go p.watch.run(running, c.Settings.MustSubscribe)
 	p.h.join()
@@ -351,6 +357,14 @@
 	return p.keep.accept(b.ID, b.Lifted, b.Writes)
 }
 
+// program is the version of this program, as it was built.
+func program() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return ""
+}
+
 func classTable(s balancer.Settings) map[string]balancer.Class {
 	classes := map[string]balancer.Class{}
 	for _, class := range s.Classes {
