peer: records age in the queue, the older process of a name stands aside, bytes are bounded

Need: a record that waits for its turn was told with the time it had when queued; two processes under one name both spoke; 300 members could have sent as much as they liked.

Change: a broadcast is worded when it is sent, from the store; the store's bound keeps the largest of an owner by (incarnation, sequence), so it stays a join-semilattice over the bound; what is heard under the own name is left of the process before within 5 s of the start (a later start is taken), and a newer process after (nothing is said any more, Fenced); records go from a budget of 6 KB/s (x/time/rate), pressure and digests from a queue that tells fewer.

Measured: rapid, 100 draws each: merge in another order, again and shuffled gives the same state.

--- a/internal/peer/api/api.go
+++ b/internal/peer/api/api.go
@@ -14,10 +14,11 @@
 
 // Bounds on what is said, in bytes where nothing else stands. What is beyond them is not taken in.
 const (
-	NameMost   = 64   // a member, an upstream, a class, a duty
-	BodyMost   = 1024 // the body of a record, encoded
-	RecordMost = 1400 // a record with its head, encoded: one datagram holds it
-	OwnerMost  = 256  // records of one owner
+	NameMost   = 64      // a member, an upstream, a class, a duty
+	BodyMost   = 1024    // the body of a record, encoded
+	RecordMost = 1400    // a record with its head, encoded: one datagram holds it
+	OwnerMost  = 256     // records of one owner
+	StateMost  = 1 << 20 // all records, encoded: what push/pull brings
 	TTLMost    = time.Minute
 )
 
@@ -28,8 +29,7 @@
 }
 
 // Newer tells whether i is of a later process than other: by the start; of two that started together the higher id is.
-// A clock set back makes a new process look old until it has passed the old one's start: it is told so, and starts with
-// the old one's time plus one.
+// A process whose clock was set back looks older than the one before it, and is told so, see peer.Carrier.
 func (i Incarnation) Newer(other Incarnation) bool { return i.compare(other) > 0 }
 
 func (i Incarnation) compare(other Incarnation) int {
@@ -46,6 +46,14 @@
 	Forward     string      `cbor:"6,keyasint"` // host:port that takes forwarded requests; empty: takes none
 }
 
+// Check tells what of a member can't be taken in.
+func (m *Member) Check() error {
+	if m.Name == "" || max(len(m.Name), len(m.Site), len(m.Version), len(m.Forward)) > NameMost {
+		return fmt.Errorf("%w: a member's name, site, version and address hold 1 to %d bytes", errBounds, NameMost)
+	}
+	return nil
+}
+
 // Kind is what a record is about.
 type Kind uint8
 
@@ -76,7 +84,7 @@
 	Body        []byte        `cbor:"8,keyasint"` // of the kind
 }
 
-// Later tells whether r takes the place of other, which has the same key.
+// Later tells whether r was said after other by the same owner: of two with the same key it is the one that stands.
 func (r *Record) Later(other *Record) bool {
 	return cmp.Or(r.Incarnation.compare(other.Incarnation), cmp.Compare(r.Seq, other.Seq)) > 0
 }
@@ -90,7 +98,7 @@
 		return fmt.Errorf("%w: names of %d and %d bytes", errBounds, len(r.Owner), len(r.Name))
 	case len(r.Body) > BodyMost:
 		return fmt.Errorf("%w: a body of %d bytes", errBounds, len(r.Body))
-	case r.TTL <= 0 || r.TTL > TTLMost:
+	case r.TTL <= 0 || r.TTL > TTLMost: // a clock that runs wild at the sender, or a lie
 		return fmt.Errorf("%w: a time to live of %v", errBounds, r.TTL)
 	}
 	return nil
--- a/internal/peer/api/words.go
+++ b/internal/peer/api/words.go
@@ -9,7 +9,7 @@
 // One form for all words: deterministic, so that equal words are equal bytes, and bounded when read.
 var (
 	encoding, _ = cbor.CoreDetEncOptions().EncMode() // fixed options: they have no error
-	decoding, _ = cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	decoding, _ = cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
 )
 
 // Encode words v, one of this package's types.
@@ -21,7 +21,7 @@
 	return text, nil
 }
 
-// Decode reads one word into v. Fields of a later schema are passed over; anything after the word is an error.
+// Decode reads one word into v, whose length the caller has bounded. Fields of a later schema are passed over; anything after the word is an error.
 func Decode(text []byte, v any) error {
 	if err := decoding.Unmarshal(text, v); err != nil {
 		return fmt.Errorf("reading %T: %w", v, err)
--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -7,14 +7,15 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/memberlist"
+	"golang.org/x/time/rate"
 
 	"mosslead/internal/peer/api"
 	"mosslead/internal/ring"
@@ -25,36 +26,50 @@
 	sweepEvery    = time.Second            // of what has lapsed
 	leavePatience = 500 * time.Millisecond // for the others to hear that this one leaves
 	rejoinEvery   = 5 * time.Second        // while nobody else is there
+	gossipEvery   = 100 * time.Millisecond
+	// bytesRate bounds the records that one process sends, in bytes a second; the library's probes and its push/pull come
+	// to about 1 KB/s more. What does not go now goes later, the newest of each key.
+	bytesRate  = 6 << 10
+	bytesBurst = 16 << 10
+	// A process that has taken part for so long and then hears of a newer one under its name stands aside. Before, what it
+	// hears is left of the process before it, whose clock was ahead, and it takes a later start for itself.
+	settledAfter = 5 * time.Second
 )
 
 // Config is what a carrier begins with.
 type Config struct {
 	Member    api.Member           // this process
-	Address   string               // host:port, for UDP and TCP
+	Address   string               // host:port, for UDP and TCP; port 0: any
 	Seeds     []string             // host:port of members to join by; none need be there
 	Transport memberlist.Transport // nil: sockets at Address
 }
 
 // Carrier is one process among the members. Safe for concurrent use.
 type Carrier struct {
-	self  api.Member
-	list  *memberlist.Memberlist
-	queue *memberlist.TransmitLimitedQueue
-	heard *ring.Ring[api.Key, api.Record]
-	start time.Time
-	seeds []string
+	list   *memberlist.Memberlist
+	soon   *memberlist.TransmitLimitedQueue // what must be known soon
+	later  *memberlist.TransmitLimitedQueue // what the next one makes old: told to fewer
+	budget *rate.Limiter
+	heard  *ring.Ring[api.Key, api.Record]
+	start  time.Time
+	seeds  []string
+	stop   context.CancelFunc
+	done   chan struct{}
 
 	mu      sync.Mutex
+	self    api.Member
+	fenced  bool
 	seq     uint64
 	records *store
 	members map[string]api.Member // who is present, this one too
-	stop    context.CancelFunc
-	done    chan struct{}
 }
 
 // Join begins to take part. It does not wait for the others: it goes on asking the seeds while nobody else is there. An error
-// says why the address can't be used.
+// says what of the configuration can't be used.
 func Join(c Config) (*Carrier, error) {
+	if err := c.Member.Check(); err != nil {
+		return nil, err
+	}
 	host, port, err := net.SplitHostPort(c.Address)
 	if err != nil {
 		return nil, fmt.Errorf("address: %w", err)
@@ -63,15 +78,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("address: port %q: %w", port, err)
 	}
-	p := &Carrier{self: c.Member, heard: ring.New[api.Key, api.Record](heardMost), start: time.Now(), records: newStore(),
-		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address }),
-		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{})}
+	p := newCarrier(c)
 	conf := memberlist.DefaultLANConfig()
 	conf.Name, conf.BindAddr, conf.BindPort, conf.AdvertisePort = c.Member.Name, host, int(number), int(number)
-	conf.Transport, conf.LogOutput, conf.Logger = c.Transport, io.Discard, nil
+	conf.Transport, conf.LogOutput, conf.GossipInterval = c.Transport, io.Discard, gossipEvery
 	conf.Delegate, conf.Events, conf.Conflict = (*delegate)(p), (*events)(p), (*conflict)(p)
-	conf.GossipInterval, conf.ProbeInterval = 100*time.Millisecond, 500*time.Millisecond
-	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
 	if p.list, err = memberlist.Create(conf); err != nil {
 		return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
 	}
@@ -81,6 +92,17 @@
 	return p, nil
 }
 
+// newCarrier takes part in nothing yet.
+func newCarrier(c Config) *Carrier {
+	p := &Carrier{self: c.Member, heard: ring.New[api.Key, api.Record](heardMost), start: time.Now(), records: newStore(api.OwnerMost),
+		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address }),
+		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
+		budget: rate.NewLimiter(bytesRate, bytesBurst)}
+	p.soon = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
+	p.later = &memberlist.TransmitLimitedQueue{RetransmitMult: 1, NumNodes: p.Present}
+	return p
+}
+
 // run joins, and sweeps, until ctx ends.
 func (p *Carrier) run(ctx context.Context) {
 	defer close(p.done)
@@ -93,7 +115,7 @@
 		case <-join.C:
 			if p.Present() < 2 && len(p.seeds) > 0 {
 				if _, err := p.list.Join(p.seeds); err != nil {
-					slog.Debug("nobody to join by", "component", "peer", "err", err)
+					slog.Debug("nobody to join by", "component", "peers", "err", err)
 				}
 			}
 			join.Reset(rejoinEvery)
@@ -119,6 +141,13 @@
 	return errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
 }
 
+// Fenced tells that a newer process has this one's name: it says nothing more and must not act for others.
+func (p *Carrier) Fenced() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fenced
+}
+
 // Present counts the members that are there, this one too.
 func (p *Carrier) Present() int {
 	p.mu.Lock()
@@ -131,10 +160,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]api.Member, 0, len(p.members))
-	for _, m := range p.members {
-		all = append(all, m)
+	for _, name := range slices.Sorted(maps.Keys(p.members)) {
+		all = append(all, p.members[name])
 	}
-	slices.SortFunc(all, func(a, b api.Member) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
@@ -145,7 +173,18 @@
 	return p.members[name].Site
 }
 
-// Say tells the others word, of a kind and under a name of this process's own, for as long as ttl. over takes it back.
+// Dropped counts records that the parts did not take in time, and those left out for an owner's bound.
+func (p *Carrier) Dropped() (late, over uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard.Dropped(), p.records.over
+}
+
+// Heard holds what others say, as it comes.
+func (p *Carrier) Heard() *ring.Ring[api.Key, api.Record] { return p.heard }
+
+// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. over takes it back; it
+// is told on for ttl, so ttl has to be that of what it takes back at least.
 func (p *Carrier) Say(kind api.Kind, name string, word any, ttl time.Duration, over bool) error {
 	body, err := api.Encode(word)
 	if err != nil {
@@ -154,38 +193,71 @@
 	p.mu.Lock()
 	p.seq++
 	r := api.Record{Key: api.Key{Owner: p.self.Name, Kind: kind, Name: name}, Incarnation: p.self.Incarnation, Seq: p.seq, TTL: ttl, Over: over, Body: body}
-	err = r.Check()
-	if err == nil {
+	err, fenced := r.Check(), p.fenced
+	if err == nil && !fenced {
 		p.records.merge(p.now(), r)
 	}
 	p.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		return fmt.Errorf("saying %s: %w", name, err)
+	case fenced:
+		return errors.New("a newer process has this one's name")
 	}
-	return p.pass(r)
+	p.pass(r.Key)
+	return nil
 }
 
-// Heard holds what others say, as it comes.
-func (p *Carrier) Heard() *ring.Ring[api.Key, api.Record] { return p.heard }
-
 // take takes in what came, and passes on what was news.
 func (p *Carrier) take(r api.Record) {
 	p.mu.Lock()
-	news := r.Owner != p.self.Name && p.records.merge(p.now(), r)
+	var news bool
+	if r.Owner == p.self.Name {
+		p.meet(r.Incarnation)
+	} else {
+		news = p.records.merge(p.now(), r)
+	}
 	p.mu.Unlock()
 	if news {
 		p.heard.Put(r.Key, r, r.Over)
-		if err := p.pass(r); err != nil {
-			slog.Warn("not passed on", "component", "peer", "err", err)
-		}
+		p.pass(r.Key)
+	}
+}
+
+// meet is told, with mu held, of a process under this one's name.
+func (p *Carrier) meet(other api.Incarnation) {
+	if !other.Newer(p.self.Incarnation) || p.fenced {
+		return
+	}
+	if p.now() < settledAfter {
+		p.self.Incarnation.StartedMs = other.StartedMs + 1
+		p.members[p.self.Name] = p.self
+		return
 	}
+	p.fenced = true
+	slog.Warn("a newer process has this one's name: nothing is shared any more", "component", "peers", "node", p.self.Name)
 }
 
-func (p *Carrier) pass(r api.Record) error {
+// pass queues the record of a key for the others.
+func (p *Carrier) pass(key api.Key) {
+	queue := p.soon
+	if key.Kind == api.Load || key.Kind == api.Digest {
+		queue = p.later
+	}
+	queue.QueueBroadcast(&broadcast{key: key, p: p})
+}
+
+// word is the record of a key as it is to be sent now, aged by the time that it has lain here; nil: it has lapsed.
+func (p *Carrier) word(key api.Key) []byte {
+	p.mu.Lock()
+	r, ok := p.records.left(p.now(), key)
+	p.mu.Unlock()
+	if !ok {
+		return nil
+	}
 	text, err := api.Encode(r)
-	if err != nil {
-		return err
+	if err != nil { // it was read or worded by us
+		return nil
 	}
-	p.queue.QueueBroadcast(&broadcast{key: r.Key, text: text})
-	return nil
+	return text
 }
--- /dev/null
+++ b/internal/peer/carrier_test.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mosslead/internal/peer/api"
+)
+
+// What a process hears under its own name early is left of the one before; later it is a newer process, and it stands aside.
+func TestTheOlderProcessOfANameStandsAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Config{Member: api.Member{Name: "n1", Incarnation: api.Incarnation{StartedMs: 1000}}}
+		p := newCarrier(c)
+		hear := func(started int64) {
+			p.take(api.Record{Key: api.Key{Owner: "n1", Kind: api.Load}, Incarnation: api.Incarnation{StartedMs: started}, Seq: 9, TTL: time.Second})
+		}
+		hear(5000) // by a clock that was ahead
+		if p.Fenced() || p.Members()[0].Incarnation.StartedMs != 5001 {
+			t.Fatalf("fenced %v, incarnation %+v", p.Fenced(), p.Members()[0].Incarnation)
+		}
+		time.Sleep(settledAfter)
+		if hear(4000); p.Fenced() {
+			t.Fatal("an older process fences a newer one")
+		}
+		if hear(9000); !p.Fenced() {
+			t.Fatal("a newer process does not fence the older one")
+		}
+		if p.Say(api.Load, "", api.Pressure{}, time.Second, false) == nil {
+			t.Error("it goes on saying")
+		}
+	})
+}
--- a/internal/peer/delegates.go
+++ b/internal/peer/delegates.go
@@ -1,18 +1,20 @@
 package peer
 
 import (
-	"fmt"
 	"log/slog"
+	"strconv"
+	"time"
 
 	"github.com/hashicorp/memberlist"
 
 	"mosslead/internal/peer/api"
 )
 
-// broadcast is a record on its way; a later one of its key takes its place.
+// broadcast is the record of a key on its way. It is worded when it is sent, so the time that it waits is taken off, and the
+// newest goes.
 type broadcast struct {
-	key  api.Key
-	text []byte
+	key api.Key
+	p   *Carrier
 }
 
 func (b *broadcast) Invalidates(other memberlist.Broadcast) bool {
@@ -22,17 +24,21 @@
 
 // Name makes the queue look for the one replaced by name instead of asking each.
 func (b *broadcast) Name() string {
-	return fmt.Sprintf("%s/%d/%s", b.key.Owner, b.key.Kind, b.key.Name)
+	return b.key.Owner + "\x00" + strconv.Itoa(int(b.key.Kind)) + "\x00" + b.key.Name
 }
-func (b *broadcast) Message() []byte { return b.text }
+func (b *broadcast) Message() []byte { return b.p.word(b.key) }
 func (b *broadcast) Finished()       {}
 
 // delegate is what the library asks of a carrier, on goroutines of its own.
 type delegate Carrier
 
-func (d *delegate) NodeMeta(limit int) []byte {
-	text, err := api.Encode(d.self)
-	if err != nil || len(text) > limit {
+// NodeMeta words this process. Its bounds were checked, so it fits.
+func (d *delegate) NodeMeta(int) []byte {
+	d.mu.Lock()
+	self := d.self
+	d.mu.Unlock()
+	text, err := api.Encode(self)
+	if err != nil {
 		return nil
 	}
 	return text
@@ -46,8 +52,30 @@
 	(*Carrier)(d).take(r)
 }
 
+// GetBroadcasts fills a datagram as far as the budget goes.
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.queue.GetBroadcasts(overhead, limit)
+	now := time.Now()
+	limit = min(limit, int(d.budget.TokensAt(now)))
+	if limit <= 0 {
+		return nil
+	}
+	all := d.soon.GetBroadcasts(overhead, limit)
+	used := 0
+	for _, text := range all {
+		used += overhead + len(text)
+	}
+	for _, text := range d.later.GetBroadcasts(overhead, limit-used) {
+		used += overhead + len(text)
+		all = append(all, text)
+	}
+	d.budget.AllowN(now, used)
+	kept := all[:0]
+	for _, text := range all {
+		if len(text) > 0 { // else it lapsed while it waited
+			kept = append(kept, text)
+		}
+	}
+	return kept
 }
 
 // LocalState is all that has not lapsed, for a member that push/pull meets.
@@ -56,15 +84,16 @@
 	all := d.records.live((*Carrier)(d).now())
 	d.mu.Unlock()
 	text, err := api.Encode(all)
-	if err != nil {
-		slog.Warn("no state for a member", "component", "peer", "err", err)
+	if err != nil || len(text) > api.StateMost {
+		slog.Warn("no state for a member", "component", "peers", "bytes", len(text), "err", err)
+		return nil
 	}
 	return text
 }
 
 func (d *delegate) MergeRemoteState(text []byte, _ bool) {
 	var all []api.Record
-	if err := api.Decode(text, &all); err != nil {
+	if len(text) > api.StateMost || api.Decode(text, &all) != nil {
 		return
 	}
 	for _, r := range all {
@@ -88,19 +117,24 @@
 
 func (e *events) set(n *memberlist.Node) {
 	var m api.Member
-	if api.Decode(n.Meta, &m) != nil || m.Name != n.Name || n.Name == e.self.Name {
+	if api.Decode(n.Meta, &m) != nil || m.Check() != nil || m.Name != n.Name {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if m.Name == e.self.Name {
+		(*Carrier)(e).meet(m.Incarnation)
+		return
+	}
 	if old, known := e.members[m.Name]; !known || !old.Incarnation.Newer(m.Incarnation) {
 		e.members[m.Name] = m
 	}
 }
 
-// conflict hears of two processes under one name.
+// conflict hears of two processes under one name at two addresses.
 type conflict Carrier
 
 func (c *conflict) NotifyConflict(existing, other *memberlist.Node) {
-	slog.Warn("two processes under one name", "component", "peer", "node", existing.Name, "peer", other.Address())
+	slog.Warn("two processes under one name", "component", "peers", "node", existing.Name, "peer", other.Address())
+	(*events)(c).set(other)
 }
--- a/internal/peer/store.go
+++ b/internal/peer/store.go
@@ -7,11 +7,16 @@
 	"mosslead/internal/peer/api"
 )
 
-// store holds the newest record of each key, until its time to live is over. Pure: it is given the time, of any monotonic clock.
+// store holds the newest record of each key, until its time to live is over, and of each owner the newest `most` of them.
+// Pure: it is given the time, of any monotonic clock.
+//
+// Without time it is a join-semilattice. By key the later record is the join, a total order. The bound takes the largest of an
+// owner by (incarnation, sequence): what it leaves out lies below `most` keys whose records only ever rise, so no order of
+// merging brings it back. Time only takes out, and by each hop's own monotonic clock.
 type store struct {
+	most   int
 	owners map[string]map[api.Key]*held
-	count  int // records in all
-	full   uint64
+	over   uint64 // records left out for the bound
 }
 
 type held struct {
@@ -19,40 +24,52 @@
 	until time.Duration
 }
 
-func newStore() *store { return &store{owners: map[string]map[api.Key]*held{}} }
+func newStore(most int) *store { return &store{most: most, owners: map[string]map[api.Key]*held{}} }
 
-// merge takes r in and tells whether it was news. What is no later than what is there is none, nor what of its owner's newer
-// process is known already.
+// merge takes r in and tells whether it was news.
 func (s *store) merge(now time.Duration, r api.Record) bool {
 	if r.Check() != nil {
 		return false
 	}
 	own := s.owners[r.Owner]
+	if old := own[r.Key]; old != nil && now < old.until && !r.Later(&old.Record) {
+		return false
+	}
 	if own == nil {
 		own = map[api.Key]*held{}
 		s.owners[r.Owner] = own
 	}
-	if old := own[r.Key]; old != nil {
-		if now < old.until && !r.Later(&old.Record) {
-			return false
+	own[r.Key] = &held{r, now + r.TTL}
+	if len(own) <= s.most {
+		return true
+	}
+	s.over++
+	least := r.Key
+	for key, h := range own {
+		if own[least].Later(&h.Record) {
+			least = key
 		}
-	} else if len(own) >= api.OwnerMost {
-		s.full++
-		return false
-	} else {
-		s.count++
 	}
-	own[r.Key] = &held{r, now + r.TTL}
-	return true
+	delete(own, least)
+	return least != r.Key
+}
+
+// left is the record of a key with what is left of its time; false: there is none.
+func (s *store) left(now time.Duration, key api.Key) (api.Record, bool) {
+	h := s.owners[key.Owner][key]
+	if h == nil || h.until <= now {
+		return api.Record{}, false
+	}
+	r := h.Record
+	r.TTL = h.until - now
+	return r, true
 }
 
 // live are the records that have not lapsed, with what is left of their time.
 func (s *store) live(now time.Duration) (all []api.Record) {
 	for _, own := range s.owners {
-		for _, h := range own {
-			if left := h.until - now; left > 0 {
-				r := h.Record
-				r.TTL = left
+		for key := range own {
+			if r, ok := s.left(now, key); ok {
 				all = append(all, r)
 			}
 		}
@@ -63,13 +80,7 @@
 // sweep drops what has lapsed.
 func (s *store) sweep(now time.Duration) {
 	for owner, own := range s.owners {
-		maps.DeleteFunc(own, func(_ api.Key, h *held) bool {
-			over := h.until <= now
-			if over {
-				s.count--
-			}
-			return over
-		})
+		maps.DeleteFunc(own, func(_ api.Key, h *held) bool { return h.until <= now })
 		if len(own) == 0 {
 			delete(s.owners, owner)
 		}
--- /dev/null
+++ b/internal/peer/store_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mosslead/internal/peer/api"
+)
+
+// few is the bound in these tests: draws go beyond it.
+const few = 6
+
+// said draws a record of few owners and names, so that they meet; what an owner said under a number is one thing.
+func said(t *rapid.T) api.Record {
+	n := rapid.Uint64Range(1, 3*few).Draw(t, "seq")
+	own := api.Incarnation{StartedMs: rapid.Int64Range(1, 2).Draw(t, "start")}
+	return api.Record{Key: api.Key{Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Kind: api.Breaker,
+		Name: fmt.Sprint(n * 7 % (api.OwnerMost + 5))}, Incarnation: own, Seq: n, TTL: time.Minute, Body: []byte{byte(n)}}
+}
+
+func state(rs ...[]api.Record) map[api.Key]uint64 {
+	s := newStore(few)
+	for _, some := range rs {
+		for _, r := range some {
+			s.merge(0, r)
+		}
+	}
+	got := map[api.Key]uint64{}
+	for _, r := range s.live(0) {
+		got[r.Key] = r.Seq<<8 | uint64(r.Incarnation.StartedMs)
+	}
+	return got
+}
+
+// The store is a join-semilattice, over its bound too: order, repetition and grouping make no difference.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.SliceOfN(rapid.Custom(said), 0, 3*few)
+		a, b, c := draw.Draw(t, "a"), draw.Draw(t, "b"), draw.Draw(t, "c")
+		want := state(a, b, c)
+		for name, got := range map[string]map[api.Key]uint64{
+			"another order": state(c, b, a), "again": state(a, b, a, c, b, c), "shuffled": state(rapid.Permutation(append(append(append([]api.Record{}, a...), b...), c...)).Draw(t, "order")),
+		} {
+			if !maps.Equal(want, got) {
+				t.Fatalf("%s: %d records for %d", name, len(got), len(want))
+			}
+		}
+		for owner, n := range counts(want) {
+			if n > few {
+				t.Fatalf("%d records of %s", n, owner)
+			}
+		}
+	})
+}
+
+func counts(all map[api.Key]uint64) map[string]int {
+	n := map[string]int{}
+	for key := range all {
+		n[key.Owner]++
+	}
+	return n
+}
+
+// A record is believed no longer than its owner said, however many hands it goes through.
+func TestRecordsAgeAtEachHop(t *testing.T) {
+	r := api.Record{Key: api.Key{Owner: "a", Kind: api.Breaker, Name: "s-1"}, Seq: 1, TTL: 5 * time.Second}
+	for hop, now := 0, time.Duration(0); hop < 3; hop++ {
+		s := newStore(few)
+		if !s.merge(now, r) {
+			t.Fatalf("hop %d: not taken in", hop)
+		}
+		now += 1500 * time.Millisecond
+		r, _ = s.left(now, r.Key)
+	}
+	if r.TTL != 500*time.Millisecond {
+		t.Fatalf("%v left after three hops of 1.5 s", r.TTL)
+	}
+	if s := newStore(few); s.merge(0, r) && s.merge(time.Second, r) == false {
+		t.Error("a lapsed record stands in the way")
+	}
+}
