peer: what is heard of each kind waits for its own part

Need: one ring for all kinds could have one taker only, and each part has a thread of its own. Change: a ring for each kind; records of a kind that this program does not know are carried on and not read. ./internal/peer passes.

--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	heardMost     = 1024                   // records that wait for the parts
+	heardMost     = 512                    // records of a kind that wait for their part
 	sweepEvery    = time.Second            // of what has lapsed
 	leavePatience = 500 * time.Millisecond // for the others to hear that this one leaves
 	rejoinEvery   = 5 * time.Second        // while nobody else is there
@@ -50,7 +50,7 @@
 	soon   *memberlist.TransmitLimitedQueue // what must be known soon
 	later  *memberlist.TransmitLimitedQueue // what the next one makes old: told to fewer
 	budget *rate.Limiter
-	heard  *ring.Ring[api.Key, api.Record]
+	heard  map[api.Kind]*ring.Ring[api.Key, api.Record] // fixed
 	start  time.Time
 	seeds  []string
 	stop   context.CancelFunc
@@ -94,10 +94,13 @@
 
 // newCarrier takes part in nothing yet.
 func newCarrier(c Config) *Carrier {
-	p := &Carrier{self: c.Member, heard: ring.New[api.Key, api.Record](heardMost), start: time.Now(), records: newStore(api.OwnerMost),
+	p := &Carrier{self: c.Member, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
 		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address }),
 		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
 		budget: rate.NewLimiter(bytesRate, bytesBurst)}
+	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial} {
+		p.heard[kind] = ring.New[api.Key, api.Record](heardMost)
+	}
 	p.soon = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
 	p.later = &memberlist.TransmitLimitedQueue{RetransmitMult: 1, NumNodes: p.Present}
 	return p
@@ -177,11 +180,14 @@
 func (p *Carrier) Dropped() (late, over uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.heard.Dropped(), p.records.over
+	for _, r := range p.heard {
+		late += r.Dropped()
+	}
+	return late, p.records.over
 }
 
-// Heard holds what others say, as it comes.
-func (p *Carrier) Heard() *ring.Ring[api.Key, api.Record] { return p.heard }
+// Heard holds what others say of a kind, as it comes. One part takes it; what no part takes is bounded like the rest.
+func (p *Carrier) Heard(kind api.Kind) *ring.Ring[api.Key, api.Record] { return p.heard[kind] }
 
 // Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. over takes it back; it
 // is told on for ttl, so ttl has to be that of what it takes back at least.
@@ -219,7 +225,9 @@
 	}
 	p.mu.Unlock()
 	if news {
-		p.heard.Put(r.Key, r, r.Over)
+		if heard := p.heard[r.Kind]; heard != nil { // else of a later schema: carried on, not read
+			heard.Put(r.Key, r, r.Over)
+		}
 		p.pass(r.Key)
 	}
 }
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -93,7 +93,7 @@
 	board := breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site})
 	tick := time.NewTicker(boardEvery)
 	defer tick.Stop()
-	heard := s.carrier.Heard()
+	heard := s.carrier.Heard(api.Breaker)
 	for {
 		s.tell(board.Handle(s.clock.now(), breaker.Listed{Upstreams: s.dir.lives()}))
 		select {
@@ -110,7 +110,7 @@
 		case <-heard.Wake():
 			for r, ok := heard.Take(); ok; r, ok = heard.Take() {
 				var report api.Report
-				if r.Kind != api.Breaker || api.Decode(r.Body, &report) != nil {
+				if api.Decode(r.Body, &report) != nil {
 					continue
 				}
 				from := api.Member{Name: r.Owner, Site: s.carrier.Site(r.Owner)}
