spill: local or forwarded by pressure, as a pure choice

Need: a sidecar that is short of processor, sockets or near servers can only refuse, while others stand idle.

Change: a gauge (parts 0 to 1, averaged over 500 ms, the fullest tells; hot from 0.85 until 0.65) and a choice for each arrival: two random present peers, the lower pressure x (with it + 1); its own site's where only the process is short, another's where the site is; only where the expected share served there, less the price of crossing, is 0.1 above home's; from a budget of a fifth of arrivals. Pressure heard 1 s ago counts as it was, at 4 s as full. A sidecar that is hot or above 0.65 takes none, so two that are short never send to each other.

Not taken: a sum of weighted parts (a full heap beside an idle processor would look half used); forwarding by latency (that is the balancer's, by its own outcomes).

--- a/internal/peer/api/api.go
+++ b/internal/peer/api/api.go
@@ -147,6 +147,11 @@
 	Site    float64 `cbor:"6,keyasint"` // what its site's upstreams are used
 }
 
+// Parts are the parts of the sum, each 0 to 1.
+func (p *Pressure) Parts() []*float64 {
+	return []*float64{&p.CPU, &p.Sockets, &p.Heap, &p.InHand, &p.Site}
+}
+
 // Tried is what a trial came to.
 type Tried struct {
 	Upstream string `cbor:"1,keyasint"`
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -1,23 +1,181 @@
 // Package spill owns the choice between local and forwarded, by pressure. Pure: no I/O and no clock.
 package spill
 
-import "mosslead/internal/peer/api"
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"mosslead/internal/peer/api"
+)
+
+// HeaderHop marks a request that came from a peer; its value is 1. It is never forwarded again.
+const HeaderHop = "X-Mosslead-Hop"
+
+const (
+	knee      = 0.7                    // pressure from which work begins to come too late
+	hotFrom   = 0.85                   // from this pressure on a sidecar looks for others
+	coolFrom  = 0.65                   // and until it has fallen to this; whose own is above takes no forwarded work
+	settle    = 500 * time.Millisecond // over which pressure is averaged: a spike of one sample does not flip the state
+	staleFrom = time.Second            // a peer's pressure that was heard so long ago counts as it was
+	staleAt   = 4 * time.Second        // and from here on as full
+	gain      = 0.1                    // of its worth that forwarding must bring to be chosen
+	part      = 0.2                    // of arrivals that may be forwarded
+	burst     = 20.0                   // and so many at once
+	looks     = 6                      // at peers, for each request
+	crossings = 4                      // ways there and back that must fit into what is left of the time
+)
+
+// Gauge follows the pressure of one sidecar.
+type Gauge struct {
+	now api.Pressure
+	at  time.Duration
+	hot bool
+}
+
+// Add takes a sample of the parts in, each 0 (nothing) to 1 (full), and gives the pressure: each part averaged, and in Total the
+// fullest of them, since what is short is what stops the work.
+func (g *Gauge) Add(now time.Duration, p api.Pressure) api.Pressure {
+	w := 1 - math.Exp(-float64(now-g.at)/float64(settle))
+	g.at = now
+	parts, samples := g.now.Parts(), p.Parts()
+	g.now.Total = 0
+	for i, x := range parts {
+		*x += w * (min(max(*samples[i], 0), 1) - *x)
+		g.now.Total = max(g.now.Total, *x)
+	}
+	switch {
+	case g.now.Total >= hotFrom:
+		g.hot = true
+	case g.now.Total <= coolFrom:
+		g.hot = false
+	}
+	return g.now
+}
+
+// Accepts tells whether a sidecar takes forwarded work: behind its own clients', so it refuses that first.
+func (g *Gauge) Accepts() bool { return !g.hot && g.now.Total < coolFrom }
 
 // Choice is what becomes of a request.
 type Choice int
 
-// The choices.
+// The choices. Refusing is what admission does at home.
 const (
-	Home    Choice = iota // this sidecar's balancer decides, as without peers
-	Forward               // to the peer
-	Refuse
+	Home    Choice = iota // this sidecar's balancer decides, as without peers: near, across, or refused
+	Forward               // to a peer
 )
 
-// Weigh adds a pressure's parts up: the fullest one tells, since what is short is what stops the work.
-func Weigh(p api.Pressure) api.Pressure {
-	p.Total = min(1, max(p.CPU, p.Sockets, p.Heap, p.InHand, p.Site))
-	return p
+// Request is what of a request the choice goes by.
+type Request struct {
+	Left  time.Duration // until its client goes
+	Cross time.Duration // there and back between sites
+	Price float64       // of crossing, as a share of the request's worth
 }
 
-// HeaderHop marks a request that came from a peer. It is never forwarded again.
-const HeaderHop = "X-Mosslead-Hop"
+// peer is another sidecar as it was last heard of.
+type peer struct {
+	api.Member
+	pressure float64
+	heard    time.Duration
+	out      int // requests that are with it
+}
+
+// Decider chooses. Not safe for concurrent use.
+type Decider struct {
+	site   string
+	rng    *rand.Rand
+	peers  map[string]*peer
+	order  []*peer // those present that take forwarded work
+	tokens float64
+}
+
+// NewDecider chooses for a sidecar of that site, drawing from seed.
+func NewDecider(site string, seed uint64) *Decider {
+	return &Decider{site: site, rng: rand.New(rand.NewPCG(seed, 1)), peers: map[string]*peer{}, tokens: burst}
+}
+
+// Roster says who is present. Who is not gets nothing; with nobody there all stays at home.
+func (d *Decider) Roster(present []api.Member) {
+	before := d.peers
+	d.peers, d.order = map[string]*peer{}, nil
+	for _, m := range present {
+		p := before[m.Name]
+		if p == nil || p.Incarnation != m.Incarnation {
+			p = &peer{heard: -staleAt} // nothing was heard of this process
+		}
+		p.Member = m
+		d.peers[m.Name] = p
+		if m.Forward != "" {
+			d.order = append(d.order, p)
+		}
+	}
+}
+
+// Heard takes in a peer's pressure.
+func (d *Decider) Heard(now time.Duration, name string, total float64) {
+	if p := d.peers[name]; p != nil {
+		p.pressure, p.heard = total, now
+	}
+}
+
+// Choose decides on one arrival. g is this sidecar's pressure. A request that is forwarded is ended with Over.
+func (d *Decider) Choose(now time.Duration, g *Gauge, r Request) (Choice, string) {
+	d.tokens = min(d.tokens+part, burst)
+	if !g.hot || d.tokens < 1 || len(d.order) == 0 {
+		return Home, ""
+	}
+	// Where only this process is short, its site's others have what it lacks; where the site is, another site's have.
+	siteShort := g.now.Site >= max(g.now.CPU, g.now.Sockets, g.now.Heap) || g.now.InHand >= max(g.now.CPU, g.now.Sockets, g.now.Heap)
+	var best *peer
+	seen := 0
+	for range looks {
+		p := d.order[d.rng.IntN(len(d.order))]
+		away := p.Site != d.site
+		if p == best || away != siteShort || away && r.Left < crossings*r.Cross || d.full(now, p) >= coolFrom {
+			continue
+		}
+		if best == nil || d.weight(now, p) < d.weight(now, best) {
+			best = p
+		}
+		if seen++; seen == 2 {
+			break
+		}
+	}
+	if best == nil {
+		return Home, ""
+	}
+	price := 0.0
+	if siteShort {
+		price = r.Price
+	}
+	if served(d.full(now, best))-price < served(g.now.Total)+gain {
+		return Home, ""
+	}
+	d.tokens--
+	best.out++
+	return Forward, best.Name
+}
+
+// Over ends a forwarded request.
+func (d *Decider) Over(name string) {
+	if p := d.peers[name]; p != nil && p.out > 0 {
+		p.out--
+	}
+}
+
+// weight is the load of the design's two choices, with pressure in latency's place.
+func (d *Decider) weight(now time.Duration, p *peer) float64 {
+	return d.full(now, p) * float64(p.out+1)
+}
+
+// full is a peer's pressure now: the longer nothing was heard of it, the nearer to full.
+func (d *Decider) full(now time.Duration, p *peer) float64 {
+	old := float64(now-p.heard-staleFrom) / float64(staleAt-staleFrom)
+	return p.pressure + (1-p.pressure)*min(max(old, 0), 1)
+}
+
+// served is the share of requests that are answered within their aim at a pressure: all up to the knee, none where it is full.
+func served(pressure float64) float64 { return 1 - max(0, pressure-knee)/(1-knee) }
+
+// Present counts the peers that take forwarded work.
+func (d *Decider) Present() int { return len(d.order) }
--- /dev/null
+++ b/internal/spill/spill_test.go
@@ -0,0 +1,105 @@
+package spill
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mosslead/internal/peer/api"
+)
+
+const second = time.Second
+
+// pressed is a gauge that has settled at these parts.
+func pressed(p api.Pressure) *Gauge {
+	g := &Gauge{}
+	for t := time.Duration(0); t < 10*second; t += second / 10 {
+		g.Add(t, p)
+	}
+	return g
+}
+
+func fleet(d *Decider, now time.Duration, at map[string]float64) {
+	var all []api.Member
+	for name := range at {
+		all = append(all, api.Member{Name: name, Site: name[:1], Forward: "127.0.0.1:1"})
+	}
+	d.Roster(all)
+	for name, p := range at {
+		d.Heard(now, name, p)
+	}
+}
+
+func TestOneSpikeDoesNotFlip(t *testing.T) {
+	g := pressed(api.Pressure{CPU: 0.6})
+	if g.Add(10*second, api.Pressure{CPU: 1}); g.hot || !g.Accepts() && g.now.Total < coolFrom {
+		t.Errorf("one sample of 1 made it hot at %v", g.now.Total)
+	}
+	g = pressed(api.Pressure{CPU: 0.9})
+	if g.Add(10*second, api.Pressure{CPU: 0.7}); !g.hot {
+		t.Errorf("one sample of 0.7 cooled it at %v", g.now.Total)
+	}
+}
+
+func TestWhoGetsTheWork(t *testing.T) {
+	process, site := api.Pressure{CPU: 1, Site: 0.2}, api.Pressure{CPU: 0.2, Site: 1}
+	far := Request{Left: second, Cross: 20 * time.Millisecond, Price: 0.1}
+	for name, c := range map[string]struct {
+		own   api.Pressure
+		r     Request
+		peers map[string]float64
+		age   time.Duration
+		want  []string // any of them; none: home
+	}{
+		"nothing is short":                   {api.Pressure{CPU: 0.5}, far, map[string]float64{"a1": 0, "b1": 0}, 0, nil},
+		"only the process is short":          {process, far, map[string]float64{"a1": 0.1, "b1": 0}, 0, []string{"a1"}},
+		"the site is short":                  {site, far, map[string]float64{"a1": 0, "b1": 0.1, "c1": 0.1}, 0, []string{"b1", "c1"}},
+		"the lower pressure of two":          {site, far, map[string]float64{"b1": 0.6, "b2": 0.1}, 0, []string{"b2"}},
+		"all are pressed":                    {site, far, map[string]float64{"b1": 0.8, "c1": 0.9}, 0, nil},
+		"no time for the way":                {site, Request{Left: 70 * time.Millisecond, Cross: 20 * time.Millisecond}, map[string]float64{"b1": 0}, 0, nil},
+		"crossing costs more than it brings": {site, Request{Left: second, Price: 0.95}, map[string]float64{"b1": 0}, 0, nil},
+		"what was heard is old":              {site, far, map[string]float64{"b1": 0, "c1": 0}, 4 * second, nil},
+		"nobody is there":                    {site, far, nil, 0, nil},
+	} {
+		got := map[string]bool{}
+		for seed := range uint64(20) {
+			d := NewDecider("a", seed)
+			fleet(d, 0, c.peers)
+			if choice, to := d.Choose(c.age, pressed(c.own), c.r); choice == Forward {
+				got[to] = true
+			}
+		}
+		for _, want := range c.want {
+			if !got[want] {
+				t.Errorf("%s: never to %s", name, want)
+			}
+			delete(got, want)
+		}
+		if len(got) > 0 {
+			t.Errorf("%s: to %v", name, got)
+		}
+	}
+}
+
+// However long the trouble lasts, no more than the stated part is forwarded, and what is out at a peer weighs.
+func TestForwardingHasABudgetAndSpreads(t *testing.T) {
+	d, g := NewDecider("a", 1), pressed(api.Pressure{Site: 1})
+	fleet(d, 0, map[string]float64{"b1": 0.2, "b2": 0.2, "b3": 0.2, "b4": 0.2})
+	to, sent, most := map[string]int{}, 0, 0
+	for range 2000 {
+		if choice, name := d.Choose(0, g, Request{Left: second}); choice == Forward {
+			to[name]++
+			sent++
+		}
+	}
+	least := sent
+	for _, n := range to {
+		most, least = max(most, n), min(least, n)
+	}
+	if sent > int(2000*part+burst) || sent < int(2000*part) {
+		t.Errorf("%d of 2000 forwarded", sent)
+	}
+	if len(to) != 4 || most > least+least/10 {
+		t.Errorf("spread %s", fmt.Sprint(to))
+	}
+}
