sidecar: forwarded requests, out to peers and in from them, with a thread for the pressure

Change: peers are a second pool of the kind that sends nothing twice; a forwarded request is the client's own with what is left of its time and one header of one hop, taken on a listener of its own (`peers.forward`, 32 connections set aside, 16 out). Only a peer's word that it never began (X-Not-Processed), or no way to tell it, brings it home; a reset or silence after the last byte fails it, safe or not, since behind a cut link the peer's attempt may still be out. The receiver refuses first when under pressure, takes no second hop (400) and drops the header.

Not taken: forwarding from the loop as an attempt like others: the module would need peers among its upstreams, and estimates of them. Going home after a reset where the class is safe: two attempts could be out at once.

Off (no `peers.forward`): no listener, no goroutine, no event.

--- /dev/null
+++ b/internal/sidecar/forward.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mosslead/balancer"
+	"mosslead/internal/peer/api"
+	"mosslead/internal/spill"
+)
+
+const (
+	forwardOut    = 16                    // connections to peers, and
+	forwardIn     = 32                    // from them; their descriptors are set aside
+	forwardMargin = 5 * time.Millisecond  // before the client's time is up, for the answer to reach it
+	crossTime     = 20 * time.Millisecond // there and back between sites
+)
+
+// forwards is the way of forwarded requests, out to peers and in from them. A forwarded request is the client's own, in the form
+// in which the client sent it, with what is left of its time and one header of one hop. While it is with the peer an attempt of
+// it is out, so nothing else is done with it; only a peer's word that it never began brings it home.
+type forwards struct {
+	out    *upstreams // peers in the place of upstreams: a pool that sends nothing twice
+	in     net.Listener
+	srv    *http.Server
+	taken  atomic.Int64 // forwarded to this sidecar and admitted
+	turned atomic.Int64 // and refused for pressure
+	sent   atomic.Int64 // forwarded by this sidecar
+	home   atomic.Int64 // of them, those that came home unbegun
+	abort  context.CancelFunc
+	ctx    context.Context // of what is out
+
+	mu     sync.Mutex
+	decide *spill.Decider
+	gauge  spill.Gauge
+	price  float64 // of a crossing, as a share of a request's worth
+}
+
+// newForwards listens for peers, where they are to send.
+func newForwards(c *Config, clk clock) (*forwards, error) {
+	in, err := net.Listen("tcp", c.Peers.Forward)
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	f := &forwards{out: newUpstreams(c, clk, forwardOut), in: in, decide: spill.NewDecider(c.Peers.site(c), c.Seed), price: c.Settings.PriceCrossZone}
+	f.ctx, f.abort = context.WithCancel(context.Background())
+	return f, nil
+}
+
+// serve takes what peers forward, with the server that clients have; it ends with close.
+func (f *forwards) serve(s *server) {
+	conns := newClientConns(f.in, forwardIn)
+	f.srv = &http.Server{Handler: f.hop(s), ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle, MaxHeaderBytes: maxHeader,
+		DisableGeneralOptionsHandler: true, ConnState: conns.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}}
+	go func() {
+		if err := f.srv.Serve(conns); !errors.Is(err, http.ErrServerClosed) {
+			warn(ofPeers, "nothing is taken from peers any more", err)
+		}
+	}()
+}
+
+// hop admits what comes from peers: not what has come two hops, and nothing under pressure. What it refuses has not begun.
+func (f *forwards) hop(s *server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if hops := r.Header[spill.HeaderHop]; len(hops) != 1 || hops[0] != "1" {
+			s.reject(w, r, &rejection{http.StatusBadRequest, "a peer forwards by one hop, and says so in one " + spill.HeaderHop})
+			return
+		}
+		f.mu.Lock()
+		accepts := f.gauge.Accepts()
+		f.mu.Unlock()
+		if !accepts || s.stopping.Load() || !s.ready() {
+			f.turned.Add(1)
+			w.Header().Set(headerNotProcessed, "1")
+			s.say(w, http.StatusServiceUnavailable, "refused: a peer is under pressure")
+			return
+		}
+		f.taken.Add(1)
+		s.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), hopKey{}, true)))
+	})
+}
+
+// hopKey is the context key of a request that came from a peer.
+type hopKey struct{}
+
+// try forwards a request if that is worth more than to keep it. done says that the answer is final; else the request has not
+// begun anywhere and goes on at home.
+func (f *forwards) try(ctx context.Context, now time.Duration, r *clientRequest) (a answer, done bool) {
+	if f == nil || r.opened || r.hop { // a body that is still coming could not come home
+		return a, false
+	}
+	f.mu.Lock()
+	choice, to := f.decide.Choose(now, &f.gauge, spill.Request{Left: r.expires - now, Cross: crossTime, Price: f.price})
+	f.mu.Unlock()
+	if choice != spill.Forward {
+		return a, false
+	}
+	defer func() {
+		f.mu.Lock()
+		f.decide.Over(to)
+		f.mu.Unlock()
+	}()
+	f.sent.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, r.expires-now-forwardMargin)
+	defer cancel()
+	defer context.AfterFunc(f.ctx, cancel)()
+	hop := *r
+	hop.header = r.header.Clone()
+	hop.header.Set(spill.HeaderHop, "1")
+	rep := f.out.attempt(ctx, to, &hop)
+	switch rep.result {
+	case balancer.OK:
+		return answer{kind: served, reply: rep}, true
+	case balancer.Overloaded, balancer.ConnectFailed, balancer.Moot:
+		f.home.Add(1)
+		return a, false
+	}
+	// It may have run. A second attempt here could stand beside the peer's, which a cut link keeps out of sight.
+	return answer{kind: failed, reply: reply{use: rep.use, err: rep.err, result: rep.result}}, true
+}
+
+// roster says which peers there are.
+func (f *forwards) roster(members []api.Member, self string) {
+	list := &listing{Index: new(int64), Snapshot: true}
+	var others []api.Member
+	for _, m := range members {
+		if m.Name != self && m.Forward != "" && checkAddress(m.Forward) == nil {
+			others = append(others, m)
+			list.Endpoints = append(list.Endpoints, endpoint{Name: m.Name, Address: m.Forward, Zone: m.Site, Status: statusReady, SinceMs: float64(m.Incarnation.StartedMs)})
+		}
+	}
+	f.out.dir.apply(list)
+	f.mu.Lock()
+	f.decide.Roster(others)
+	f.mu.Unlock()
+}
+
+// close ends what comes from peers, then what is out.
+func (f *forwards) close() {
+	if f == nil {
+		return
+	}
+	f.abort()
+	if f.srv != nil {
+		f.srv.Close()
+	}
+	f.in.Close()
+}
+
+// figures words what was forwarded, for operators.
+func (f *forwards) figures() []slog.Attr {
+	return []slog.Attr{slog.Int64("forwarded", f.sent.Load()), slog.Int64("came_home", f.home.Load()),
+		slog.Int64("taken_from_peers", f.taken.Load()), slog.Int64("refused_to_peers", f.turned.Load())}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -18,6 +18,7 @@
 	send    func(ctx context.Context, upstream string, r *clientRequest) reply
 	ask     func()
 	shared  *sharing    // nil: nothing is shared
+	pulse   pulse       // of the loop, where somebody wants it
 	started atomic.Bool // the known list is in
 
 	bad     *lines                    // on requests that ended badly
@@ -69,6 +70,7 @@
 	kind    answerKind
 	retryIn time.Duration // of a refusal
 	reply   reply         // of one that was served
+	tried   bool          // an attempt was made
 }
 
 type answerKind int
@@ -202,6 +204,7 @@
 				note(slog.LevelInfo, ofCounts, "by upstream", slog.String("upstreams", l.counts.byUpstream(l.zone)))
 			}
 			l.counts = newCounts()
+			l.shared.note()
 		case <-look:
 			l.look(l.b.Ejected(l.clock.now()))
 		case <-l.stop:
@@ -263,6 +266,9 @@
 		}
 	case ended:
 		l.ended(e)
+	case beat:
+		inHand, zone := l.b.Pressure(l.clock.now())
+		l.pulse.answer(e, inHand, zone)
 	case abort:
 		for id, f := range l.flights {
 			if !f.done {
@@ -386,6 +392,7 @@
 		return false
 	}
 	f.done = true
+	a.tried = len(f.attempts) > 0
 	f.request.answer <- a
 	now := l.clock.now()
 	to := l.bad
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/spill"
 )
 
 // clientRequest is a request that was taken from the client and checked.
@@ -30,6 +31,7 @@
 	body                 *clientBody
 	timeout              time.Duration // what the client states, or its class does
 	opened               bool          // the body was not whole when the request was taken
+	hop                  bool          // a peer has forwarded it
 
 	answer chan answer // holds the final answer
 	broke  chan error  // holds what broke the body off
@@ -43,6 +45,8 @@
 	headerCost    = "X-Cost"
 	headerKey     = "Idempotency-Key"
 
+	headerNotProcessed = "X-Not-Processed"
+
 	writePatience = 5 * time.Second // for a client to take its answer
 )
 
@@ -75,6 +79,7 @@
 	stats    *stats
 	budget   *budget
 	stopping atomic.Bool // connections are to end with their next answer
+	forwards *forwards   // nil: nothing is forwarded
 }
 
 // rejection answers a malformed request, without the module.
@@ -115,6 +120,23 @@
 	} else {
 		begin()
 	}
+	if a, done := s.forwards.try(r.Context(), s.clock.now(), req); done {
+		defer a.reply.drop()
+		if how = a.kind; r.Context().Err() != nil {
+			how = left
+			panic(http.ErrAbortHandler)
+		}
+		if how == failed {
+			s.bad.note("failed", func() []slog.Attr {
+				return []slog.Attr{slog.String("request", cut(req.id)), slog.String("class", req.class), slog.Any("forwarded", a.reply.err)}
+			})
+		}
+		if err := s.finish(w, a); err != nil {
+			how = failed
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
 	if !s.post(arrival{req}) {
 		how = failed
 		s.say(w, http.StatusInternalServerError, "stopped")
@@ -124,6 +146,9 @@
 	case a := <-req.answer:
 		how = a.kind
 		defer a.reply.drop()
+		if req.hop && a.kind == refused && !a.tried { // the peer may go on with it
+			w.Header().Set(headerNotProcessed, "1")
+		}
 		if req.body.open() {
 			s.early(w, req, a)
 			return
@@ -353,9 +378,11 @@
 	}
 	header := endToEnd(r.Header)
 	header.Del(headerTimeout) // what is left of it goes with each attempt
+	header.Del(spill.HeaderHop)
+	hop, _ := r.Context().Value(hopKey{}).(bool)
 	return &clientRequest{id: r.Header.Get(headerID), class: name, rules: class, tenant: r.Header.Get(headerTenant),
 		expires: s.clock.now() + timeout, hint: hint, method: r.Method, target: r.RequestURI, host: r.Host,
-		header: header, body: body, timeout: timeout, opened: body.from != nil,
+		header: header, body: body, timeout: timeout, opened: body.from != nil, hop: hop,
 		answer: make(chan answer, 1), broke: make(chan error, 1)}, nil
 }
 
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -18,6 +18,7 @@
 
 const (
 	ofPeers     = "peers"         // the log's component
+	peerSockets = 16              // of the carrier: its two, and push/pull with others
 	reportsMost = 64              // reports of the loop that wait for the board
 	verdictMost = 64              // verdicts that wait for the loop
 	reportTTL   = 5 * time.Second // what was said of a breaker is believed for so long, unless said anew
@@ -39,9 +40,11 @@
 	carrier  *peer.Carrier
 	dir      *directory
 	clock    clock
+	forwards *forwards                            // nil: nothing is forwarded
 	reports  *ring.Ring[string, api.Report]       // from the loop
 	verdicts *ring.Ring[string, balancer.Hearsay] // to the loop
 	parts    sync.WaitGroup
+	ctx      context.Context // of the parts
 	stop     context.CancelFunc
 }
 
@@ -49,23 +52,63 @@
 func share(c *Config, dir *directory, clk clock, version string) (*sharing, error) {
 	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, api.Report](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
 		self: api.Member{Name: c.Name, Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()},
-			Site: cmp.Or(c.Peers.Zone, c.Settings.Zone), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
+			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
 	var err error
+	if c.Peers.Forward != "" {
+		if s.forwards, err = newForwards(c, clk); err != nil {
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+	}
 	if s.carrier, err = peer.Join(peer.Config{Member: s.self, Address: c.Peers.Address, Seeds: c.Peers.Seeds}); err != nil {
+		s.forwards.close()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	s.stop = stop
-	s.parts.Go(func() { s.breakers(ctx) })
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.parts.Go(func() { s.breakers(s.ctx) })
 	return s, nil
 }
 
+// forward begins to send to peers and to take from them.
+func (s *sharing) forward(p *process) {
+	if s == nil || s.forwards == nil {
+		return
+	}
+	p.s.forwards = s.forwards
+	s.forwards.serve(p.s)
+	s.parts.Go(func() { s.pressure(s.ctx, p) })
+}
+
+// site is where the sidecar stands among the others.
+func (p *Peers) site(c *Config) string { return cmp.Or(p.Zone, c.Settings.Zone) }
+
+// note tells the log what there is of the others.
+func (s *sharing) note() {
+	if s == nil {
+		return
+	}
+	late, over := s.carrier.Dropped()
+	attrs := []slog.Attr{slog.Int("present", s.carrier.Present()), slog.Bool("fenced", s.carrier.Fenced()),
+		slog.Uint64("records_dropped", late+over), slog.Uint64("reports_dropped", s.reports.Dropped()), slog.Uint64("verdicts_dropped", s.verdicts.Dropped())}
+	if s.forwards != nil {
+		attrs = append(attrs, s.forwards.figures()...)
+	}
+	note(slog.LevelInfo, ofPeers, "sharing", attrs...)
+}
+
+// abort fails what is with peers: the process is about to be killed.
+func (s *sharing) abort() {
+	if s != nil && s.forwards != nil {
+		s.forwards.abort()
+	}
+}
+
 // close leaves the others and ends the parts.
 func (s *sharing) close() {
 	if s == nil {
 		return
 	}
 	s.stop()
+	s.forwards.close()
 	s.parts.Wait()
 	if err := s.carrier.Leave(); err != nil {
 		warn(ofPeers, "left without a word", err)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -147,6 +147,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		}}
+	p.loop.shared.forward(p)
 	ended := make(chan error, 1)
 	go func() { ended <- srv.Serve(p.conns) }()
 	go p.take(running, waits)
@@ -175,6 +176,12 @@
 	if c.State != "" {
 		own += keepSockets
 	}
+	if c.Peers != nil {
+		own += peerSockets
+		if c.Peers.Forward != "" {
+			own += forwardIn + forwardOut
+		}
+	}
 	if tmp != "" {
 		own *= 2 // the next process begins beside this one
 	}
@@ -402,7 +409,10 @@
 		longest, aim = max(longest, class.Deadline), max(aim, class.Aim)
 	}
 	killAfter := min(longest, killMost) + killBefore
-	last := time.AfterFunc(killAfter, func() { p.loop.post(abort{}) })
+	last := time.AfterFunc(killAfter, func() {
+		p.loop.shared.abort()
+		p.loop.post(abort{})
+	})
 	defer last.Stop()
 	if replaced {
 		p.conns.awaitNone(max(killAfter-aim, quietAfter))
