peer: pressure is asked for, what an owner stands by is said again, new processes meet others

Need, seen with internal/lab/spread (virtual time): with each of 64 members telling its pressure every 2 s a member sent 7 to 10 KB/s, over the 8 allowed, and more with every member; at 30% loss 1 of 16 never had a breaker in 6 s, since a record is told a few times only; of 64 that started together one lacked another for a minute, since each is told to few while few are known.

Change: pressure goes in one datagram to who asks (Whisper), and only a hot sidecar asks, two peers each 100 ms; a breaker or an incident is said again after a third of its time while its owner lives; a new process meets four others one at a time in its first seconds.

Not taken: pressure in digests only: it would be two hops old, and the choice wants it fresh while a sidecar is hot.

--- a/internal/peer/api/api.go
+++ b/internal/peer/api/api.go
@@ -60,10 +60,11 @@
 // The kinds. One that is unknown is carried on and not read.
 const (
 	Breaker  Kind = 1 // body: Report; named by upstream and class
-	Load     Kind = 2 // body: Pressure; one for each owner
+	Load     Kind = 2 // body: Pressure; told to who asked, and to nobody else
 	Digest   Kind = 3 // body: Summary; from the holder of a site's digest
 	Incident Kind = 4 // body: Announcement
 	Trial    Kind = 5 // body: Tried; from the holder of an upstream's trials
+	Ask      Kind = 6 // no body: the owner wants the receiver's Load
 )
 
 // Key names a record. There is one of each key at a time.
--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -26,7 +27,11 @@
 	sweepEvery    = time.Second            // of what has lapsed
 	leavePatience = 500 * time.Millisecond // for the others to hear that this one leaves
 	rejoinEvery   = 5 * time.Second        // while nobody else is there
-	gossipEvery   = 100 * time.Millisecond
+	// Of many that start together some miss the word of others: each is told to few while few are known. So a new process
+	// meets so many others, one at a time with growing waits from meetFirst on, before it relies on the library's own pace.
+	meetings    = 4
+	meetFirst   = 500 * time.Millisecond
+	gossipEvery = 100 * time.Millisecond
 	// bytesRate bounds the records that one process sends, in bytes a second; the library's probes and its push/pull come
 	// to about 1 KB/s more. What does not go now goes later, the newest of each key.
 	bytesRate  = 6 << 10
@@ -56,6 +61,8 @@
 	stop   context.CancelFunc
 	done   chan struct{}
 
+	name string
+
 	mu      sync.Mutex
 	self    api.Member
 	fenced  bool
@@ -94,11 +101,11 @@
 
 // newCarrier takes part in nothing yet.
 func newCarrier(c Config) *Carrier {
-	p := &Carrier{self: c.Member, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
+	p := &Carrier{self: c.Member, name: c.Member.Name, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
 		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address }),
 		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
 		budget: rate.NewLimiter(bytesRate, bytesBurst)}
-	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial} {
+	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial, api.Ask} {
 		p.heard[kind] = ring.New[api.Key, api.Record](heardMost)
 	}
 	p.soon = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
@@ -113,25 +120,64 @@
 	defer sweep.Stop()
 	join := time.NewTimer(0)
 	defer join.Stop()
-	for {
+	for met := 0; ; {
 		select {
 		case <-join.C:
-			if p.Present() < 2 && len(p.seeds) > 0 {
-				if _, err := p.list.Join(p.seeds); err != nil {
-					slog.Debug("nobody to join by", "component", "peers", "err", err)
-				}
-			}
-			join.Reset(rejoinEvery)
+			join.Reset(p.join(met))
+			met++
 		case <-sweep.C:
 			p.mu.Lock()
 			p.records.sweep(p.now())
+			again := p.again()
 			p.mu.Unlock()
+			for _, key := range again {
+				p.pass(key)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// join meets the seeds, or one of the others, and tells how long to wait for the next time.
+func (p *Carrier) join(met int) time.Duration {
+	by := p.seeds
+	if others := p.list.Members(); len(others) > 1 {
+		if met > meetings {
+			return rejoinEvery
+		}
+		by = []string{others[rand.IntN(len(others))].Address()}
+	}
+	if len(by) > 0 {
+		if _, err := p.list.Join(by); err != nil {
+			slog.Debug("nobody to join by", "component", "peers", "err", err)
+		}
+	}
+	wait := min(meetFirst<<min(met, 10), rejoinEvery)
+	return time.Duration((0.5 + rand.Float64()) * float64(wait))
+}
+
+// again, with mu held, renews what this process stands by and a third of whose time is over: a record may have missed some, and one
+// whose owner has died lapses. What is soon made old by the next one is not said again.
+func (p *Carrier) again() (keys []api.Key) {
+	now := p.now()
+	for key, h := range p.records.owners[p.self.Name] {
+		if h.Over || !lasting(key.Kind) || h.until-now > 2*h.TTL/3 {
+			continue
+		}
+		p.seq++
+		r := h.Record
+		r.Seq = p.seq
+		if p.records.merge(now, r) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// lasting tells the kinds that their owner stands by until it takes them back.
+func lasting(k api.Kind) bool { return k == api.Breaker || k == api.Incident }
+
 func (p *Carrier) now() time.Duration { return time.Since(p.start) }
 
 // Address is where this process takes part.
@@ -144,6 +190,9 @@
 	return errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
 }
 
+// Self is this process's name.
+func (p *Carrier) Self() string { return p.name }
+
 // Fenced tells that a newer process has this one's name: it says nothing more and must not act for others.
 func (p *Carrier) Fenced() bool {
 	p.mu.Lock()
@@ -189,33 +238,74 @@
 // Heard holds what others say of a kind, as it comes. One part takes it; what no part takes is bounded like the rest.
 func (p *Carrier) Heard(kind api.Kind) *ring.Ring[api.Key, api.Record] { return p.heard[kind] }
 
-// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. over takes it back; it
-// is told on for ttl, so ttl has to be that of what it takes back at least.
+// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. A breaker or an incident is
+// said again while this process lives, until over takes it back; that is told on for ttl, which has to be the same.
 func (p *Carrier) Say(kind api.Kind, name string, word any, ttl time.Duration, over bool) error {
-	body, err := api.Encode(word)
+	r, err := p.word(kind, name, word, ttl, over)
 	if err != nil {
 		return err
 	}
 	p.mu.Lock()
-	p.seq++
-	r := api.Record{Key: api.Key{Owner: p.self.Name, Kind: kind, Name: name}, Incarnation: p.self.Incarnation, Seq: p.seq, TTL: ttl, Over: over, Body: body}
-	err, fenced := r.Check(), p.fenced
-	if err == nil && !fenced {
-		p.records.merge(p.now(), r)
-	}
+	p.records.merge(p.now(), r)
 	p.mu.Unlock()
-	switch {
-	case err != nil:
-		return fmt.Errorf("saying %s: %w", name, err)
-	case fenced:
-		return errors.New("a newer process has this one's name")
-	}
 	p.pass(r.Key)
 	return nil
 }
 
+// Whisper tells word to one member, in one datagram, and to nobody else. An error says that it is not there, or that the budget is
+// spent.
+func (p *Carrier) Whisper(to string, kind api.Kind, word any, ttl time.Duration) error {
+	r, err := p.word(kind, "", word, ttl, false)
+	if err != nil {
+		return err
+	}
+	text, err := api.Encode(r)
+	if err != nil {
+		return err
+	}
+	if !p.budget.AllowN(time.Now(), len(text)) {
+		return errSpent
+	}
+	for _, n := range p.list.Members() {
+		if n.Name == to {
+			return p.list.SendBestEffort(n, text)
+		}
+	}
+	return fmt.Errorf("%s is not there", to)
+}
+
+var (
+	errFenced = errors.New("a newer process has this one's name")
+	errSpent  = errors.New("the budget of bytes is spent")
+)
+
+// word numbers and checks what this process says.
+func (p *Carrier) word(kind api.Kind, name string, word any, ttl time.Duration, over bool) (r api.Record, err error) {
+	r = api.Record{Key: api.Key{Owner: p.self.Name, Kind: kind, Name: name}, TTL: ttl, Over: over}
+	if word != nil {
+		if r.Body, err = api.Encode(word); err != nil {
+			return r, err
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seq++
+	r.Incarnation, r.Seq = p.self.Incarnation, p.seq
+	if err := r.Check(); err != nil {
+		return r, fmt.Errorf("saying %s: %w", name, err)
+	}
+	if p.fenced {
+		return r, errFenced
+	}
+	return r, nil
+}
+
 // take takes in what came, and passes on what was news.
 func (p *Carrier) take(r api.Record) {
+	if (r.Kind == api.Load || r.Kind == api.Ask) && r.Owner != p.Self() && r.Check() == nil {
+		p.heard[r.Kind].Put(r.Key, r, false)
+		return
+	}
 	p.mu.Lock()
 	var news bool
 	if r.Owner == p.self.Name {
@@ -249,14 +339,14 @@
 // pass queues the record of a key for the others.
 func (p *Carrier) pass(key api.Key) {
 	queue := p.soon
-	if key.Kind == api.Load || key.Kind == api.Digest {
+	if key.Kind == api.Digest {
 		queue = p.later
 	}
 	queue.QueueBroadcast(&broadcast{key: key, p: p})
 }
 
-// word is the record of a key as it is to be sent now, aged by the time that it has lain here; nil: it has lapsed.
-func (p *Carrier) word(key api.Key) []byte {
+// aged is the record of a key as it is to be sent now, aged by the time that it has lain here; nil: it has lapsed.
+func (p *Carrier) aged(key api.Key) []byte {
 	p.mu.Lock()
 	r, ok := p.records.left(p.now(), key)
 	p.mu.Unlock()
--- a/internal/peer/delegates.go
+++ b/internal/peer/delegates.go
@@ -26,7 +26,7 @@
 func (b *broadcast) Name() string {
 	return b.key.Owner + "\x00" + strconv.Itoa(int(b.key.Kind)) + "\x00" + b.key.Name
 }
-func (b *broadcast) Message() []byte { return b.p.word(b.key) }
+func (b *broadcast) Message() []byte { return b.p.aged(b.key) }
 func (b *broadcast) Finished()       {}
 
 // delegate is what the library asks of a carrier, on goroutines of its own.
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -14,9 +14,7 @@
 
 const (
 	pressureEvery = 100 * time.Millisecond
-	tellStep      = 0.1                    // a change of the pressure that is told at once, and
-	tellEvery     = 2 * time.Second        // else this often: peers take older news for worse
-	tellLeast     = 300 * time.Millisecond // between two
+	askAtOnce     = 2 // peers, each pressureEvery, while this sidecar is hot
 	loadTTL       = 10 * time.Second
 	halfDelay     = 2 * time.Millisecond // of the loop, that counts as half a processor's use
 )
@@ -43,9 +41,8 @@
 	tick := time.NewTicker(pressureEvery)
 	defer tick.Stop()
 	heard := s.carrier.Heard(api.Load)
-	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	var told float64
-	var toldAt, due time.Time
+	asked := s.carrier.Heard(api.Ask)
+	var due time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -59,41 +56,63 @@
 					s.forwards.mu.Unlock()
 				}
 			}
+		case <-asked.Wake():
+			for r, ok := asked.Take(); ok; r, ok = asked.Take() {
+				s.forwards.mu.Lock()
+				load := s.forwards.gauge.Now()
+				s.forwards.mu.Unlock()
+				if err := s.carrier.Whisper(r.Owner, api.Load, load, loadTTL); err != nil {
+					slog.Debug("not answered", "component", ofPeers, "peer", r.Owner, "err", err)
+				}
+			}
 		case <-tick.C:
 			now := time.Now()
-			late := max(0, now.Sub(due)) // a thread of its own that runs late tells of a processor that is short
-			if due.IsZero() {
-				late = 0
+			late := time.Duration(0) // a thread of its own that runs late tells of a processor that is short
+			if !due.IsZero() {
+				late = max(0, now.Sub(due))
 			}
 			due = now.Add(pressureEvery)
+			present := s.carrier.Members()
 			if s.carrier.Fenced() {
-				s.forwards.roster(nil, s.self.Name)
-			} else {
-				s.forwards.roster(s.carrier.Members(), s.self.Name)
-			}
-			metrics.Read(heap)
-			delay := max(time.Duration(p.loop.pulse.delay.Load()), late)
-			select {
-			case p.loop.events <- beat{now}:
-			default: // the loop is behind by all that it can hold
-				delay = pressureEvery
+				present = nil
 			}
-			sample := api.Pressure{CPU: float64(delay) / float64(delay+halfDelay),
-				Sockets: float64(p.conns.count()+p.up.count()) / float64(2*p.most),
-				Heap:    float64(heap[0].Value.Uint64()) / float64(debug.SetMemoryLimit(-1)),
-				InHand:  math.Float64frombits(p.loop.pulse.inHand.Load()),
-				Site:    math.Float64frombits(p.loop.pulse.site.Load())}
+			s.forwards.roster(present, s.self.Name)
 			s.forwards.mu.Lock()
-			total := s.forwards.gauge.Add(s.clock.now(), sample)
+			s.forwards.gauge.Add(s.clock.now(), p.sample(late))
+			hot := s.forwards.gauge.Hot()
 			s.forwards.mu.Unlock()
-			since := now.Sub(toldAt)
-			if since < tellLeast || since < tellEvery && math.Abs(total.Total-told) < tellStep {
-				continue
-			}
-			told, toldAt = total.Total, now
-			if err := s.carrier.Say(api.Load, "", total, loadTTL, false); err != nil && !s.carrier.Fenced() {
-				note(slog.LevelWarn, ofPeers, "the pressure was not said", slog.Any("err", err))
+			if hot {
+				s.ask()
 			}
 		}
 	}
 }
+
+// sample reads the parts of the pressure, and sends the loop the beat whose answer the next sample reads.
+func (p *process) sample(late time.Duration) api.Pressure {
+	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(heap)
+	delay := max(time.Duration(p.loop.pulse.delay.Load()), late)
+	select {
+	case p.loop.events <- beat{time.Now()}:
+	default: // the loop is behind by all that it can hold
+		delay = pressureEvery
+	}
+	return api.Pressure{CPU: float64(delay) / float64(delay+halfDelay),
+		Sockets: float64(p.conns.count()+p.up.count()) / float64(2*p.most),
+		Heap:    float64(heap[0].Value.Uint64()) / float64(debug.SetMemoryLimit(-1)),
+		InHand:  math.Float64frombits(p.loop.pulse.inHand.Load()),
+		Site:    math.Float64frombits(p.loop.pulse.site.Load())}
+}
+
+// ask asks some peers for their pressure. Nobody tells it unasked: 300 that all tell all would cost more than they save.
+func (s *sharing) ask() {
+	s.forwards.mu.Lock()
+	names := s.forwards.decide.Ask(askAtOnce)
+	s.forwards.mu.Unlock()
+	for _, name := range names {
+		if err := s.carrier.Whisper(name, api.Ask, nil, loadTTL); err != nil {
+			slog.Debug("not asked", "component", ofPeers, "peer", name, "err", err)
+		}
+	}
+}
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -156,6 +156,20 @@
 	return Forward, best.Name
 }
 
+// Hot tells whether g's sidecar looks for others; then it has to ask them, see Ask.
+func (g *Gauge) Hot() bool { return g.hot }
+
+// Now is the pressure as of the latest sample.
+func (g *Gauge) Now() api.Pressure { return g.now }
+
+// Ask names up to n peers, by chance, whose pressure is to be asked for.
+func (d *Decider) Ask(n int) (names []string) {
+	for range min(n, len(d.order)) {
+		names = append(names, d.order[d.rng.IntN(len(d.order))].Name)
+	}
+	return names
+}
+
 // Over ends a forwarded request.
 func (d *Decider) Over(name string) {
 	if p := d.peers[name]; p != nil && p.out > 0 {
