--- /dev/null
+++ b/internal/lab/spread/spread.go
@@ -0,0 +1,218 @@
+// Package spread owns the measure of how fast what some sidecars say is known to all, and what that costs: the real carrier and
+// the real board over a network in memory, in real time.
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"mosslead/internal/breaker"
+	"mosslead/internal/peer"
+	"mosslead/internal/peer/api"
+)
+
+const (
+	sites      = 4
+	sayTTL     = 5 * time.Second
+	askEvery   = 100 * time.Millisecond // one member in ten asks two others for their pressure, as hot sidecars do
+	askers     = 10
+	joinWithin = time.Minute
+	blamed     = "s-1" // what two members of two sites leave out
+	slandered  = "s-2" // what one alone blames
+)
+
+// Plan is one measure.
+type Plan struct {
+	Members int
+	Loss    float64       // share of datagrams
+	Delay   time.Duration // one way
+	Length  time.Duration // after all know each other
+	Seed    uint64
+}
+
+// Result is what was seen. Times count from the moment at which the second of two members at two sites said what they leave out.
+type Result struct {
+	Members   int     `json:"members"`
+	Loss      float64 `json:"loss"`
+	Seed      uint64  `json:"seed"`
+	JoinS     float64 `json:"join_s"`     // until all knew each other
+	Known95Ms float64 `json:"known95_ms"` // until 95 of 100 had the verdict
+	KnownMs   float64 `json:"known_ms"`   // until all had
+	Unknown   int     `json:"unknown"`    // who never had
+	Wrong     int     `json:"wrong"`      // verdicts on what one member alone blamed
+	BytesMean float64 `json:"bytes_mean"` // a second, sent by a member
+	BytesMost float64 `json:"bytes_most"` // by the member that sent most
+	Missing   int     `json:"missing"`    // members that somebody took for gone at the end, over all
+	Dropped   int64   `json:"dropped"`    // datagrams that no member took in time: the machine was too slow, do not trust it
+}
+
+type member struct {
+	*peer.Carrier
+	self  api.Member
+	end   *end
+	known time.Time
+	wrong int
+}
+
+// Run measures once.
+func Run(ctx context.Context, p Plan) (r Result, err error) {
+	r = Result{Members: p.Members, Loss: p.Loss, Seed: p.Seed}
+	rng := rand.New(rand.NewPCG(p.Seed, 7))
+	f := &fabric{loss: p.Loss, delay: p.Delay, rng: rand.New(rand.NewPCG(p.Seed, 8)), ends: map[string]*end{}}
+	all := make([]*member, 0, p.Members)
+	ctx, stop := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer func() {
+		stop()
+		parts.Wait()
+		var leaving sync.WaitGroup
+		for _, m := range all {
+			leaving.Go(func() { _ = m.Leave() }) // nothing is left to tell the others
+		}
+		leaving.Wait()
+	}()
+	var seeds []string
+	begun := time.Now()
+	for n := range p.Members {
+		m := &member{self: api.Member{Name: fmt.Sprintf("n%04d", n), Site: fmt.Sprint("site-", n%sites), Schema: api.Schema,
+			Incarnation: api.Incarnation{StartedMs: begun.UnixMilli(), ID: rng.Uint64()}}, end: f.end(n)}
+		if m.Carrier, err = peer.Join(peer.Config{Member: m.self, Address: m.end.String(), Seeds: seeds, Transport: m.end}); err != nil {
+			return r, err
+		}
+		if all = append(all, m); n < 3 {
+			seeds = append(seeds, m.end.String())
+		}
+	}
+	missing := func() (n int) {
+		for _, m := range all {
+			n += p.Members - m.Present()
+		}
+		return n
+	}
+	for missing() > 0 {
+		if err := wait(ctx, 50*time.Millisecond); err != nil {
+			return r, err
+		}
+		if time.Since(begun) > joinWithin {
+			return r, fmt.Errorf("%d members do not know each other after %v", p.Members, joinWithin)
+		}
+	}
+	r.JoinS = time.Since(begun).Seconds()
+	before := make([]int64, len(all))
+	for i, m := range all {
+		before[i] = m.end.sent.Load()
+		parts.Go(func() { m.listen(ctx, begun) })
+		parts.Go(func() { m.tell(ctx) })
+		if i%askers == 0 {
+			parts.Go(func() { m.ask(ctx, p.Members) })
+		}
+	}
+	if err := wait(ctx, p.Length/3); err != nil {
+		return r, err
+	}
+	for _, who := range []struct {
+		m        *member
+		upstream string
+	}{{all[0], slandered}, {all[1], blamed}, {all[2%len(all)], blamed}} {
+		report := api.Report{Upstream: who.upstream, SinceMs: 1, State: api.Open, Evidence: api.Errors, Count: 3}
+		if err := who.m.Say(api.Breaker, who.upstream, report, sayTTL, false); err != nil {
+			return r, err
+		}
+	}
+	said := time.Now()
+	if err := wait(ctx, 2*p.Length/3); err != nil {
+		return r, err
+	}
+	r.Missing = missing()
+	stop()
+	parts.Wait()
+	var times []float64
+	for i, m := range all {
+		sent := float64(m.end.sent.Load()-before[i]) / p.Length.Seconds()
+		r.BytesMean += sent / float64(len(all))
+		r.BytesMost = max(r.BytesMost, sent)
+		r.Wrong += m.wrong
+		r.Dropped += m.end.dropped.Load()
+		if i == 1 || i == 2 {
+			continue // they said it
+		}
+		if m.known.IsZero() {
+			r.Unknown++
+			continue
+		}
+		times = append(times, max(0, float64(m.known.Sub(said))/1e6))
+	}
+	if slices.Sort(times); len(times) > 0 {
+		r.Known95Ms, r.KnownMs = times[(len(times)-1)*95/100], times[len(times)-1]
+	}
+	return r, nil
+}
+
+// listen is a member's board, until ctx ends.
+func (m *member) listen(ctx context.Context, begun time.Time) {
+	board := breaker.New(breaker.Config{Self: m.self.Name, Site: m.self.Site})
+	heard := m.Heard(api.Breaker)
+	take := func(verdicts []breaker.Verdict) {
+		for _, v := range verdicts {
+			switch {
+			case v.Open && v.Upstream == blamed && m.known.IsZero():
+				m.known = time.Now()
+			case v.Open && v.Upstream == slandered:
+				m.wrong++
+			}
+		}
+	}
+	take(board.Handle(time.Since(begun), breaker.Listed{Upstreams: []breaker.Upstream{{Name: blamed, SinceMs: 1}, {Name: slandered, SinceMs: 1}}}))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heard.Wake():
+			for r, ok := heard.Take(); ok; r, ok = heard.Take() {
+				var report api.Report
+				if api.Decode(r.Body, &report) == nil {
+					take(board.Handle(time.Since(begun), breaker.Heard{From: api.Member{Name: r.Owner, Site: m.Site(r.Owner)}, Report: report, TTL: r.TTL, Over: r.Over}))
+				}
+			}
+		}
+	}
+}
+
+// ask asks others for their pressure, until ctx ends.
+func (m *member) ask(ctx context.Context, members int) {
+	for wait(ctx, askEvery) == nil {
+		for range 2 {
+			_ = m.Whisper(fmt.Sprintf("n%04d", rand.IntN(members)), api.Ask, nil, sayTTL) // one that is lost is asked for again
+		}
+	}
+}
+
+// tell answers who asks, until ctx ends.
+func (m *member) tell(ctx context.Context) {
+	asked := m.Heard(api.Ask)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked.Wake():
+			for r, ok := asked.Take(); ok; r, ok = asked.Take() {
+				_ = m.Whisper(r.Owner, api.Load, api.Pressure{Total: 0.5, InHand: 0.5}, sayTTL)
+			}
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("measuring: %w", context.Cause(ctx))
+	}
+}
