sidecar: after SIGTERM connections end between requests, and in order

Need: after SIGTERM clients go on sending on every connection that stays open; each request is to be answered, or its connection closed between requests in order. A body that came whole after the last moment was sent on, and its request died with the process. Change: a connection is told to end and does so itself: its reader alone knows whether some of a request was read. It looks once more for 1 ms (a new one until it is 50 ms old), then closes its sending first, and reads away what crosses for 200 ms at most. The listener closes once nobody waits in its queue. After the last moment what arrives is turned away: nothing has run. The same way of ending is used at the limit of connections and in a hand-over. Not taken: http.Server.Shutdown, which closes idle connections from outside and so can cross what was read.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,36 +19,57 @@
 	mu     sync.Mutex
 	room   *sync.Cond
 	closed bool
-	paused bool                   // another process takes clients
-	quiet  map[net.Conn]time.Time // between requests, since when; zero: busy
+	paused bool                      // another process takes clients
+	last   bool                      // each connection is to end, and no others are to be had once none waits
+	quiet  map[*framedConn]time.Time // between requests, since when; zero: busy
+
+	lingers atomic.Bool // see framedConn
 }
 
 func newClientConns(l net.Listener, most int) *clientConns {
-	c := &clientConns{Listener: l, most: most, quiet: map[net.Conn]time.Time{}}
+	c := &clientConns{Listener: l, most: most, quiet: map[*framedConn]time.Time{}}
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
 
 func (c *clientConns) Accept() (net.Conn, error) {
-	for {
+	for empty := 0; ; {
 		c.mu.Lock()
-		for (c.paused || len(c.quiet) >= c.most) && !c.closed {
+		for (c.paused && !c.last || len(c.quiet) >= c.most) && !c.closed {
 			if !c.paused {
-				c.closeQuietest()
+				c.endQuietest()
 			}
 			c.room.Wait()
 		}
+		last, paused := c.last, c.paused
 		c.mu.Unlock()
+		if last && paused { // what waits is another process's
+			return nil, net.ErrClosed
+		}
+		if last {
+			c.deadline(time.Now().Add(queueLook))
+		}
 		conn, err := c.Listener.Accept()
 		switch {
 		case err == nil:
-			return &framedConn{Conn: conn, accepted: time.Now()}, nil
+			return &framedConn{Conn: conn, accepted: time.Now(), lingers: &c.lingers, ending: last}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
 			return nil, err
+		case last:
+			if empty++; empty == 2 { // none waits
+				return nil, net.ErrClosed
+			}
 		}
 	}
 }
 
+// deadline bounds accepting: the wait that is under way, too.
+func (c *clientConns) deadline(at time.Time) {
+	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = l.SetDeadline(at) // fails on a closed listener only, which accepts nothing
+	}
+}
+
 // pause ends accepting until pause(false), and leaves the listener open: another process may hold it too.
 func (c *clientConns) pause(on bool) {
 	c.mu.Lock()
@@ -57,9 +79,20 @@
 	if on {
 		at = time.Unix(1, 0) // long ago: it wakes an Accept that waits
 	}
-	if l, ok := c.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-		_ = l.SetDeadline(at) // fails on a closed listener only, which accepts nothing
+	c.deadline(at)
+	c.room.Broadcast()
+}
+
+// finish takes what waits in the kernel's queue, which would be reset with the listener, and then closes that. Each
+// connection ends once it is between requests.
+func (c *clientConns) finish() {
+	c.mu.Lock()
+	c.last = true
+	for conn := range c.quiet {
+		conn.end()
 	}
+	c.mu.Unlock()
+	c.deadline(time.Now().Add(queueLook))
 	c.room.Broadcast()
 }
 
@@ -77,7 +110,7 @@
 	return len(c.quiet)
 }
 
-// awaitNone waits until no connection is left, but not longer than that.
+// awaitNone waits until no connection is left, or after finish can come, but not longer than that.
 func (c *clientConns) awaitNone(most time.Duration) {
 	late := false
 	timer := time.AfterFunc(most, func() {
@@ -89,20 +122,20 @@
 	defer timer.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.quiet) > 0 && !late {
+	for (len(c.quiet) > 0 || c.last && !c.closed) && !late {
 		c.room.Wait()
 	}
 }
 
-func (c *clientConns) closeQuietest() {
-	var oldest net.Conn
+func (c *clientConns) endQuietest() {
+	var oldest *framedConn
 	for conn, since := range c.quiet {
 		if !since.IsZero() && (oldest == nil || since.Before(c.quiet[oldest])) {
 			oldest = conn
 		}
 	}
 	if oldest != nil {
-		oldest.Close()
+		oldest.end()
 		c.quiet[oldest] = time.Time{} // gone once the server has seen it
 	}
 }
@@ -115,19 +148,24 @@
 	return c.Listener.Close()
 }
 
-// closeQuiet closes all connections that have carried no request for that long.
-func (c *clientConns) closeQuiet(least time.Duration) {
+// endQuiet ends all connections that have carried no request for that long.
+func (c *clientConns) endQuiet(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.quiet {
 		if !since.IsZero() && time.Since(since) >= least {
-			conn.Close()
+			conn.end()
 		}
 	}
 }
 
 // state follows the server's connections.
-func (c *clientConns) state(conn net.Conn, s http.ConnState) {
+func (c *clientConns) state(of net.Conn, s http.ConnState) {
+	conn, ok := of.(*framedConn)
+	if !ok {
+		return
+	}
+	conn.setActive(s == http.StateActive)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
--- /dev/null
+++ b/internal/sidecar/conn.go
@@ -0,0 +1,127 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	lastLook   = time.Millisecond       // for a request that is here already when its connection is to end
+	queueLook  = 20 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
+	lingerMost = 200 * time.Millisecond // for the client to close its side
+)
+
+// framedConn is a client's connection. It ends in order: never while some of a request was read that has no answer yet,
+// and with its sending first, so that what crosses the end does not make the kernel reset it, and take an answer with it.
+type framedConn struct {
+	net.Conn
+	accepted time.Time
+	lingers  *atomic.Bool // of all connections: the client may be about to send
+	f        framing
+	gone     atomic.Bool // nothing more can come
+
+	mu      sync.Mutex
+	ending  bool // it is to end between requests
+	active  bool // the library has a request in hand
+	waiting bool // a read is under way that can only bring the next request
+}
+
+func (c *framedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.waiting = !c.active && c.f.between()
+	if c.waiting && c.ending {
+		c.look()
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	if c.waiting && c.ending && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.atOnce(p)
+	}
+	if n > 0 && c.waiting && c.ending { // a request has come after all
+		_ = c.Conn.SetReadDeadline(time.Now().Add(sendPatience)) // as the library had it; else the next read shows it
+	}
+	c.waiting = false
+	c.mu.Unlock()
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gone.Store(true)
+	}
+	c.f.scan(p[:n])
+	return n, err
+}
+
+// end has the connection closed once it is between requests. What has come until then is answered.
+func (c *framedConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if c.waiting {
+		c.look()
+	}
+}
+
+// look bounds the read that waits for the next request: the library closes the connection where it brings none.
+func (c *framedConn) look() {
+	until := time.Now().Add(lastLook)
+	if young := c.accepted.Add(justOpened); c.f.none() && young.After(until) {
+		until = young
+	}
+	_ = c.Conn.SetReadDeadline(until) // fails on a closed connection only
+}
+
+// atOnce reads what is there. A read whose time is up does not look, and its goroutine may have been late.
+func (c *framedConn) atOnce(p []byte) (n int, err error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	fd, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails on a closed connection only
+	failed := fd.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), p) // it does not block: the library's sockets never do
+		return true
+	})
+	switch {
+	case failed != nil:
+		return 0, failed
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (c *framedConn) setActive(on bool) {
+	c.mu.Lock()
+	c.active = on
+	c.mu.Unlock()
+}
+
+// CloseWrite lets the library end its sending before it closes.
+func (c *framedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close lingers where a request may cross it: a socket that is closed with bytes unread is reset.
+func (c *framedConn) Close() error {
+	if c.lingers.Load() && !c.gone.Load() && c.CloseWrite() == nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) // fails on a closed connection only
+		_, _ = io.Copy(io.Discard, c.Conn)                     // an end of any kind is as good
+	}
+	return c.Conn.Close()
+}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -3,37 +3,14 @@
 import (
 	"bytes"
 	"math"
-	"net"
 	"strconv"
 	"sync"
-	"time"
 )
 
 // The HTTP library drops a Content-Length that stands beside Transfer-Encoding, and one of two that are equal. Another
 // reader of the same bytes may go by the one dropped, and see a request where we see a body. So a client's connection
 // follows the framing of what is read from it, and says of each request whether its head leaves its end in doubt.
 
-// framedConn is a client's connection.
-type framedConn struct {
-	net.Conn
-	accepted time.Time
-	f        framing
-}
-
-func (c *framedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.f.scan(p[:n])
-	return n, err
-}
-
-// CloseWrite lets the library end its sending before it closes.
-func (c *framedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 type framingState int
 
 const (
@@ -78,6 +55,13 @@
 	return d
 }
 
+// between tells whether nothing of a request was read that the library has not handed on. The reader asks.
+func (f *framing) between() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state == atStart && len(f.line) == 0 && len(f.doubts) == 0
+}
+
 // first tells whether the request that was asked about last was the connection's first.
 func (f *framing) first() bool {
 	f.mu.Lock()
@@ -85,6 +69,13 @@
 	return f.handed == 1
 }
 
+// none tells whether no request was handed on yet.
+func (f *framing) none() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.handed == 0
+}
+
 func (f *framing) scan(p []byte) {
 	for len(p) > 0 && f.state != lost {
 		if f.state == inBody || f.state == inChunk {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -36,6 +36,7 @@
 	stop   <-chan struct{}
 
 	flights map[string]*flight
+	over    bool // see abort
 	acts    []balancer.Action
 	timer   *time.Timer
 }
@@ -116,7 +117,7 @@
 // learning asks for what the module has learnt; learnt holds one.
 type learning struct{ learnt chan balancer.Learnt }
 
-// abort fails all requests in hand: the process is about to be killed.
+// abort fails all requests in hand, and has what comes later turned away: the process is about to be killed.
 type abort struct{}
 
 func newLoop(b *balancer.Balancer, clk clock, stop <-chan struct{}) *loop {
@@ -239,7 +240,7 @@
 			r.answer <- answer{kind: duplicate}
 			return
 		}
-		if l.classes[r.class] != r.rules { // checked by rules that have changed meanwhile: nothing has run
+		if l.over || l.classes[r.class] != r.rules { // checked by rules that have changed meanwhile: nothing has run
 			r.answer <- answer{kind: refused}
 			return
 		}
@@ -270,6 +271,7 @@
 		inHand, zone := l.b.Pressure(l.clock.now())
 		l.pulse.answer(e, inHand, zone)
 	case abort:
+		l.over = true
 		for id, f := range l.flights {
 			if !f.done {
 				l.finish(id, answer{kind: failed})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,13 +26,8 @@
 )
 
 const (
-	ownSockets  = 32                     // descriptors that are neither a client's nor an upstream's
-	memoryPart  = 0.75                   // of the limit that the heap may use
-	quietAfter  = 450 * time.Millisecond // after SIGTERM: clients use the connections that they have until this
-	acceptAfter = 600 * time.Millisecond // and may come on new ones until this
-	justOpened  = 50 * time.Millisecond  // a connection this young is about to bring its request
-	killMost    = 3 * time.Second        // SIGKILL comes this long after SIGTERM, or the longest deadline if that is less,
-	killBefore  = 500 * time.Millisecond // and 0.7 s: what is left then is failed before
+	ownSockets = 32   // descriptors that are neither a client's nor an upstream's
+	memoryPart = 0.75 // of the limit that the heap may use
 	// A peer that sends no whole request is cut off this long after it connected: it is owed an answer or a close
 	// within 3 s, and a connection without a request may be closed from 2 s on.
 	sendPatience = 2500 * time.Millisecond
@@ -324,7 +319,8 @@
 func (p *process) yield() {
 	p.s.stopping.Store(true)
 	p.conns.pause(true)
-	p.conns.closeQuiet(mayClose)
+	p.conns.lingers.Store(true)
+	p.conns.endQuiet(mayClose)
 	p.up.keep(false, 0)
 	p.keep.want(false)
 }
@@ -335,6 +331,7 @@
 		return
 	}
 	p.s.stopping.Store(false)
+	p.conns.lingers.Store(false)
 	p.keep.want(true)
 	p.up.keep(true, p.most)
 	p.conns.pause(false)
@@ -396,36 +393,3 @@
 		return errors.New("this process ends")
 	}
 }
-
-// drain goes on accepting while clients still come, answers everything that was taken, and ends before the
-// process is killed. Where another process takes clients already, it accepts none: each connection ends with its next
-// answer, and what is between requests is closed only when another request could not be answered within its aim.
-func (p *process) drain(srv *http.Server) error {
-	begun := time.Now()
-	p.draining.Store(true)
-	replaced := p.s.stopping.Swap(true)
-	longest, aim := time.Duration(0), time.Duration(0)
-	for _, class := range p.c.Settings.Classes {
-		longest, aim = max(longest, class.Deadline), max(aim, class.Aim)
-	}
-	killAfter := min(longest, killMost) + killBefore
-	last := time.AfterFunc(killAfter, func() {
-		p.loop.shared.abort()
-		p.loop.post(abort{})
-	})
-	defer last.Stop()
-	if replaced {
-		p.conns.awaitNone(max(killAfter-aim, quietAfter))
-	} else {
-		time.Sleep(quietAfter)
-		p.conns.closeQuiet(justOpened) // where that crosses a request, the client comes on a new connection
-		time.Sleep(acceptAfter - quietAfter)
-	}
-	p.conns.closeQuiet(0)
-	ctx, cancel := context.WithTimeout(context.Background(), killAfter+100*time.Millisecond-time.Since(begun))
-	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shutting down: %w", err)
-	}
-	return nil
-}
