sidecar: where it dials can be told by a test

Need: whole exchanges are to be written down on a virtual clock, byte for byte. Listeners are given to serve already; connections to upstreams and discovery were made by net.Dialer on the spot. Change: Config has an unexported dialler, nil outside tests: then net.Dialer with the same time-out as before. No goroutine, no packet, no allocation more in run.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -30,6 +30,7 @@
 	Settings  wire.Settings
 
 	keys map[string]bool // that the file holds, see keysOf
+	dial dialer          // nil outside tests
 }
 
 // Limits is what the platform allows the process.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -49,7 +49,9 @@
 		w.index = *c.Known.Index
 	}
 	w.client = &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: c.Settings.ConnectTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dial.within(ctx, c.Settings.ConnectTimeout, network, address)
+		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -30,6 +30,7 @@
 // upstreams carries out attempts, over connections that carry one request at a time.
 type upstreams struct {
 	dir        *directory
+	dial       dialer
 	dispatched func() // an attempt was written whole
 	budget     *budget
 
@@ -44,7 +45,7 @@
 }
 
 func newUpstreams(c *Config, clk clock, most int) *upstreams {
-	u := &upstreams{dispatched: func() {}, budget: &budget{left: int64(c.Limits.MemoryMB * budgetPart * (1 << 20))},
+	u := &upstreams{dial: c.dial, dispatched: func() {}, budget: &budget{left: int64(c.Limits.MemoryMB * budgetPart * (1 << 20))},
 		most: most, lasts: true}
 	u.retune(c.Settings)
 	u.dir = newDirectory(clk, u.drop)
@@ -342,8 +343,7 @@
 	u.mu.Unlock()
 	c := &upstreamConn{name: name, at: at, patience: times.late}
 	var err error
-	dialer := net.Dialer{Timeout: times.connect}
-	if c.Conn, err = dialer.DialContext(ctx, "tcp", at.address); err == nil {
+	if c.Conn, err = u.dial.within(ctx, times.connect, "tcp", at.address); err == nil {
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
 		transport := &http.Transport{
