memnet: a network in memory for bubbles of testing/synctest

Need: a bubble's clock goes on only when all in it wait durably, which sockets do not; and what is written down must come in the same order every time. Change: hosts with addresses, listeners with a bounded queue, connections with a bounded window, deadlines, half close, and resets as TCP has them (closed unread, written to what is closed, killed), refusal, silence, no such host. A way takes time, so what follows from a message never shares its moment. It tells an observer of every connection and byte. No library found has deadlines and resets and waits durably at once: bufconn and net.Pipe have no resets, memconn neither, and the whole TCP stacks in user space wait in ways of their own.

--- /dev/null
+++ b/internal/lab/memnet/memnet_test.go
@@ -0,0 +1,123 @@
+package memnet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/net/nettest"
+)
+
+func pair(t *testing.T, n *Network) (near, far net.Conn, a, b *Host) {
+	t.Helper()
+	a, b = n.Host("a", "10.0.0.1", time.Microsecond), n.Host("b", "10.0.0.2", 0)
+	l, err := b.Listen(80)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if near, err = a.Dial(t.Context(), "tcp", "10.0.0.2:80"); err == nil {
+		far, err = l.Accept()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far, a, b
+}
+
+// Guards against connections that are none by the standard library's measure: order, deadlines, races.
+func TestConnectionsAreConnections(t *testing.T) {
+	nettest.TestConn(t, func() (net.Conn, net.Conn, func(), error) {
+		n := New(func(Event) {})
+		near, far, _, _ := pair(t, n)
+		return near, far, n.Close, nil
+	})
+}
+
+// Guards against ends that look alike: an end in order, one with something unread or on its way, and a process that dies.
+func TestEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		end        func(near, far net.Conn, b *Host)
+		text       string
+		read, back error // what the near side's reading ends with, and its writing then
+	}{
+		"closed": {func(_, far net.Conn, _ *Host) { _, _ = io.WriteString(far, "ab"); far.Close() }, "ab", nil, nil},
+		"half":   {func(_, far net.Conn, _ *Host) { _ = far.(*end).CloseWrite() }, "", nil, nil},
+		"unread": {func(near, far net.Conn, _ *Host) {
+			_, _ = near.Write([]byte("x"))
+			time.Sleep(time.Second)
+			far.Close()
+		}, "", syscall.ECONNRESET, syscall.EPIPE},
+		"crossed": {func(near, far net.Conn, _ *Host) {
+			_, _ = near.Write([]byte("x"))
+			far.Close()
+			time.Sleep(time.Second)
+		}, "", nil, syscall.EPIPE},
+		"too late": {func(near, far net.Conn, _ *Host) {
+			far.Close()
+			time.Sleep(time.Second)
+			_, _ = near.Write([]byte("x"))
+			time.Sleep(time.Second)
+		}, "", nil, syscall.EPIPE},
+		"dead":   {func(_, far net.Conn, b *Host) { _, _ = io.WriteString(far, "ab"); b.Kill() }, "ab", syscall.ECONNRESET, syscall.EPIPE},
+		"silent": {func(_, far net.Conn, b *Host) { b.Silence(true); far.Close() }, "", os.ErrDeadlineExceeded, nil},
+		"back again": {func(_, far net.Conn, b *Host) {
+			b.Silence(true)
+			_, _ = io.WriteString(far, "ab")
+			far.Close()
+			b.Silence(false)
+		}, "ab", nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(func(Event) {})
+				defer n.Close()
+				near, far, _, b := pair(t, n)
+				c.end(near, far, b)
+				_ = near.SetReadDeadline(time.Now().Add(time.Minute))
+				text, err := io.ReadAll(near)
+				if _, back := near.Write([]byte("y")); string(text) != c.text || !errors.Is(err, c.read) || !errors.Is(back, c.back) {
+					t.Errorf("read %q, %v; then wrote: %v", text, err, back)
+				}
+			})
+		})
+	}
+}
+
+// Guards against dialling that comes up too soon, or never ends: the way there and back, refusal, silence, no such host.
+func TestDialling(t *testing.T) {
+	for name, c := range map[string]struct {
+		address string
+		silent  bool
+		want    error
+		took    time.Duration
+	}{
+		"up":      {"10.0.0.2:80", false, nil, 4 * time.Second},
+		"refused": {"10.0.0.2:81", false, syscall.ECONNREFUSED, 4 * time.Second},
+		"silent":  {"10.0.0.2:80", true, os.ErrDeadlineExceeded, time.Minute},
+		"no host": {"10.0.0.3:80", false, os.ErrDeadlineExceeded, time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(func(Event) {})
+				defer n.Close()
+				a, b := n.Host("a", "10.0.0.1", time.Second), n.Host("b", "10.0.0.2", time.Second)
+				if _, err := b.Listen(80); err != nil {
+					t.Fatal(err)
+				}
+				b.Silence(c.silent)
+				begun := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				if _, err := a.Dial(ctx, "tcp", c.address); !errors.Is(err, c.want) || time.Since(begun) != c.took {
+					t.Errorf("%v after %v", err, time.Since(begun))
+				}
+			})
+		})
+	}
+}
