transcript: what one sidecar says and is told, written down and approved

Nothing is masked: addresses and seeds are fixed and the clock is the bubble's, so dates and ports do not vary.

--- /dev/null
+++ b/internal/lab/transcript/transcript.go
@@ -0,0 +1,92 @@
+// Package transcript writes down what the hosts of a memnet network said to each other, as a text that a person can
+// approve, and has parties that do as a script says.
+package transcript
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mosslead/internal/lab/memnet"
+)
+
+// Transcript is a record of a network's events. Nothing in it is masked: in a bubble with fixed addresses and seeds nothing
+// varies, dates and ports included. The zero Transcript records nothing yet.
+type Transcript struct {
+	mu     sync.Mutex
+	begun  time.Time
+	on     bool
+	events []memnet.Event
+}
+
+// Begin begins the record, anew where there was one, at the present time of its bubble.
+func (t *Transcript) Begin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begun, t.on, t.events = time.Now(), true, nil
+}
+
+// Take records an event; it is what memnet.New wants.
+func (t *Transcript) Take(e memnet.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.on {
+		t.events = append(t.events, e)
+	}
+}
+
+// Stop ends the record.
+func (t *Transcript) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.on = false
+}
+
+var words = map[memnet.Kind]string{memnet.Dials: "connects", memnet.Refuses: "refuses", memnet.Sends: "sends", memnet.Leaves: "gives up connecting",
+	memnet.Ends: "ends its sending", memnet.Closes: "closes", memnet.Resets: "resets"}
+
+// Text words the record: for each message the time in ms since the beginning, who sent it to whom, and its bytes as in a
+// Go string, with a new line after each \n. A connection has a number from the second on between the same two on. What
+// happened at one moment is in the order of the hosts' names; each side's messages are in its own.
+func (t *Transcript) Text() string {
+	t.mu.Lock()
+	events := slices.Clone(t.events)
+	t.mu.Unlock()
+	slices.SortStableFunc(events, func(a, b memnet.Event) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To), cmp.Compare(a.Conn, b.Conn))
+	})
+	var text strings.Builder
+	numbers, pairs := map[int]int{}, map[[2]string]int{}
+	for i := 0; i < len(events); i++ {
+		e := events[i]
+		for i+1 < len(events) && goesOn(e, events[i+1]) { // a message that was written in pieces
+			i++
+			e.Bytes = slices.Concat(e.Bytes, events[i].Bytes)
+		}
+		if e.Kind == memnet.Dials {
+			pairs[[2]string{e.From, e.To}]++
+			numbers[e.Conn] = pairs[[2]string{e.From, e.To}]
+		}
+		number := ""
+		if n := numbers[e.Conn]; n > 1 {
+			number = fmt.Sprintf(" (%d)", n)
+		}
+		ms := strconv.FormatFloat(float64(e.At.Sub(t.begun).Microseconds())/1000, 'f', -1, 64)
+		fmt.Fprintf(&text, "%s %s > %s%s %s\n", ms, e.From, e.To, number, words[e.Kind])
+		for line := range bytes.Lines(e.Bytes) {
+			quoted := strconv.Quote(string(line))
+			fmt.Fprintf(&text, "\t%s\n", strings.ReplaceAll(quoted[1:len(quoted)-1], `\"`, `"`))
+		}
+	}
+	return text.String()
+}
+
+// goesOn tells whether b goes on with the message a.
+func goesOn(a, b memnet.Event) bool {
+	return a.Kind == memnet.Sends && b.Kind == memnet.Sends && a.At.Equal(b.At) && a.Conn == b.Conn && a.From == b.From
+}
