registry: duties with one holder, under epochs that only rise

Need: sidecars that share need one of them at a time for some work, and a number by which late acts are refused.

Change: commands of schema 2 (take, renew, release, lapse), proposed only while every voter has said that it understands them; /v1/duties; client.Take, RenewDuty, Release, Duties, each one try, an answer that did not come being unknown. Those who are refused are told when to come back, at most one each 100 ms for a duty; one that is better by 100 is named to the holder and finds the duty kept for it. Backups that hold duties are of schema 2, others still of 1; restoring keeps present holders.

--- a/internal/registry/api/api.go
+++ b/internal/registry/api/api.go
@@ -138,6 +138,7 @@
 	CodeFull     = "full"
 	CodeNoLeader = "no leader"
 	CodeStale    = "stale"
+	CodeOldPeer  = "older replica"   // one that would not understand the command is in the quorum
 	CodeUnknown  = "outcome unknown" // it may have been done, or may be yet
 )
 
--- a/internal/registry/api/duty.go
+++ b/internal/registry/api/duty.go
@@ -1,17 +1,58 @@
 package api
 
+import "math"
+
 // Claim is a candidate's wish to hold a duty.
 type Claim struct {
-	Name    string `json:"name"`   // of the duty
-	Holder  string `json:"holder"` // the member and its incarnation: another process of the same member is another holder
-	LeaseMs int64  `json:"lease_ms"`
-	Epoch   uint64 `json:"epoch,omitempty"` // under which it holds the duty, to renew or to give up; 0: to take
+	Name    string  `json:"name,omitempty"`    // of the duty
+	Holder  string  `json:"holder"`            // the member and its incarnation: another process of the same member is another holder
+	LeaseMs int64   `json:"lease_ms"`          // wanted
+	Epoch   uint64  `json:"epoch,omitempty"`   // to renew or to give up: under which it holds the duty; to take: the last that it gave up
+	Fitness float64 `json:"fitness,omitempty"` // 0 to MaxFitness: how well placed the candidate is; the higher is the better
 }
 
 // Grant is a duty as the service has it.
 type Grant struct {
 	Name    string `json:"name"`
-	Holder  string `json:"holder"` // empty: nobody
-	Epoch   uint64 `json:"epoch"`  // rises with each holder, never falls
-	LeaseMs int64  `json:"lease_ms"`
+	Holder  string `json:"holder"`   // empty: nobody
+	Epoch   uint64 `json:"epoch"`    // rises with each holder, never falls
+	LeaseMs int64  `json:"lease_ms"` // from when the call that got it was sent, by the holder's clock
+	// AfterMs is when one that was refused is to ask again: the service spreads those who wait.
+	AfterMs int64 `json:"after_ms,omitempty"`
+	// Better is the highest fitness of those who were refused of late, and whose wish is above the holder's own.
+	Better float64 `json:"better,omitempty"`
+}
+
+// By tells whether holder has the duty, under an epoch above after.
+func (g Grant) By(holder string, after uint64) bool { return g.Holder == holder && g.Epoch > after }
+
+// Duties are all that are held, by name.
+type Duties struct {
+	Duties []Grant `json:"duties"`
+}
+
+// The bounds on duties.
+const (
+	MaxDuties      = 4096
+	MaxHolder      = 192
+	MinDutyLeaseMs = 500
+	MaxDutyLeaseMs = 30_000
+	MaxFitness     = 1000
+)
+
+// Check names what is wrong with a claim; nil: nothing. held: it is to renew or to give up.
+func (c *Claim) Check(held bool) error {
+	switch {
+	case c.Name == "" || len(c.Name) > MaxName:
+		return Fail(CodeBad, "name: 1 to %d bytes", MaxName)
+	case c.Holder == "" || len(c.Holder) > MaxHolder:
+		return Fail(CodeBad, "holder: 1 to %d bytes", MaxHolder)
+	case c.LeaseMs < MinDutyLeaseMs || c.LeaseMs > MaxDutyLeaseMs:
+		return Fail(CodeBad, "lease_ms: %d to %d", MinDutyLeaseMs, MaxDutyLeaseMs)
+	case held && c.Epoch == 0:
+		return Fail(CodeBad, "epoch: the one under which the duty is held")
+	case math.IsNaN(c.Fitness) || c.Fitness < 0 || c.Fitness > MaxFitness:
+		return Fail(CodeBad, "fitness: 0 to %d", MaxFitness)
+	}
+	return nil
 }
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// once asks one replica once, with a body.
+func (c *Client) once(ctx context.Context, at, path string, ask, answer any) error {
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return fmt.Errorf("wording a call: %w", err)
+	}
+	return c.try(ctx, at, http.MethodPost, path, body, answer)
+}
+
 func (c *Client) try(ctx context.Context, at, method, path string, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, callPatience)
 	defer cancel()
--- a/internal/registry/fsm.go
+++ b/internal/registry/fsm.go
@@ -17,6 +17,7 @@
 	mu      sync.RWMutex
 	list    *list.List
 	touched func(records []api.Record) // after a command, with the entries as they are now; not under mu
+	turned  func(r list.Result)        // after a command on duties, or one that voids them; not under mu
 }
 
 func (m *machine) Apply(l *raft.Log) any {
@@ -24,10 +25,12 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil { // by a newer program: none that this one knows of
 		return list.Result{Err: api.Fail(api.CodeBad, "log entry %d: %v", l.Index, err)}
 	}
+	c.Index = l.Index
 	m.mu.Lock()
 	result := m.list.Apply(c)
 	var now []api.Record
 	switch c.Op {
+	case list.Take, list.Renew, list.Release, list.Lapse: // no entry is touched
 	case list.Restore:
 		now = m.list.Records()
 	case list.Expire:
@@ -43,7 +46,10 @@
 		now = append(now, r)
 	}
 	m.mu.Unlock()
-	if result.Err == nil {
+	switch {
+	case result.Duty.Name != "" || result.Forgot || c.Op == list.Lapse:
+		m.turned(result)
+	case result.Err == nil:
 		m.touched(now)
 	}
 	return result
--- /dev/null
+++ b/internal/registry/list/duties_test.go
@@ -0,0 +1,106 @@
+package list
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mosslead/internal/registry/api"
+)
+
+// Whatever happens to a duty, each epoch has one holder, and every new one is above all before: over releases, lapses,
+// snapshots, restores of any earlier state, and a replica that ran a program that knows of no duties.
+func TestEpochsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(History)
+		highest, holder := uint64(0), map[uint64]string{}
+		backups := []State{l.State()}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			d, held := l.Duty(fmt.Sprint("d", rapid.IntRange(0, 1).Draw(t, "duty")))
+			c := Command{Index: uint64(i + 1), Op: rapid.SampledFrom([]string{Take, Take, Take, Renew, Release, Lapse, Restore, "snapshot", "forget"}).Draw(t, "op"),
+				Claim: &Claim{Claim: api.Claim{Name: d.Name, Holder: fmt.Sprint("h", rapid.IntRange(0, 2).Draw(t, "holder")), LeaseMs: 1000,
+					Epoch: uint64(rapid.IntRange(0, int(highest)).Draw(t, "epoch"))}}}
+			if rapid.Bool().Draw(t, "over") {
+				over := d.Term
+				over.Turn -= uint64(rapid.IntRange(0, 1).Draw(t, "turns ago"))
+				c.Claim.Over, c.Terms = &over, []Term{over}
+			}
+			switch c.Op {
+			case "snapshot":
+				var s State
+				text, err := json.Marshal(l.State())
+				if err != nil || json.Unmarshal(text, &s) != nil {
+					t.Fatal(err)
+				}
+				l = Load(s, History)
+				backups = append(backups, s)
+				continue
+			case "forget": // an earlier program's snapshot holds no duties; then it is of today again
+				s := l.State()
+				s.Duties, s.Epoch = nil, 0
+				l = Load(s, History)
+				continue
+			case Restore:
+				c.State = &backups[rapid.IntRange(0, len(backups)-1).Draw(t, "backup")]
+			}
+			r := l.Apply(c)
+			now, heldNow := l.Duty(d.Name)
+			switch {
+			case c.Op == Restore:
+				if held && (!heldNow || now.Term != d.Term) {
+					t.Fatalf("a restore changed who holds %s: %+v, %+v", d.Name, d, now)
+				}
+				highest = max(highest, l.epoch)
+			case c.Op == Take && r.Err == nil && (!held || r.Duty.Epoch != d.Epoch):
+				if r.Duty.Epoch <= highest {
+					t.Fatalf("epoch %d after %d", r.Duty.Epoch, highest)
+				}
+				if held && d.Holder != c.Claim.Holder && (c.Claim.Over == nil || *c.Claim.Over != d.Term) {
+					t.Fatalf("taken from %+v by %+v", d, c.Claim)
+				}
+				if held && d.Holder == c.Claim.Holder && d.Epoch > c.Claim.Epoch {
+					t.Fatalf("a second epoch for %+v by %+v", d, c.Claim)
+				}
+				highest, holder[r.Duty.Epoch] = r.Duty.Epoch, r.Duty.Holder
+			case r.Err == nil && r.Duty.Holder != "" && holder[r.Duty.Epoch] != r.Duty.Holder:
+				t.Fatalf("epoch %d is of %s and of %s", r.Duty.Epoch, holder[r.Duty.Epoch], r.Duty.Holder)
+			case c.Op == Renew && r.Err == nil && (now.Turn != d.Turn+1 || now.Epoch != c.Claim.Epoch || d.Holder != c.Claim.Holder):
+				t.Fatalf("renewed %+v by %+v: %+v", d, c.Claim, now)
+			case (c.Op == Release || c.Op == Lapse) && held && !heldNow && c.Op == Release && (d.Holder != c.Claim.Holder || d.Epoch != c.Claim.Epoch):
+				t.Fatalf("%+v was given up by %+v", d, c.Claim)
+			}
+		}
+	})
+}
+
+// A member that does not understand commands on duties keeps them from being proposed, and what it may have lost is void
+// everywhere once it is there, and once more when it is of today again.
+func TestAReplicaOfAnEarlierProgram(t *testing.T) {
+	l := New(History)
+	join := func(name string, schema int) Result {
+		return l.Apply(Command{Op: Join, Replica: &api.Replica{Name: name, Schema: schema}})
+	}
+	take := func(index uint64) Result {
+		return l.Apply(Command{Op: Take, Index: index, Claim: &Claim{Claim: api.Claim{Name: "d", Holder: "h", LeaseMs: 1000}}})
+	}
+	join("a", 2)
+	if r := join("b", 2); r.Forgot || !l.Speaks(2, []string{"a", "b"}) || l.Speaks(2, []string{"a", "b", "never heard of"}) {
+		t.Errorf("two of today: %+v", r)
+	}
+	first := take(7).Duty.Epoch
+	for _, schema := range []int{1, 2} {
+		r := join("b", schema)
+		if _, held := l.Duty("d"); held || !r.Forgot || l.Speaks(2, []string{"a", "b"}) != (schema == 2) {
+			t.Errorf("schema %d: held %v, %+v", schema, held, r)
+		}
+	}
+	if again := take(9).Duty.Epoch; again <= first {
+		t.Errorf("epoch %d after %d", again, first)
+	}
+	if s := New(History).State(); s.Schema() != 1 || !slices.Contains([]int{2}, func() int { s := l.State(); return s.Schema() }()) {
+		t.Error("the schema of a state does not tell whether there were duties")
+	}
+}
--- a/internal/registry/list/list.go
+++ b/internal/registry/list/list.go
@@ -23,7 +23,9 @@
 
 // Schema is the newest form of commands and backups that this program understands. Replicas tell each other theirs; the
 // program that brings a second form must propose none of it while a member's schema is below, or lists would part.
-const Schema = 1
+//
+// 2 brought duties. A program of 1 that meets a command of 2 answers that it knows of none, and its list stays as it is.
+const Schema = 2
 
 // History is how many changed entries are remembered, gone ones among them: a watch from before gets the whole list.
 const History = 8192
@@ -39,11 +41,17 @@
 	Lapsed       []api.Lease       `json:"lapsed,omitempty"`
 	Replica      *api.Replica      `json:"replica,omitempty"`
 	State        *State            `json:"state,omitempty"`
+	Claim        *Claim            `json:"claim,omitempty"` // schema 2, as what follows
+	Terms        []Term            `json:"terms,omitempty"`
+
+	Index uint64 `json:"-"` // its place in the log, by which all replicas know it
 }
 
 // Result is what a command came to.
 type Result struct {
 	Version int64 // of the entry
+	Duty    Duty  // as it is now; no Holder: nobody's
+	Forgot  bool  // all duties are void, see forget
 	Err     *api.Failure
 }
 
@@ -54,6 +62,16 @@
 	Records  []api.Record           `json:"records"` // gone ones too, as long as they are remembered
 	Hands    map[string]string      `json:"hands"`
 	Replicas map[string]api.Replica `json:"replicas"`
+	Duties   []Duty                 `json:"duties,omitempty"` // schema 2
+	Epoch    uint64                 `json:"epoch,omitempty"`  // schema 2: the highest that was given
+}
+
+// Schema is the form that the state needs.
+func (s *State) Schema() int {
+	if s.Epoch > 0 || len(s.Duties) > 0 {
+		return DutySchema
+	}
+	return 1
 }
 
 // touch is a change of an entry; void once the entry changed again.
@@ -72,11 +90,14 @@
 	live     int               // records that are not gone
 	replicas map[string]api.Replica
 	history  int
+	duties   map[string]Duty // that are held, or whose lease is over and nobody has taken them since
+	epoch    uint64          // the highest that was given for any duty
 }
 
 // New is an empty list that remembers so many changed entries.
 func New(history int) *List {
-	return &List{records: map[string]*api.Record{}, hands: map[string]string{}, replicas: map[string]api.Replica{}, history: history}
+	return &List{records: map[string]*api.Record{}, hands: map[string]string{}, replicas: map[string]api.Replica{}, history: history,
+		duties: map[string]Duty{}}
 }
 
 // Version is a number that rises with each change of an entry.
@@ -161,9 +182,12 @@
 			}
 		}
 		return Result{Version: l.version}
+	case Take, Renew, Release, Lapse:
+		return l.duty(c, c.Index)
 	case Join:
+		forgot := l.forget(*c.Replica)
 		l.replicas[c.Replica.Name] = *c.Replica
-		return Result{Version: l.version}
+		return Result{Version: l.version, Forgot: forgot}
 	case Part:
 		delete(l.replicas, c.Name)
 		return Result{Version: l.version}
@@ -278,7 +302,8 @@
 
 // State is all of the list.
 func (l *List) State() State {
-	s := State{Version: l.version, Floor: l.floor, Hands: maps.Clone(l.hands), Replicas: maps.Clone(l.replicas), Records: []api.Record{}}
+	s := State{Version: l.version, Floor: l.floor, Hands: maps.Clone(l.hands), Replicas: maps.Clone(l.replicas), Records: []api.Record{},
+		Duties: l.Duties(), Epoch: l.epoch}
 	for _, r := range l.records {
 		s.Records = append(s.Records, *r)
 	}
@@ -292,6 +317,10 @@
 	l.version, l.floor = s.Version, s.Floor
 	maps.Copy(l.hands, s.Hands)
 	maps.Copy(l.replicas, s.Replicas)
+	l.epoch = s.Epoch
+	for _, d := range s.Duties {
+		l.duties[d.Name] = d
+	}
 	for _, r := range s.Records {
 		l.records[r.Name] = &r
 		if r.Own != api.Gone {
@@ -312,11 +341,12 @@
 // restore puts the entries of a backup in place of those here. The version goes on from the higher of both, and nobody
 // is told of what changed: all get the whole list. Replicas stay who they are.
 func (l *List) restore(s *State) {
-	version := max(l.version, s.Version) + restoreStep
-	replicas := l.replicas
+	version := max(l.version, s.Version, int64(s.Epoch)) + restoreStep // above epochs too, see duty
+	was := *l
 	next := *s
-	next.Version, next.Floor, next.Replicas = version, version, replicas
+	next.Version, next.Floor, next.Replicas = version, version, was.replicas
 	*l = *Load(next, l.history)
+	l.restoreDuties(&was)
 	for name, r := range l.records {
 		if r.Own == api.Gone {
 			delete(l.records, name)
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -29,6 +29,7 @@
 	"mosslead/internal/durable"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/list"
+	"mosslead/internal/registry/terms"
 )
 
 const (
@@ -54,7 +55,8 @@
 
 	mu      sync.Mutex
 	leases  leases
-	leading bool // and all that was committed before is applied here
+	terms   terms.Terms // of duties
+	leading bool        // and all that was committed before is applied here
 
 	freshAt atomic.Int64 // time since start at which the list was known to be the service's
 }
@@ -70,7 +72,7 @@
 func Open(c *Config, log *slog.Logger) (*Node, error) {
 	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}}
 	n.leases = leases{grace: c.Grace.Duration, share: c.Preserve}
-	n.machine.touched = n.touched
+	n.machine.touched, n.machine.turned = n.touched, n.turned
 	n.watches = newWatches(n.machine, c.Watchers, n.freshEnough)
 	n.client = &http.Client{Timeout: raftTimeout + writePatienceRaft,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
@@ -324,9 +326,11 @@
 		return
 	}
 	var records []api.Record
-	n.machine.read(func(l *list.List) { records = l.Records() })
+	var duties []list.Duty
+	n.machine.read(func(l *list.List) { records, duties = l.Records(), l.Duties() })
 	n.mu.Lock()
 	n.leading = true
+	n.terms.Lead(n.now(), duties)
 	n.leases.lead(n.now(), records)
 	n.mu.Unlock()
 	n.log.Info("leads", "component", "registry", "node", n.me.Name, "epoch", r.CurrentTerm(), "entries", len(records))
@@ -450,10 +454,12 @@
 		}
 		n.mu.Lock()
 		var ended []api.Lease
+		var idle []list.Term
 		was, holding := n.leases.holding, false
 		if n.leading {
 			ended = n.leases.look(n.now())
 			holding = n.leases.holding
+			idle = n.terms.Idle(n.now())
 		}
 		n.mu.Unlock()
 		if holding != was {
@@ -464,6 +470,11 @@
 				n.log.Warn("lapsed entries stay", "component", "registry", "node", n.me.Name, "err", err)
 			}
 		}
+		if len(idle) > 0 {
+			if _, err := n.dutyCommand(list.Command{Op: list.Lapse, Terms: idle}); err != nil {
+				n.log.Warn("lapsed duties stay", "component", "registry", "node", n.me.Name, "err", err)
+			}
+		}
 	}
 }
 
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -41,6 +41,10 @@
 		mux.HandleFunc("POST /v1/entries/{name}/"+op, n.onLeader(maxBody, n.change(op)))
 	}
 	mux.HandleFunc("POST /v1/renew", n.onLeader(maxBody, n.renew))
+	mux.HandleFunc("GET /v1/duties", n.either(n.dutiesHeld))
+	mux.HandleFunc("POST /v1/duties/{name}/take", n.onLeader(maxClaim, n.takeDuty))
+	mux.HandleFunc("POST /v1/duties/{name}/renew", n.onLeader(maxClaim, n.changeDuty(list.Renew)))
+	mux.HandleFunc("POST /v1/duties/{name}/release", n.onLeader(maxClaim, n.changeDuty(list.Release)))
 	mux.HandleFunc("POST /v1/overrule", n.onLeader(maxBody, n.overrule))
 	mux.HandleFunc("POST /v1/announce", n.onLeader(maxBody, n.announced))
 	mux.HandleFunc("POST /v1/replicas", n.onLeader(maxBody, n.addReplica))
@@ -141,7 +145,8 @@
 
 var statusOf = map[string]int{api.CodeBad: http.StatusBadRequest, api.CodeOlder: http.StatusConflict, api.CodeConflict: http.StatusConflict,
 	api.CodeNone: http.StatusNotFound, api.CodeFull: http.StatusServiceUnavailable, api.CodeNoLeader: http.StatusServiceUnavailable,
-	api.CodeStale: http.StatusServiceUnavailable, api.CodeUnknown: http.StatusGatewayTimeout}
+	api.CodeStale: http.StatusServiceUnavailable, api.CodeUnknown: http.StatusGatewayTimeout,
+	api.CodeOldPeer: http.StatusServiceUnavailable}
 
 func refuse(rw http.ResponseWriter, err error) {
 	var f *api.Failure
@@ -371,6 +376,11 @@
 			return nil, fmt.Errorf("backup: record %d is none", i)
 		}
 	}
+	for i, d := range s.Duties {
+		if d.Name == "" || d.Holder == "" || d.Epoch > s.Epoch || s.Epoch > 1<<62 {
+			return nil, fmt.Errorf("backup: duty %d is none", i)
+		}
+	}
 	return s, nil
 }
 
@@ -386,11 +396,12 @@
 	if err := n.consistent(); err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(n.machine.state())
+	state := n.machine.state()
+	text, err := json.Marshal(state)
 	if err != nil {
 		return nil, err
 	}
-	return Backup{Schema: list.Schema, CRC32C: crc32.Checksum(text, castagnoli), State: text}, nil
+	return Backup{Schema: state.Schema(), CRC32C: crc32.Checksum(text, castagnoli), State: text}, nil
 }
 
 func (n *Node) restore(_ *http.Request, body []byte) (any, error) {
@@ -398,5 +409,8 @@
 	if err != nil {
 		return nil, api.Fail(api.CodeBad, "%v", err)
 	}
+	if err := n.speaks(s.Schema()); err != nil {
+		return nil, err
+	}
 	return n.done(list.Command{Op: list.Restore, State: s})
 }
