duty: a candidate as a pure state machine, and its protocol explored state by state

Need: of two that both may believe to hold a duty, nobody ever acts beside the other, whatever stops, comes late or never.

Change: internal/duty: Candidate (events and time in, actions out), Runner (one goroutine, which gives up when its context ends), Held (looked at at each act), Fence. A holder counts its lease from when it asked, less a tenth; hands on to one that is fitter by 100 after 10 s at least; loses the duty for 30 s and more when it fails at it. internal/duty/explore takes two such candidates, the list's own state machine and the leader's terms through every order of messages, ticks with drift, stops, elections, late commits and hand-ons to a stated depth.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,69 +1,70 @@
 // Package duty owns what one process holds at a time: a lease under an epoch, looked at again at each act, and the fence of
 // those who are acted upon.
+//
+// candidate.go decides and is pure, runner.go carries out, lease.go is what acts and those who are acted upon look at. The
+// protocol is explored state by state in explore.
 package duty
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"mosslead/internal/registry/api"
 )
 
-// Service is the list service's side of duties.
+// Service is the list service's side of duties. A failure means that the duty is not held until a later answer says so.
 type Service interface {
 	// Take gives the duty to the claim's holder if nobody else's lease stands, under a new epoch; else it tells who holds it.
 	Take(ctx context.Context, c api.Claim) (api.Grant, error)
-	// Renew lengthens the lease of the holder under c.Epoch, if it still is the holder.
-	Renew(ctx context.Context, c api.Claim) (api.Grant, error)
+	// RenewDuty lengthens the lease of the holder under c.Epoch, if it still is the holder; else it tells who is.
+	RenewDuty(ctx context.Context, c api.Claim) (api.Grant, error)
 	// Release gives the duty up at once.
 	Release(ctx context.Context, c api.Claim) error
 }
 
-// Lease is what a holder knows of its duty. Safe for concurrent use.
-type Lease struct {
-	mu    sync.Mutex
-	epoch uint64
-	until time.Time // by the holder's monotonic clock, the margin taken off
+// Config is a candidate's.
+type Config struct {
+	Name   string        // of the duty
+	Holder string        // unlike that of any other process, earlier ones of the same member among them
+	Lease  time.Duration // 0: Lease
+	// Margin is taken off the lease's end: the holder's clock may run slower than the service's by Margin/Lease. 0: a tenth
+	// of the lease, which is a hundred times what a clock drifts that is not broken.
+	Margin time.Duration
+	Start  time.Duration  // the first call comes within that; 0: Start
+	Chance func() float64 // at least 0, below 1
 }
 
-// Hold is a grant that was asked for at asked: the lease runs from then, since the service began to count later.
-func (l *Lease) Hold(asked time.Time, g api.Grant, margin time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.epoch, l.until = g.Epoch, asked.Add(time.Duration(g.LeaseMs)*time.Millisecond-margin)
-}
-
-// Drop ends it at once.
-func (l *Lease) Drop() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until = time.Time{}
-}
-
-// Act is asked at each act: whether the duty is still held, and the epoch that the act has to carry.
-func (l *Lease) Act(now time.Time) (epoch uint64, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.epoch, now.Before(l.until)
-}
-
-// Fence is the highest epoch that was seen of each duty. Safe for concurrent use.
-type Fence struct {
-	mu      sync.Mutex
-	highest map[string]uint64
-}
+// The times of a candidate. With them a duty costs the service, whatever the number of candidates, one call a second of its
+// holder and at most ten of those who wait (terms.Spacing); while it answers nobody, each candidate calls every 2 to 4 s:
+// 100 calls a second of 300 candidates.
+const (
+	Lease     = 3 * time.Second
+	Start     = 3 * time.Second
+	Patience  = time.Second // of a call
+	renewals  = 3           // in a lease
+	backFirst = 200 * time.Millisecond
+	backMost  = 4 * time.Second
+	jitter    = 20 * time.Millisecond // after a time that the service named
+	// A holder hands on to a better one only after so long, and does not want the duty back for a while: two whose fitness
+	// changes hand it to and fro no faster.
+	holdLeast = 10 * time.Second
+	yieldFor  = 2 * time.Second
+	// HandOnBy is by how much another has to be fitter.
+	HandOnBy = 100
+	// A holder that failed at its duty is no candidate for so long, doubled each time it fails again within strikesLast.
+	restFirst   = 30 * time.Second
+	restMost    = 5 * time.Minute
+	strikesLast = 10 * time.Minute
+)
 
-// Admit tells whether an act under epoch may be taken: not once a higher one was seen.
-func (f *Fence) Admit(duty string, epoch uint64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if epoch < f.highest[duty] {
-		return false
+func (c *Config) complete() {
+	if c.Lease == 0 {
+		c.Lease = Lease
+	}
+	if c.Margin == 0 {
+		c.Margin = c.Lease / 10
 	}
-	if f.highest == nil {
-		f.highest = map[string]uint64{}
+	if c.Start == 0 {
+		c.Start = Start
 	}
-	f.highest[duty] = epoch
-	return true
 }
--- a/internal/registry/list/duties.go
+++ b/internal/registry/list/duties.go
@@ -59,6 +59,9 @@
 	return slices.SortedFunc(maps.Values(l.duties), func(a, b Duty) int { return strings.Compare(a.Name, b.Name) })
 }
 
+// Epoch is the highest that was given.
+func (l *List) Epoch() uint64 { return l.epoch }
+
 // Speaks tells whether all of the replicas, which are those with these names, understand a schema.
 func (l *List) Speaks(schema int, names []string) bool {
 	for _, name := range names {
--- a/internal/registry/terms/terms.go
+++ b/internal/registry/terms/terms.go
@@ -7,6 +7,7 @@
 package terms
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -96,7 +97,7 @@
 		return nil, 0, true
 	case !held && now < t.quiet:
 		return nil, max(min(t.quiet-now, Latest), Soonest), false
-	case (!held || now > x.end) && (now >= x.keep || x.wish == c.Holder):
+	case (!held || now >= x.end) && (now >= x.keep || x.wish == c.Holder):
 		if held {
 			over = &d.Term
 		}
@@ -141,3 +142,35 @@
 	})
 	return idle
 }
+
+// Clone is another in the same state.
+func (t *Terms) Clone() Terms {
+	c := Terms{of: map[string]*term{}, quiet: t.quiet}
+	for name, x := range t.of {
+		same := *x
+		c.of[name] = &same
+	}
+	return c
+}
+
+// AppendKey words all that the future of a duty may depend on, for who explores it: times from now on, epochs and turns from
+// those of the duty, what is over as nothing. Who waits is worded by the holder's name.
+func (t *Terms) AppendKey(b []byte, now time.Duration, d list.Duty) []byte {
+	x := t.of[d.Name]
+	if x == nil {
+		return append(b, 0)
+	}
+	put := func(at time.Duration) { b = binary.AppendVarint(b, int64(max(0, at-now))) }
+	b = binary.AppendVarint(append(b, 1), int64(d.Epoch-x.Epoch))
+	b = binary.AppendVarint(b, int64(d.Turn-x.Turn))
+	b = binary.AppendVarint(b, int64(1000*x.fitness))
+	put(x.end)
+	put(x.slot + Spacing - Soonest)
+	put(t.quiet)
+	if now < max(x.wishedAt+WishLasts, x.keep) {
+		b = binary.AppendVarint(append(b, x.wish...), int64(1000*x.best))
+		put(x.wishedAt + WishLasts)
+		put(x.keep)
+	}
+	return b
+}
