sidecar: duties held by one sidecar, for whatever needs one

Need: trials of an upstream, a site's digest and the announcing of its incidents are to be one sidecar's.

Change: with peers.service configured, a sidecar is a candidate for digest/SITE of its own site, incident/SITE of each, and trials/UPSTREAM while it leaves the upstream out, by own evidence or a verdict. duties.holds(name) is asked at each act; a nil *duties holds none. SIGTERM gives all up before the drain.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"mosslead/internal/registry/api"
@@ -31,7 +32,7 @@
 	// of the lease, which is a hundred times what a clock drifts that is not broken.
 	Margin time.Duration
 	Start  time.Duration  // the first call comes within that; 0: Start
-	Chance func() float64 // at least 0, below 1
+	Chance func() float64 // at least 0, below 1; nil: rand.Float64
 }
 
 // The times of a candidate. With them a duty costs the service, whatever the number of candidates, one call a second of its
@@ -64,6 +65,9 @@
 	if c.Margin == 0 {
 		c.Margin = c.Lease / 10
 	}
+	if c.Chance == nil {
+		c.Chance = rand.Float64
+	}
 	if c.Start == 0 {
 		c.Start = Start
 	}
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -261,6 +261,19 @@
 	return all
 }
 
+// sites are the data centres of the listed upstreams, by name.
+func (d *directory) sites() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	all := map[string]bool{}
+	for _, e := range d.entries {
+		if e.Zone != "" {
+			all[e.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
 // ready tells whether an upstream takes requests, and still does so at that place.
 func (d *directory) ready(name string, at place) bool {
 	now, ok := d.place(name)
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -21,6 +21,7 @@
 func (p *process) drain(srv *http.Server) error {
 	begun := time.Now()
 	p.draining.Store(true)
+	p.loop.shared.yield()
 	replaced := p.s.stopping.Swap(true)
 	p.conns.lingers.Store(true)
 	longest, aim := time.Duration(0), time.Duration(0)
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -43,6 +44,8 @@
 	forwards *forwards                            // nil: nothing is forwarded
 	reports  *ring.Ring[string, api.Report]       // from the loop
 	verdicts *ring.Ring[string, balancer.Hearsay] // to the loop
+	duties   *duties                              // nil: no list service is configured, nothing is held
+	suspects map[string]suspicion                 // of the thread of breakers
 	parts    sync.WaitGroup
 	ctx      context.Context // of the parts
 	stop     context.CancelFunc
@@ -63,7 +66,17 @@
 		s.forwards.close()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	if c.Peers.Service != "" {
+		if s.duties, err = newDuties(c.Peers.Service, s.self, dir.sites); err != nil {
+			s.forwards.close()
+			return nil, errors.Join(fmt.Errorf("peers: %w", err), s.carrier.Leave())
+		}
+	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.suspects = map[string]suspicion{}
+	if s.duties != nil {
+		s.parts.Go(func() { s.duties.run(s.ctx) })
+	}
 	s.parts.Go(func() { s.breakers(s.ctx) })
 	return s, nil
 }
@@ -110,11 +123,43 @@
 	s.stop()
 	s.forwards.close()
 	s.parts.Wait()
+	s.duties.close()
 	if err := s.carrier.Leave(); err != nil {
 		warn(ofPeers, "left without a word", err)
 	}
 }
 
+// yield gives up what is held here, for others to take while this process ends; it does not wait.
+func (s *sharing) yield() {
+	if s != nil {
+		s.duties.yield()
+	}
+}
+
+// lines are what operators see of it.
+func (s *sharing) lines() string {
+	if s == nil {
+		return ""
+	}
+	return s.duties.lines()
+}
+
+// suspicion is why an upstream is left out here: by own evidence, or as others say.
+type suspicion struct{ own, told bool }
+
+// suspect makes this sidecar a candidate for an upstream's trials while it leaves the upstream out.
+func (s *sharing) suspect(upstream string, change func(*suspicion)) {
+	x := s.suspects[upstream]
+	change(&x)
+	if x == (suspicion{}) {
+		delete(s.suspects, upstream)
+	} else {
+		s.suspects[upstream] = x
+	}
+	_, zone, _ := s.dir.life(upstream)
+	s.duties.want(trialsOf(upstream), x != suspicion{}, zone)
+}
+
 // report takes an action of the loop; it never waits.
 func (s *sharing) report(a *balancer.Action) {
 	since, _, listed := s.dir.life(a.Upstream)
@@ -148,6 +193,7 @@
 				if err := s.carrier.Say(api.Breaker, r.Upstream, r, reportTTL, r.State == api.Closed); err != nil {
 					warn(ofPeers, "a report was not said", err)
 				}
+				s.suspect(r.Upstream, func(x *suspicion) { x.own = r.State != api.Closed })
 				s.tell(board.Handle(s.clock.now(), breaker.Own{Report: r}))
 			}
 		case <-heard.Wake():
@@ -171,6 +217,7 @@
 			h.Until = s.clock.now() + v.For
 		}
 		note(slog.LevelInfo, ofPeers, "verdict", slog.String("upstream", v.Upstream), slog.Bool("open", v.Open), slog.String("why", v.Why))
+		s.suspect(v.Upstream, func(x *suspicion) { x.told = v.Open })
 		s.verdicts.Put(v.Upstream+" "+v.Class, h, !v.Open)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -132,7 +132,10 @@
 	if ops != nil {
 		d := newDoor(ops)
 		d.ready = func() bool { return p.s.ready() && !p.s.stopping.Load() }
-		d.figures = func() string { now := p.loop.stats.snapshot(); return now.lines() + p.keep.lines(p.onKept()) }
+		d.figures = func() string {
+			now := p.loop.stats.snapshot()
+			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines()
+		}
 		d.ban = p.ban
 		go d.run()
 		defer d.close()
