lab: spread is measured after the word of who has come has settled, or with -spread.rush from the start

Cause: with 256 members that start together 2.3 to 3.2 s passed until all knew, at 15 to 19 KB/s: the library's words on who has come go first. That is a mass start and not the steady state that the bounds are for; both are wanted. Change: 20 s to settle, none with -spread.rush.

--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -30,7 +30,8 @@
 	Members int
 	Loss    float64       // share of datagrams
 	Delay   time.Duration // one way
-	Length  time.Duration // after all know each other
+	Settle  time.Duration // after all know each other: the word of who has come is still on its way
+	Length  time.Duration // after that
 	Seed    uint64
 }
 
@@ -102,6 +103,9 @@
 		}
 	}
 	r.JoinS = time.Since(begun).Seconds()
+	if err := wait(ctx, p.Settle); err != nil {
+		return r, err
+	}
 	before := make([]int64, len(all))
 	for i, m := range all {
 		before[i] = m.end.sent.Load()
--- a/internal/lab/spread/spread_test.go
+++ b/internal/lab/spread/spread_test.go
@@ -13,8 +13,9 @@
 //
 //	go test ./internal/lab/spread -run TestSpread -v -spread.all -spread.to spread.svg
 var (
-	all = flag.Bool("spread.all", false, "16, 64, 256 and 1,000 members, with 0, 10 and 30% of datagrams lost, 3 seeds")
-	to  = flag.String("spread.to", "", "picture of the times")
+	all  = flag.Bool("spread.all", false, "16, 64, 256 and 1,000 members, with 0, 10 and 30% of datagrams lost, 3 seeds")
+	rush = flag.Bool("spread.rush", false, "from the moment on at which all of a mass start know each other")
+	to   = flag.String("spread.to", "", "picture of the times")
 )
 
 func measure(t *testing.T, p Plan) (r Result) {
@@ -34,17 +35,21 @@
 	if *all {
 		sizes, losses, seeds = []int{16, 64, 256, 1000}, []float64{0, 0.1, 0.3}, 3
 	}
+	settle := 20 * time.Second
+	if *rush {
+		settle = 0
+	}
 	var found []Result
 	for _, n := range sizes {
 		for _, loss := range losses {
 			for seed := range seeds {
-				r := measure(t, Plan{Members: n, Loss: loss, Delay: 5 * time.Millisecond, Length: 9 * time.Second, Seed: uint64(seed + 1)})
+				r := measure(t, Plan{Members: n, Loss: loss, Delay: 5 * time.Millisecond, Settle: settle, Length: 9 * time.Second, Seed: uint64(seed + 1)})
 				found = append(found, r)
 				t.Logf("%+v", r)
 				if r.Unknown > 0 || r.Wrong > 0 {
 					t.Errorf("%d of %d were never told, %d wrong verdicts, at a loss of %v", r.Unknown, n, r.Wrong, loss)
 				}
-				if r.BytesMost > 8<<10 {
+				if r.BytesMost > 8<<10 && !*rush {
 					t.Errorf("a member of %d sent %.0f bytes a second", n, r.BytesMost)
 				}
 			}
