balancer: own evidence by class, hearsay with bounds, and trials made for all

Need: what others say of an upstream may only take it out of the ordinary picks, bounded, and below own successes; and an upstream that errs in half of its answers for one class never errs three times in a row, so nothing is said of it.

Change: hearsay.go looks at its bound at each pick (a third of the zone's usable upstreams for that class, the longest spoken of first; ejected, banned and those left out by own evidence are not usable), an own success of an attempt sent after the first report outranks it (five in a row for a class: what errs in half of its answers has them once in 32), and what it kept out comes back over a second. evidence.go keeps the last 32 answers by upstream and class and leaves an upstream out for a class where its errors stand out from the others' by the exact binomial bound. trial.go makes the trials of an upstream whose duty they are: safe requests that clients sent, paced, with a time-out that leaves time for another attempt.

Way not taken: counting the bound when a verdict comes: it does not hold once upstreams leave or are ejected.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -228,6 +228,8 @@
 	RetryIn  time.Duration
 	At       time.Duration
 	Text     string
-	Evidence Evidence // NoEvidence: it is used again
+	Evidence Evidence // NoEvidence: it is used again, or with Count above 0 it serves us whatever others say
 	Count    int      // attempts that it rests on
+	Class    string   // whose requests it is of; empty: all
+	Trial    bool     // a trial made for all ended: well with NoEvidence
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,18 +89,17 @@
 	est      estimate
 	out      []*attempt // attempts without outcome, oldest first
 
-	heard       time.Duration            // when it last answered
-	answered    time.Duration            // when the latest of the attempts that it served was sent
-	fails       int                      // attempts sent since then that failed
-	silentSince time.Duration            // when the first of them was sent
-	errors      int                      // error answers in a row
-	broke       bool                     // the latest failure was a connection refused or broken
-	fulls       int                      // times in a row that it turned away what it was sent
-	slow        int                      // answers in a row that took much longer than most do
-	ejections   int                      // in a row, without an answer between
-	until       time.Duration            // ejected until
-	hearsay     map[string]time.Duration // by class: kept out until, on what others say, see hearsay.go
-	hearsayAt   time.Duration
+	heard       time.Duration // when it last answered
+	answered    time.Duration // when the latest of the attempts that it served was sent
+	fails       int           // attempts sent since then that failed
+	silentSince time.Duration // when the first of them was sent
+	errors      int           // error answers in a row
+	broke       bool          // the latest failure was a connection refused or broken
+	fulls       int           // times in a row that it turned away what it was sent
+	slow        int           // answers in a row that took much longer than most do
+	ejections   int           // in a row, without an answer between
+	until       time.Duration // ejected until
+	talk        *talk         // with other sidecars, see hearsay.go; nil: none
 
 	cold     bool
 	coldFrom time.Duration // start of its warm-up
@@ -184,6 +183,7 @@
 	served   rate          // answers a second
 	offered  rate          // arriving work, in mean requests a second
 	tenants  []rate        // arriving requests by tenant
+	ours     []*upstream   // whose trials for all are ours, see trial.go
 	scratchA []*upstream
 	scratchB []*upstream
 }
@@ -435,7 +435,7 @@
 	u.out = append(u.out, a)
 	u.tokens -= r.cost
 	delete(b.owed, u.id)
-	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: max(r.end-b.now, b.set.Tick)})
+	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: b.allowance(r, u)})
 	if !r.open {
 		b.watch(r)
 	}
@@ -581,6 +581,9 @@
 // random ready upstreams. Upstreams already tried are left out while another is ready. One that came back
 // from a ban gets its first request here: cold, it would lose every comparison while there is little to do.
 func (b *Balancer) pick(r *request) *upstream {
+	if u := b.trial(r); u != nil {
+		return u
+	}
 	if len(b.owed) > 0 {
 		for _, u := range b.list {
 			if b.owed[u.id] && b.ready(u, r) && b.mayTry(r, u) {
@@ -759,10 +762,11 @@
 // queues longer than the penalty their errors look fast too.
 func (b *Balancer) health(a *attempt, res Result, elapsed time.Duration) {
 	u := a.u
+	b.weigh(a, res)
 	switch res {
 	case ServerError:
 		u.heard, u.fails = b.now, 0
-		if u.errors++; u.errors >= ejectErrors && b.now >= u.until {
+		if u.errors++; u.errors >= ejectErrors && b.now >= u.until && !b.oneClass(a) {
 			b.eject(u)
 		}
 	case OK, Overloaded:
--- a/balancer/hearsay.go
+++ b/balancer/hearsay.go
@@ -1,95 +1,190 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // What other sidecars say of an upstream never enters an estimate: those come from this sidecar's own outcomes. It only keeps
-// an upstream out of the ordinary picks for a while.
+// an upstream out of the ordinary picks for a while, and tells whose its trials are. Bans, drains and cold budgets are above
+// it: what is let through here still passes mayTry.
+
+const (
+	// hearsayPart is how much of a zone's usable upstreams hearsay may keep out at once: with more of them the reporters are
+	// the likelier trouble, and the rest would be crowded.
+	hearsayPart = 1.0 / 3
+	easeFor     = time.Second     // what hearsay kept out comes back over this: all sidecars hear of its end at once
+	wellEvery   = 2 * time.Second // an upstream that serves us in spite of what is said: the others are told so often
+	wellInClass = 5               // successes in a row that outrank hearsay of a class: what errs in half of its answers has 1 in 32
+)
+
+// Tries tells whose the trials of an upstream are that hearsay keeps out.
+type Tries int
 
-// hearsayPart is how much of a zone's upstreams hearsay may keep out at once: with more of them the reporters are the likelier
-// trouble, and the rest would be crowded.
-const hearsayPart = 1.0 / 3
+// Whose they may be.
+const (
+	TriesEach   Tries = iota // each sidecar's own, as without others
+	TriesOthers              // another sidecar's: none are made here
+	TriesOurs                // this sidecar's, for all
+)
 
-// Hearsay brings a verdict that rests on others' reports, or with Until 0 its end.
+// Hearsay brings a verdict that rests on others' reports, or with Until 0 its end. Only Settings with Reports hear it.
 type Hearsay struct {
 	Upstream string
 	CameUp   time.Duration // the life of it that is meant
 	Class    string        // empty: every class
 	Until    time.Duration // clock time
+	Since    time.Duration // clock time of the first report: an attempt of ours that was sent later and served outranks it
+	Share    float64       // of the ordinary picks let through all the same, while it closes in steps
+	Tries    Tries
+	Tried    bool // with Until 0: a trial made for all went well, own ones need not wait
 }
 
 func (Hearsay) event() {}
 
-// Evidence is why an upstream was left out.
-type Evidence int
+// told is a verdict as it stands.
+type told struct {
+	until, since time.Duration
+	share        float64
+	tries        Tries
+	well         int           // successes in a row of attempts sent since
+	said         time.Duration // when we last told that it serves us
+	kept         bool          // it keeps requests out, or did to its end
+}
 
-// The kinds of evidence.
-const (
-	NoEvidence Evidence = iota // it is used again
-	ByErrors
-	ByBreaks
-	BySilence
-	ByFull
-)
+// talk is what is shared on one life of an upstream, heard and said.
+type talk struct {
+	told    map[string]*told  // by class; "" is all
+	tallies map[string]*tally // own evidence, by class
+	trying  *request          // whose attempt is the trial for all that is out
+	number  int               // of that attempt
+	next    time.Duration     // the next one is not before
+	failed  int               // of them in a row
+}
 
-// hear takes a verdict in. An upstream that answered this sidecar well since is not kept out, see keptOut.
+// hear takes a verdict in.
 func (b *Balancer) hear(e Hearsay) {
 	u := b.ups[e.Upstream]
-	if u == nil || (u.cameUp-e.CameUp).Abs() > sameStart {
+	if !b.set.Reports || u == nil || e.Class != "" && b.classes[e.Class] == nil || (u.cameUp-e.CameUp).Abs() > sameStart {
 		return
 	}
+	t := b.talk(u)
+	old := t.told[e.Class]
 	if e.Until <= b.now {
-		delete(u.hearsay, e.Class)
+		if old != nil {
+			old.until, old.tries = min(old.until, b.now), TriesEach
+		}
+		if e.Tried && b.now < u.until { // own evidence stands until an own trial goes well: soon, but not all at once
+			u.until = min(u.until, b.now+time.Duration(b.rng.Float64()*float64(easeFor)))
+		}
 		return
 	}
-	kept, all := 0, 0
-	for _, x := range b.list {
-		if x.zone == u.zone {
-			all++
-			if x != u && x.spokenOf(b.now) {
-				kept++
-			}
-		}
+	if old == nil || old.until <= b.now {
+		old = &told{since: e.Since}
+		t.told[e.Class] = old
 	}
-	if float64(kept+1) > hearsayPart*float64(all) {
-		return
+	if e.Share != old.share { // what was let through before tells nothing of the next step
+		old.since, old.well = b.now, 0
 	}
-	if u.hearsay == nil {
-		u.hearsay = map[string]time.Duration{}
+	old.until, old.share, old.tries = e.Until, min(max(e.Share, 0), 1), e.Tries
+	if e.Tries == TriesOurs && !slices.Contains(b.ours, u) {
+		t.failed, t.next = 0, b.now+time.Duration(b.rng.Float64()*float64(trialEvery))
+		b.ours = append(b.ours, u)
 	}
-	u.hearsay[e.Class], u.hearsayAt = e.Until, b.now
 }
 
-// spokenOf tells whether any hearsay of u stands.
-func (u *upstream) spokenOf(now time.Duration) bool {
-	for _, until := range u.hearsay {
-		if now < until {
-			return true
-		}
+func (b *Balancer) talk(u *upstream) *talk {
+	if u.talk == nil {
+		u.talk = &talk{told: map[string]*told{}, tallies: map[string]*tally{}}
 	}
-	return false
+	return u.talk
 }
 
-// keptOut tells whether hearsay keeps r from u: not once u has served this sidecar itself since.
+// keptOut tells whether r is kept from u, by what is said of u or by own evidence on r's class.
 func (b *Balancer) keptOut(u *upstream, r *request) bool {
-	return len(u.hearsay) > 0 && u.answered < u.hearsayAt && (b.now < u.hearsay[""] || b.now < u.hearsay[r.class.Name])
+	if u.talk == nil {
+		return false
+	}
+	if t := u.talk.told[""]; t != nil && b.now < t.until && t.tries != TriesEach && u.ejections > 0 { // its trials are one sidecar's
+		return b.rng.Float64() >= t.share || b.classOut(u, r)
+	}
+	return b.classOut(u, r) || b.hearsayOut(u, "", r) || b.hearsayOut(u, r.class.Name, r)
 }
 
-// report says what this sidecar's own evidence comes to, where others want to hear it.
-func (b *Balancer) report(u *upstream, why Evidence, count int) {
-	if b.set.Reports {
-		b.act(Action{Kind: Report, Upstream: u.id, Evidence: why, Count: count, At: u.cameUp})
+// hearsayOut tells whether hearsay of a class keeps r from u.
+func (b *Balancer) hearsayOut(u *upstream, class string, r *request) bool {
+	t := u.talk.told[class]
+	if t == nil {
+		return false
 	}
+	through := t.share
+	if back := b.now - t.until; back >= 0 { // lapsed or ended: it comes back in steps
+		if back >= easeFor {
+			delete(u.talk.told, class)
+			return false
+		}
+		through = max(through, float64(back)/float64(easeFor))
+	} else {
+		t.kept = !t.outranked(u, class) && b.within(u, r.class.Name)
+	}
+	return t.kept && (through == 0 || b.rng.Float64() >= through)
 }
 
-// evidence is why u is being left out.
-func (u *upstream) evidence() Evidence {
+// outranked: an own success after what was said weighs more. Of a class that only errs in part it takes several. What is let
+// through in steps, or made as a trial for all, closes a breaker for all or not at all.
+func (t *told) outranked(u *upstream, class string) bool {
 	switch {
-	case u.fulls >= ejectErrors:
-		return ByFull
-	case u.errors >= ejectErrors:
-		return ByErrors
-	case u.broke:
-		return ByBreaks
+	case t.share > 0 || t.tries == TriesOurs:
+		return false
+	case class == "":
+		return t.well > 0 || u.answered > t.since
+	}
+	return t.well >= wellInClass
+}
+
+// within tells whether u may be kept out by hearsay: only the longest spoken of in its zone are, so many as hearsayPart of
+// those that could be used without it. Looked at for each pick, so that it holds when upstreams leave or are ejected.
+func (b *Balancer) within(u *upstream, class string) bool {
+	usable, ahead := 0, 0
+	at, _ := u.spoken(b.now, class)
+	for _, x := range b.list {
+		if x.zone != u.zone || x.banned || b.now < x.until || x.talk != nil && x.talk.tallies[class].out(b.now) {
+			continue
+		}
+		usable++
+		if since, spoken := x.spoken(b.now, class); x != u && spoken && (since < at || since == at && x.id < u.id) {
+			ahead++
+		}
+	}
+	return float64(ahead+1) <= hearsayPart*float64(usable)
+}
+
+// spoken tells whether hearsay stands that would keep class from u, and since when.
+func (u *upstream) spoken(now time.Duration, class string) (since time.Duration, any bool) {
+	if u.talk == nil {
+		return 0, false
+	}
+	for _, c := range [...]string{"", class} {
+		if t := u.talk.told[c]; t != nil && now < t.until && !t.outranked(u, c) && (!any || t.since < since) {
+			since, any = t.since, true
+		}
+	}
+	return since, any
+}
+
+// heardOf follows own successes against what is said of u, and tells the others of them: they may be wrong.
+func (b *Balancer) heardOf(a *attempt, ok bool) {
+	for _, class := range [...]string{"", a.r.class.Name} {
+		t := a.u.talk.told[class]
+		if t == nil || b.now >= t.until || a.sent <= t.since {
+			continue
+		}
+		if t.well++; !ok {
+			t.well = 0
+		}
+		if ok && t.outranked(a.u, class) && (t.said == 0 || b.now-t.said >= wellEvery) {
+			t.said = b.now
+			b.act(Action{Kind: Report, Upstream: a.u.id, Class: class, Count: t.well, At: a.u.cameUp})
+		}
 	}
-	return BySilence
 }
