breaker: the verdict from reports, with who is believed how far, and trials for all

Need: a verdict must rest on independent reporters, spread no further than its evidence, hold still, and be explained.

Change: as many reporters as chance would hardly bring among those who could have met the fault (Poisson bound on the largest roster of the last two minutes: who loses sight of others is no bolder), from two sites, none of them more than half of it; or the own site's where the path may be it. Discounted: who is not present, a process before, repeats without anything new, doubt, who speaks ill of most upstreams, who was contradicted. Trials' words count by the highest epoch; a whole closing starts a new round, and reports of a round before count no more, in whatever order they come. The sidecar's thread has a file of its own, says standing reports again, doubts itself when it was stopped, its loop is jammed or most peers are lost, and works against an interface of two calls for the duties.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -3,7 +3,7 @@
 package breaker
 
 import (
-	"fmt"
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,20 +11,41 @@
 	"mosslead/internal/peer/api"
 )
 
-// Event is what a Board is told: Heard, Own, Listed.
+// Event is what a Board is told: Heard, Own, Trial, Duty, Roster, Listed, Tick, or a Batch of them.
 type Event interface{ event() }
 
-// Heard is a report of another member, believed for at most TTL.
+// Batch is what happened at once: judged once.
+type Batch []Event
+
+// Heard is what another member says of an upstream, believed for at most TTL. A closed one that counts successes says that
+// the upstream serves its reporter, whatever others say.
 type Heard struct {
-	From   api.Member
+	From   api.Member // name and incarnation; where it stands is the roster's to tell
 	Report api.Report
 	TTL    time.Duration
 	Over   bool // taken back
 }
 
-// Own is what this sidecar's balancer says itself.
+// Own is what this sidecar's balancer says itself, until it says otherwise.
 type Own struct{ Report api.Report }
 
+// Trial is what the holder of an upstream's trials says of them, this sidecar too; with Over, that it makes none any more.
+type Trial struct {
+	From  string
+	Tried api.Tried
+	TTL   time.Duration
+	Over  bool
+}
+
+// Duty tells whether this sidecar holds the trials of an upstream.
+type Duty struct {
+	Upstream string
+	Held     bool
+}
+
+// Roster is who is present, this sidecar too.
+type Roster struct{ Members []api.Member }
+
 // Upstream is an entry of the list.
 type Upstream struct {
 	Name, Site string
@@ -37,103 +58,229 @@
 // Tick lets time pass.
 type Tick struct{}
 
+func (Batch) event()  {}
 func (Heard) event()  {}
 func (Own) event()    {}
+func (Trial) event()  {}
+func (Duty) event()   {}
+func (Roster) event() {}
 func (Listed) event() {}
 func (Tick) event()   {}
 
+// Tries says whose the trials of an upstream are.
+type Tries uint8
+
+// Whose they may be.
+const (
+	Each   Tries = iota // nobody holds them: each sidecar makes its own, as without others
+	Others              // another sidecar's
+	Ours                // this sidecar's
+)
+
 // Verdict is what the others' reports come to, for a sidecar that has not met the fault itself.
 type Verdict struct {
 	Upstream string
 	SinceMs  int64
 	Class    string // whose requests it holds for; empty: all
 	Open     bool
+	Share    float64       // of the ordinary picks let through while it closes in steps, 0 to 1
+	Since    time.Duration // when the oldest of the reports that count was heard: an own success after it outranks them
 	For      time.Duration // and no longer
+	Tries    Tries
+	Step     int    // trials in a row that went well, of the closing that is under way
+	Round    uint64 // closings so far
+	Tried    bool   // it ended by trials that went well
+	News     bool   // more than a longer time
 	Why      string
 }
 
 // Config says who looks at the reports.
 type Config struct{ Self, Site string }
 
+// Bounds on what is held; what is beyond them is not taken in.
 const (
-	sitesNeeded = 2 // that reporters come from, or
-	ownNeeded   = 2 // reporters of the own site, where the path may be the trouble
+	subjectsMost  = 512 // upstreams and their classes that are spoken of
+	reportersMost = 64  // of one subject
+	sayMost       = 128 // subjects that one reporter speaks of
+	ownTTL        = time.Minute
+	wellTTL       = 5 * time.Second // that something serves a sidecar holds for a moment
 )
 
+// subject is what a verdict is about: an upstream, or one class of requests at it.
 type subject struct{ upstream, class string }
 
+func (s subject) compare(t subject) int {
+	return cmp.Or(cmp.Compare(s.upstream, t.upstream), cmp.Compare(s.class, t.class))
+}
+
+// said is a report as this board has it.
 type said struct {
-	site   string
+	from   api.Incarnation
 	report api.Report
+	first  time.Duration // when evidence of this breaker was first heard
+	fresh  time.Duration // when evidence was last heard that had not been before
 	until  time.Duration
+	wrong  bool // contradicted once: that counts once
 }
 
+func (r *said) open() bool { return r.report.State != api.Closed }
+
 // Board holds the reports. Not safe for concurrent use.
 type Board struct {
 	c       Config
+	began   time.Duration // when it was told of anything first
 	listed  map[string]Upstream
-	reports map[subject]map[string]said // by reporter
-	open    map[subject]bool            // as the last verdicts had it
+	sites   map[string]int // upstreams by site
+	members map[string]api.Member
+	sizes   map[string]size // members by site
+	reports map[subject]map[string]*said
+	scores  map[string]score
+	trials  map[string]*trial
+	ours    map[string]bool // trials that this sidecar holds
+	told    map[subject]*standing
 }
 
 // New is a board without reports.
 func New(c Config) *Board {
-	return &Board{c: c, listed: map[string]Upstream{}, reports: map[subject]map[string]said{}, open: map[subject]bool{}}
+	return &Board{c: c, began: -1, listed: map[string]Upstream{}, sites: map[string]int{}, members: map[string]api.Member{},
+		sizes: map[string]size{}, reports: map[subject]map[string]*said{}, scores: map[string]score{}, trials: map[string]*trial{},
+		ours: map[string]bool{}, told: map[subject]*standing{}}
 }
 
-// Handle takes in what happened at now, and tells what has changed of the verdicts.
+// Handle takes in what happened at now, and tells what has changed of the verdicts, or would lapse soon.
 func (b *Board) Handle(now time.Duration, e Event) []Verdict {
+	if b.began < 0 {
+		b.began = now
+	}
+	b.take(now, e)
+	return b.judge(now)
+}
+
+func (b *Board) take(now time.Duration, e Event) {
 	switch e := e.(type) {
+	case Batch:
+		for _, one := range e {
+			b.take(now, one)
+		}
 	case Heard:
-		b.hear(now, e)
+		b.hear(now, e.From, e.Report, e.TTL, e.Over)
+	case Own:
+		self := api.Member{Name: b.c.Self, Incarnation: b.members[b.c.Self].Incarnation}
+		b.hear(now, self, e.Report, ownTTL, e.Report.State == api.Closed && e.Report.Count == 0)
+	case Trial:
+		b.tried(now, e)
+	case Duty:
+		if delete(b.ours, e.Upstream); e.Held {
+			b.ours[e.Upstream] = true
+		}
+	case Roster:
+		b.roster(now, e.Members)
 	case Listed:
-		b.listed = map[string]Upstream{}
-		for _, u := range e.Upstreams {
-			b.listed[u.Name] = u
+		b.list(e.Upstreams)
+	}
+}
+
+// usable tells whether a report can be read: words of a later schema may have kinds that this one does not know.
+func usable(r *api.Report) bool {
+	return r.Upstream != "" && len(r.Upstream) <= api.NameMost && len(r.Class) <= api.NameMost && r.State <= api.HalfOpen &&
+		r.Count >= 0 && (r.State == api.Closed || r.Evidence >= api.Errors && r.Evidence <= api.Full) && r.Doubt >= 0 && r.Doubt <= 1
+}
+
+func (b *Board) hear(now time.Duration, from api.Member, r api.Report, ttl time.Duration, over bool) {
+	s := subject{r.Upstream, r.Class}
+	by := b.reports[s]
+	if over {
+		delete(by, from.Name)
+		return
+	}
+	if !usable(&r) || ttl <= 0 || b.passed(&r) {
+		return
+	}
+	old := by[from.Name]
+	if old == nil {
+		if len(by) >= reportersMost || by == nil && len(b.reports) >= subjectsMost || b.says(from.Name) >= sayMost {
+			return
 		}
+		old = &said{first: now, fresh: now}
+		if by == nil {
+			by = map[string]*said{}
+			b.reports[s] = by
+		}
+		by[from.Name] = old
+	} else if old.from != from.Incarnation || old.open() != (r.State != api.Closed) || old.report.SinceMs != r.SinceMs || old.report.Round != r.Round {
+		*old = said{first: now, fresh: now}
+	} else if old.report.Count != r.Count || old.report.Evidence != r.Evidence {
+		old.fresh = now
 	}
-	return b.judge(now)
+	if r.State == api.Closed {
+		old.fresh, ttl = now, min(ttl, wellTTL)
+	}
+	old.from, old.report, old.until = from.Incarnation, r, now+min(ttl, api.TTLMost)
+	b.contradict(now, s)
 }
 
-func (b *Board) hear(now time.Duration, e Heard) {
-	s := subject{e.Report.Upstream, e.Report.Class}
-	if b.reports[s] == nil {
-		b.reports[s] = map[string]said{}
+// passed tells whether a report is on an earlier life of an upstream than the list has.
+func (b *Board) passed(r *api.Report) bool {
+	u, listed := b.listed[r.Upstream]
+	return listed && r.SinceMs < u.SinceMs
+}
+
+// says counts the subjects that a reporter speaks of.
+func (b *Board) says(name string) (n int) {
+	for _, by := range b.reports {
+		if by[name] != nil {
+			n++
+		}
 	}
-	b.reports[s][e.From.Name] = said{e.From.Site, e.Report, now + e.TTL}
-	if e.Over || e.Report.State == api.Closed {
-		delete(b.reports[s], e.From.Name)
+	return n
+}
+
+// list takes the list as it stands. What was said of an upstream that left it is void, also if it comes back; the epochs of
+// its trials are not.
+func (b *Board) list(all []Upstream) {
+	before := b.listed
+	b.listed, b.sites = map[string]Upstream{}, map[string]int{}
+	for _, u := range all {
+		b.listed[u.Name] = u
+		b.sites[u.Site]++
+		if t := b.trials[u.Name]; t != nil && t.sinceMs != u.SinceMs {
+			t.void(u.SinceMs)
+		}
+	}
+	for s := range b.reports {
+		_, was := before[s.upstream]
+		if _, is := b.listed[s.upstream]; was && !is {
+			delete(b.reports, s)
+		}
+	}
+	if len(b.trials) > subjectsMost {
+		maps.DeleteFunc(b.trials, func(name string, _ *trial) bool {
+			_, is := b.listed[name]
+			return !is
+		})
 	}
 }
 
-// judge goes through all subjects: there are few, as only what is open is reported.
-func (b *Board) judge(now time.Duration) (changed []Verdict) {
+// sweep drops what has lapsed, or is of a life before.
+func (b *Board) sweep(now time.Duration) {
 	for s, by := range b.reports {
-		sites, own, last := map[string]bool{}, 0, time.Duration(0)
-		u, listed := b.listed[s.upstream]
-		maps.DeleteFunc(by, func(_ string, r said) bool {
-			return r.until <= now || listed && r.report.SinceMs != u.SinceMs
+		maps.DeleteFunc(by, func(_ string, r *said) bool {
+			return r.until <= now || b.passed(&r.report)
 		})
-		for _, r := range by {
-			sites[r.site] = true
-			if r.site == b.c.Site && r.report.Evidence != api.Errors {
-				own++
-			}
-			last = max(last, r.until)
-		}
-		open := listed && (len(sites) >= sitesNeeded || own >= ownNeeded)
-		if open != b.open[s] {
-			changed = append(changed, Verdict{Upstream: s.upstream, SinceMs: u.SinceMs, Class: s.class, Open: open, For: last - now,
-				Why: fmt.Sprintf("%d reports from %d sites", len(by), len(sites))})
-		}
-		b.open[s] = open
 		if len(by) == 0 {
 			delete(b.reports, s)
-			delete(b.open, s)
 		}
 	}
-	slices.SortFunc(changed, func(x, y Verdict) int {
-		return slices.Compare([]string{x.Upstream, x.Class}, []string{y.Upstream, y.Class})
-	})
-	return changed
+}
+
+// subjects are those that something is or was said of, in order.
+func (b *Board) subjects() []subject {
+	all := slices.Collect(maps.Keys(b.reports))
+	for s := range b.told {
+		if b.reports[s] == nil {
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, subject.compare)
+	return all
 }
--- /dev/null
+++ b/internal/breaker/breaker_test.go
@@ -0,0 +1,264 @@
+package breaker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mosslead/internal/peer/api"
+)
+
+const (
+	at  = 10 * time.Second // when things are said in these tests; the board has settled
+	ttl = 5 * time.Second
+)
+
+var siteNames = []string{"makati", "cebu", "davao", "iloilo"}
+
+// newBoard is n00's at makati, of a fleet of 4 sites with members each and 4 upstreams each, u0 and u4 at makati.
+func newBoard(each int) *Board {
+	b := New(Config{Self: "n00", Site: "makati"})
+	var members []api.Member
+	for i := range 4 * each {
+		members = append(members, api.Member{Name: fmt.Sprintf("n%02d", i), Site: siteNames[i%4]})
+	}
+	b.Handle(0, Batch{Roster{members}, Listed{fleet(1)}})
+	return b
+}
+
+func fleet(sinceMs int64) (all []Upstream) {
+	for i := range 16 {
+		all = append(all, Upstream{Name: fmt.Sprint("u", i), Site: siteNames[i%4], SinceMs: sinceMs})
+	}
+	return all
+}
+
+func ill(upstream, class string, e api.Evidence) api.Report {
+	return api.Report{Upstream: upstream, SinceMs: 1, Class: class, State: api.Open, Evidence: e, Count: 3}
+}
+
+func heard(n int, r api.Report) Heard {
+	return Heard{From: api.Member{Name: fmt.Sprintf("n%02d", n)}, Report: r, TTL: ttl}
+}
+
+func well(n int, upstream string) Heard {
+	return heard(n, api.Report{Upstream: upstream, SinceMs: 1, State: api.Closed, Count: 1})
+}
+
+func (b *Board) isOpen(upstream, class string) bool {
+	old := b.told[subject{upstream, class}]
+	return old != nil && old.Open
+}
+
+// Each hard case by itself: what is said, and whether u5 (at cebu) is open for n00 then.
+func TestVerdicts(t *testing.T) {
+	silent, errs := ill("u5", "", api.Silence), ill("u5", "", api.Errors)
+	older, doubting, odd := silent, silent, silent
+	older.SinceMs, doubting.Doubt, odd.Evidence = 0, 0.9, 77
+	most := func(n int) (all Batch) { // of cebu
+		for _, u := range []string{"u1", "u5", "u9"} {
+			all = append(all, heard(n, ill(u, "", api.Silence)))
+		}
+		return all
+	}
+	fromAll := func(n int) (all Batch) {
+		for i := range 16 {
+			all = append(all, heard(n, ill(fmt.Sprint("u", i), "", api.Silence)))
+		}
+		return all
+	}
+	for _, c := range []struct {
+		name string
+		each int
+		what []Event
+		open bool
+	}{
+		{"two sites", 1, []Event{heard(1, silent), heard(2, silent)}, true},
+		{"one reporter", 1, []Event{heard(1, silent), heard(1, silent)}, false},
+		{"one site", 3, []Event{heard(1, silent), heard(5, silent), heard(9, silent)}, false},
+		{"the own site, by its paths", 3, []Event{heard(4, silent), heard(8, silent)}, true},
+		{"the own site, by errors", 3, []Event{heard(4, errs), heard(8, errs)}, false},
+		{"the own site contradicts itself", 3, []Event{heard(4, silent), heard(8, silent), Own{well(0, "u5").Report}}, false},
+		{"many could have met it", 75, []Event{heard(1, silent), heard(2, silent)}, false},
+		{"many did", 75, []Event{heard(1, silent), heard(2, silent), heard(5, silent), heard(6, silent), heard(3, silent)}, true},
+		{"one site blames, with one more", 75, []Event{heard(1, silent), heard(5, silent), heard(9, silent), heard(13, silent), heard(2, silent)}, false},
+		{"its life before", 1, []Event{heard(1, older), heard(2, older)}, false},
+		{"evidence of a later schema", 1, []Event{heard(1, odd), heard(2, odd)}, false},
+		{"who doubts itself", 1, []Event{heard(1, silent), heard(2, doubting)}, false},
+		{"who speaks ill of most of the site", 1, []Event{heard(1, silent), most(2)}, false},
+		{"broken links at two sites", 1, []Event{fromAll(1), fromAll(2)}, false},
+		{"who is not present", 1, []Event{heard(1, silent), heard(99, silent)}, false},
+		{"taken back", 1, []Event{heard(1, silent), heard(2, silent), Heard{From: api.Member{Name: "n02"}, Report: silent, Over: true}}, false},
+		{"as many sites say that it is well", 1, []Event{heard(1, silent), heard(2, silent), well(3, "u5"), Own{well(0, "u5").Report}}, false},
+		{"a class", 1, []Event{heard(1, ill("u5", "c", api.Errors)), heard(2, ill("u5", "c", api.Errors))}, false},
+		{"another class each", 1, []Event{heard(1, ill("u5", "c", api.Errors)), heard(2, ill("u5", "d", api.Errors))}, false},
+		{"dropped by the list and listed again", 1, []Event{heard(1, silent), heard(2, silent), Listed{fleet(1)[6:]}, Listed{fleet(1)}}, false},
+		{"restarted", 1, []Event{heard(1, silent), heard(2, silent), Listed{fleet(2)}}, false},
+		{"reporters restarted", 1, []Event{heard(1, silent), heard(2, silent), Roster{[]api.Member{
+			{Name: "n01", Site: "cebu", Incarnation: api.Incarnation{StartedMs: 9}}, {Name: "n02", Site: "davao"}}}}, false},
+	} {
+		b := newBoard(c.each)
+		for _, e := range c.what {
+			b.Handle(at, e)
+		}
+		if b.isOpen("u5", "") != c.open {
+			t.Errorf("%s: open %v", c.name, !c.open)
+		}
+	}
+}
+
+// A verdict holds for the class that was spoken of, and lapses with what was said; said anew without anything new it does, too.
+func TestAVerdictEnds(t *testing.T) {
+	b := newBoard(1)
+	b.Handle(at, heard(1, ill("u5", "c", api.Errors)))
+	v := b.Handle(at, heard(2, ill("u5", "c", api.Errors)))
+	if len(v) != 1 || !v[0].Open || v[0].Class != "c" || v[0].For != ttl || !strings.Contains(v[0].Why, "cebu/n01 errors 3") {
+		t.Fatalf("told %+v", v)
+	}
+	for now := at; now < at+time.Minute; now += time.Second {
+		b.Handle(now, Batch{heard(1, ill("u5", "c", api.Errors)), heard(2, ill("u5", "c", api.Errors))})
+		if open := now <= at+evidenceLasts; b.isOpen("u5", "c") != open {
+			t.Fatalf("open %v after %v of repeats", !open, now-at)
+		}
+	}
+	if b.Handle(at+2*time.Minute, Tick{}); len(b.reports)+len(b.told) > 0 {
+		t.Errorf("kept %d reports and %d verdicts", len(b.reports), len(b.told))
+	}
+}
+
+// A reporter that the own successes contradict is believed less, for a while.
+func TestALiarIsMarkedDown(t *testing.T) {
+	b := newBoard(1)
+	for i := range 3 {
+		u := fmt.Sprint("u", 4*i)
+		b.Handle(at, heard(1, ill(u, "", api.Errors)))
+		b.Handle(at, Own{well(0, u).Report})
+		b.Handle(at, Heard{From: api.Member{Name: "n01"}, Report: ill(u, "", api.Errors), Over: true})
+	}
+	later := at + 10*time.Second
+	b.Handle(later, Batch{heard(1, ill("u5", "", api.Errors)), heard(2, ill("u5", "", api.Errors))})
+	if b.isOpen("u5", "") {
+		t.Error("believed as if it had never been wrong")
+	}
+	later += 10 * time.Minute
+	b.Handle(later, Batch{heard(1, ill("u6", "", api.Errors)), heard(2, ill("u6", "", api.Errors))})
+	if !b.isOpen("u6", "") {
+		t.Error("not forgiven in ten minutes")
+	}
+}
+
+// What opens and ends again and again is held back.
+func TestNoFlapping(t *testing.T) {
+	b, opened := newBoard(1), 0
+	for now := at; now < at+20*time.Second; now += 200 * time.Millisecond {
+		over := heard(2, ill("u5", "", api.Silence))
+		over.Over = now/(200*time.Millisecond)%2 == 0
+		for _, v := range b.Handle(now, Batch{heard(1, ill("u5", "", api.Silence)), over}) {
+			if v.Open {
+				opened++
+			}
+		}
+	}
+	if opened == 0 || opened > 6 {
+		t.Errorf("opened %d times in 20 s", opened)
+	}
+}
+
+// The holder's trials close the breaker for all in steps; an old holder's do nothing; what comes late from before is void.
+func TestTrialsCloseInSteps(t *testing.T) {
+	b := newBoard(1)
+	b.Handle(at, Batch{heard(1, ill("u5", "", api.Silence)), heard(2, ill("u5", "", api.Silence))})
+	try := func(epoch uint64, step, count int, round uint64) *standing {
+		b.Handle(at, Trial{From: "n01", TTL: ttl, Tried: api.Tried{Upstream: "u5", SinceMs: 1, Epoch: epoch, OK: step > 0, Step: step, Count: count, Round: round}})
+		return b.told[subject{"u5", ""}]
+	}
+	if v := try(7, 0, 0, 0); v.Tries != Others || v.Share != 0 || !v.Open {
+		t.Fatalf("another holds the trials: %+v", v)
+	}
+	if v := try(7, 1, 1, 0); v.Share != shares[1] {
+		t.Fatalf("after one step: %+v", v)
+	}
+	if v := try(6, Steps, 9, 1); v.Share != shares[1] || !v.Open {
+		t.Fatalf("an earlier epoch was taken: %+v", v)
+	}
+	if v := try(7, Steps, 3, 1); v.Open {
+		t.Fatalf("not closed: %+v", v)
+	}
+	b.Handle(at, Batch{heard(3, ill("u5", "", api.Silence)), heard(2, ill("u5", "", api.Silence))})
+	if b.isOpen("u5", "") {
+		t.Error("reports of the round before count")
+	}
+}
+
+// Order, and repetition, make no difference, to what one learns of a trial's success either.
+func TestOrderMakesNoDifference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var events []Event
+		for reporter := range rapid.IntRange(1, 7).Draw(t, "reporters") {
+			for _, u := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 4, rapid.ID).Draw(t, "upstreams") {
+				r := ill(fmt.Sprint("u", u), "", api.Evidence(rapid.IntRange(1, 4).Draw(t, "evidence")))
+				r.Round = uint64(rapid.IntRange(0, 1).Draw(t, "round"))
+				if rapid.IntRange(0, 3).Draw(t, "well") == 0 {
+					r.State = api.Closed
+				}
+				events = append(events, heard(reporter, r))
+			}
+		}
+		for holder, epoch := range rapid.SliceOfNDistinct(rapid.Uint64Range(1, 3), 0, 3, rapid.ID).Draw(t, "epochs") {
+			step := rapid.IntRange(0, Steps).Draw(t, "step")
+			events = append(events, Trial{From: fmt.Sprintf("n%02d", holder), TTL: ttl, Tried: api.Tried{Upstream: "u1", SinceMs: 1,
+				Epoch: epoch, OK: step > 0, Step: step, Count: step, Round: uint64(step / Steps)}})
+		}
+		var views [2]string
+		for i := range views {
+			b := newBoard(2)
+			order := rapid.Permutation(events).Draw(t, "order")
+			b.Handle(at, append(append(Batch{}, order...), order[:len(order)/2]...))
+			for _, s := range b.subjects() {
+				if v := b.told[s]; v.Open {
+					views[i] += fmt.Sprintf("%v %v %v %v\n", s, v.Share, v.Tries, v.Why)
+				}
+			}
+		}
+		if views[0] != views[1] {
+			t.Fatalf("one saw\n%sand another\n%s", views[0], views[1])
+		}
+	})
+}
+
+// Whatever comes: bounds hold, and only what is listed is ever open.
+func FuzzHandle(f *testing.F) {
+	f.Add([]byte{1, 5, 0, 1, 2, 5, 0, 1, 9, 9, 9, 9})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		b, now := newBoard(2), at
+		for ; len(script) >= 4; script = script[4:] {
+			kind, x, y, z := script[0], script[1], script[2], script[3]
+			r := api.Report{Upstream: fmt.Sprint("u", x%20), SinceMs: int64(y % 3), State: api.BreakerState(y % 4), Evidence: api.Evidence(z % 6),
+				Class: strings.Repeat("c", int(z>>6)), Count: int(z) - 9, Doubt: float64(z)/200 - 0.1, Round: uint64(y >> 6)}
+			var e Event = heard(int(kind>>3), r)
+			switch kind % 8 {
+			case 0:
+				e = Own{r}
+			case 1:
+				e = Listed{fleet(int64(x % 3))[y%17:]}
+			case 2:
+				e = Trial{From: fmt.Sprintf("n%02d", x%8), TTL: time.Duration(y) * time.Second, Over: z > 200,
+					Tried: api.Tried{Upstream: r.Upstream, SinceMs: 1, Epoch: uint64(y), OK: z%2 == 0, Step: int(z%7) - 1, Round: uint64(z >> 5)}}
+			case 3:
+				e = Duty{r.Upstream, z%2 == 0}
+			}
+			now += time.Duration(z) * time.Millisecond
+			for _, v := range b.Handle(now, e) {
+				if _, listed := b.listed[v.Upstream]; v.Open && (!listed || v.For <= 0 || v.For > api.TTLMost || v.Share < 0 || v.Share >= 1) {
+					t.Fatalf("told %+v", v)
+				}
+			}
+			if len(b.reports) > subjectsMost || len(b.trials) > subjectsMost+16 {
+				t.Fatalf("%d subjects, %d trials", len(b.reports), len(b.trials))
+			}
+		}
+	})
+}
--- a/internal/peer/api/api.go
+++ b/internal/peer/api/api.go
@@ -127,6 +127,7 @@
 	Count    int          `cbor:"6,keyasint"` // attempts that the evidence consists of
 	Version  int64        `cbor:"7,keyasint"` // of the list that the reporter has
 	Doubt    float64      `cbor:"8,keyasint"` // 0 to 1: how far the reporter doubts itself (stopped, starved, cut off)
+	Round    uint64       `cbor:"9,keyasint"` // the latest closing of the breaker that the reporter knew of
 }
 
 // Pressure is how much of a sidecar is used: 0 nothing, 1 full. Parts beside the sum, so that operators see which it is.
@@ -146,6 +147,8 @@
 	Epoch    uint64 `cbor:"3,keyasint"` // of the duty under which it was made: an older one is refused
 	OK       bool   `cbor:"4,keyasint"`
 	Step     int    `cbor:"5,keyasint"` // of the closing: how many in a row went well
+	Round    uint64 `cbor:"6,keyasint"` // closings so far, this one too once it is whole: reports of earlier rounds are void
+	Count    int    `cbor:"7,keyasint"` // trials made under Epoch
 }
 
 // Summary is what the holder of a site's digest says for the members of its site.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -190,6 +190,7 @@
 		case <-l.timer.C:
 			l.handle(balancer.Wake{})
 		case <-verdicts.Wake():
+			l.shared.echo.heard(l.clock.now())
 			for h, ok := verdicts.Take(); ok; h, ok = verdicts.Take() {
 				l.handle(h)
 			}
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -4,25 +4,17 @@
 	"cmp"
 	"context"
 	"fmt"
-	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"mosslead/balancer"
-	"mosslead/internal/breaker"
 	"mosslead/internal/peer"
 	"mosslead/internal/peer/api"
 	"mosslead/internal/ring"
 )
 
-const (
-	ofPeers     = "peers"         // the log's component
-	reportsMost = 64              // reports of the loop that wait for the board
-	verdictMost = 64              // verdicts that wait for the loop
-	reportTTL   = 5 * time.Second // what was said of a breaker is believed for so long, unless said anew
-	boardEvery  = time.Second     // the board looks at least so often
-)
+const ofPeers = "peers" // the log's component
 
 // Peers is what a sidecar is told of the others; absent, it shares nothing.
 type Peers struct {
@@ -39,7 +31,9 @@
 	carrier  *peer.Carrier
 	dir      *directory
 	clock    clock
-	reports  *ring.Ring[string, api.Report]       // from the loop
+	duties   trialDuties                          // nil: none are held
+	echo     echo                                 // of the loop
+	reports  *ring.Ring[string, word]             // from the loop
 	verdicts *ring.Ring[string, balancer.Hearsay] // to the loop
 	parts    sync.WaitGroup
 	stop     context.CancelFunc
@@ -47,7 +41,7 @@
 
 // share begins to take part. An error says what of the configuration can't be used.
 func share(c *Config, dir *directory, clk clock, version string) (*sharing, error) {
-	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, api.Report](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
+	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
 		self: api.Member{Name: c.Name, Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()},
 			Site: cmp.Or(c.Peers.Zone, c.Settings.Zone), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
 	var err error
@@ -56,7 +50,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
-	s.parts.Go(func() { s.breakers(ctx) })
+	s.parts.Go(func() { s.runBreakers(ctx) })
 	return s, nil
 }
 
@@ -71,63 +65,3 @@
 		warn(ofPeers, "left without a word", err)
 	}
 }
-
-// report takes an action of the loop; it never waits.
-func (s *sharing) report(a *balancer.Action) {
-	since, _, listed := s.dir.life(a.Upstream)
-	if !listed {
-		return
-	}
-	r := api.Report{Upstream: a.Upstream, SinceMs: since, State: api.Open, Evidence: evidenceWords[a.Evidence], Count: a.Count}
-	if a.Evidence == balancer.NoEvidence {
-		r.State = api.Closed
-	}
-	s.reports.Put(r.Upstream, r, r.State == api.Closed)
-}
-
-var evidenceWords = map[balancer.Evidence]api.Evidence{balancer.ByErrors: api.Errors, balancer.ByBreaks: api.Breaks,
-	balancer.BySilence: api.Silence, balancer.ByFull: api.Full}
-
-// breakers owns the board: reports in, from here and from others, verdicts out.
-func (s *sharing) breakers(ctx context.Context) {
-	board := breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site})
-	tick := time.NewTicker(boardEvery)
-	defer tick.Stop()
-	heard := s.carrier.Heard()
-	for {
-		s.tell(board.Handle(s.clock.now(), breaker.Listed{Upstreams: s.dir.lives()}))
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case <-s.reports.Wake():
-			for r, ok := s.reports.Take(); ok; r, ok = s.reports.Take() {
-				if err := s.carrier.Say(api.Breaker, r.Upstream, r, reportTTL, r.State == api.Closed); err != nil {
-					warn(ofPeers, "a report was not said", err)
-				}
-				s.tell(board.Handle(s.clock.now(), breaker.Own{Report: r}))
-			}
-		case <-heard.Wake():
-			for r, ok := heard.Take(); ok; r, ok = heard.Take() {
-				var report api.Report
-				if r.Kind != api.Breaker || api.Decode(r.Body, &report) != nil {
-					continue
-				}
-				from := api.Member{Name: r.Owner, Site: s.carrier.Site(r.Owner)}
-				s.tell(board.Handle(s.clock.now(), breaker.Heard{From: from, Report: report, TTL: r.TTL, Over: r.Over}))
-			}
-		}
-	}
-}
-
-// tell hands verdicts to the loop.
-func (s *sharing) tell(verdicts []breaker.Verdict) {
-	for _, v := range verdicts {
-		h := balancer.Hearsay{Upstream: v.Upstream, CameUp: s.clock.unixMs(float64(v.SinceMs)), Class: v.Class}
-		if v.Open {
-			h.Until = s.clock.now() + v.For
-		}
-		note(slog.LevelInfo, ofPeers, "verdict", slog.String("upstream", v.Upstream), slog.Bool("open", v.Open), slog.String("why", v.Why))
-		s.verdicts.Put(v.Upstream+" "+v.Class, h, !v.Open)
-	}
-}
--- a/internal/sidecar/share_test.go
+++ b/internal/sidecar/share_test.go
@@ -35,12 +35,16 @@
 	all[0].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1", Evidence: balancer.ByErrors, Count: 3})
 	all[1].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1", Evidence: balancer.BySilence, Count: 3})
 	var h balancer.Hearsay
-	eventually(t, "a verdict", func() (ok bool) { h, ok = all[2].verdicts.Take(); return ok })
+	told := func() (ok bool) {
+		h, ok = all[2].verdicts.Take()
+		return ok && h.Upstream != "" // else it only asks whether the loop is alive
+	}
+	eventually(t, "a verdict", told)
 	if h.Upstream != "s-1" || h.Until <= all[2].clock.now() {
 		t.Errorf("told %+v", h)
 	}
 	all[0].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1"})
-	eventually(t, "its end", func() (ok bool) { h, ok = all[2].verdicts.Take(); return ok })
+	eventually(t, "its end", func() bool { return told() && h.Until == 0 })
 	if h.Upstream != "s-1" || h.Until != 0 {
 		t.Errorf("told %+v of the end", h)
 	}
