balancer: tests of hearsay's bounds, evidence by class and trials for all

Need: each bound on what others' words may do has to be seen to hold, and to fail without its code.

Change: tests; hearsay that ended and comes back over a second is held to the part of the usable upstreams, too (found by TestHearsayIsBounded at 20,000 checks: verdicts on an upstream and on one class of it, one ended, and another upstream left); an upstream out by own evidence makes its own trials while nobody holds them; a trial leaves one and a half medians for the attempt after it.

--- a/balancer/hearsay.go
+++ b/balancer/hearsay.go
@@ -105,8 +105,10 @@
 	if u.talk == nil {
 		return false
 	}
-	if t := u.talk.told[""]; t != nil && b.now < t.until && t.tries != TriesEach && u.ejections > 0 { // its trials are one sidecar's
-		return b.rng.Float64() >= t.share || b.classOut(u, r)
+	if u.ejections > 0 { // by own evidence: hearsay only tells whose the trials are
+		t := u.talk.told[""]
+		others := t != nil && b.now < t.until && t.tries != TriesEach
+		return others && b.rng.Float64() >= t.share || b.classOut(u, r)
 	}
 	return b.classOut(u, r) || b.hearsayOut(u, "", r) || b.hearsayOut(u, r.class.Name, r)
 }
@@ -117,17 +119,17 @@
 	if t == nil {
 		return false
 	}
-	through := t.share
-	if back := b.now - t.until; back >= 0 { // lapsed or ended: it comes back in steps
-		if back >= easeFor {
-			delete(u.talk.told, class)
-			return false
-		}
+	through, back := t.share, b.now-t.until
+	switch {
+	case back < 0:
+		t.kept = !t.outranked(u, class)
+	case back >= easeFor:
+		delete(u.talk.told, class)
+		return false
+	default: // lapsed or ended: it comes back in steps
 		through = max(through, float64(back)/float64(easeFor))
-	} else {
-		t.kept = !t.outranked(u, class) && b.within(u, r.class.Name)
 	}
-	return t.kept && (through == 0 || b.rng.Float64() >= through)
+	return t.kept && b.within(u, r.class.Name) && (through == 0 || b.rng.Float64() >= through)
 }
 
 // outranked: an own success after what was said weighs more. Of a class that only errs in part it takes several. What is let
@@ -159,13 +161,17 @@
 	return float64(ahead+1) <= hearsayPart*float64(usable)
 }
 
-// spoken tells whether hearsay stands that would keep class from u, and since when.
+// spoken tells whether hearsay would keep class from u, and since when.
 func (u *upstream) spoken(now time.Duration, class string) (since time.Duration, any bool) {
 	if u.talk == nil {
 		return 0, false
 	}
 	for _, c := range [...]string{"", class} {
-		if t := u.talk.told[c]; t != nil && now < t.until && !t.outranked(u, c) && (!any || t.since < since) {
+		t := u.talk.told[c]
+		if t == nil || now >= t.until+easeFor || now >= t.until && !t.kept || now < t.until && t.outranked(u, c) {
+			continue
+		}
+		if !any || t.since < since {
 			since, any = t.since, true
 		}
 	}
--- /dev/null
+++ b/balancer/hearsay_test.go
@@ -0,0 +1,189 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// sharingRig has n upstreams in the home zone (four: its whole subset), a class c and a class d, and hears of others.
+func sharingRig(t *testing.T, n int) *rig {
+	s := testSettings()
+	s.Reports = true
+	s.Classes = append(s.Classes, Class{Name: "d", Aim: 200 * ms, Deadline: time.Second, Worth: 1},
+		Class{Name: "unsafe", Aim: 200 * ms, Deadline: time.Second, Worth: 1, Effect: Unsafe})
+	r := newRig(t, s)
+	r.fleet(n)
+	return r
+}
+
+func (r *rig) hear(u, class string, tries Tries, share float64) {
+	r.do(Hearsay{Upstream: u, Class: class, Until: r.now + time.Minute, Since: r.now, Share: share, Tries: tries})
+}
+
+// serve sends n requests of a class one after another, 10 ms apart and 20 to 80 ms each, and tells how many attempts each upstream got and what was
+// reported.
+func (r *rig) serve(n int, class string, reply func(u string) Result) (sends map[string]int, reports []Action) {
+	sends = map[string]int{}
+	for i := range n {
+		r.now += 10 * ms
+		id := fmt.Sprint(class, r.now, i)
+		acts := r.request(id, class, time.Second)
+		for k := 0; ; k++ {
+			reports = append(reports, kinds(acts, Report)...)
+			s := kinds(acts, Send)
+			if len(s) == 0 {
+				break
+			}
+			sends[s[0].Upstream]++
+			took := time.Duration(20+(37*len(r.b.list)+53*i+int(r.now/ms))%60) * ms
+			r.now += took
+			acts = r.result(id, k, reply(s[0].Upstream), took)
+		}
+	}
+	return sends, reports
+}
+
+func good(string) Result { return OK }
+
+func TestHearsayKeepsOutForItsTime(t *testing.T) {
+	r := sharingRig(t, 4)
+	before := r.b.ups["u0"].est
+	r.hear("u0", "", TriesEach, 0)
+	if sends, _ := r.serve(200, "c", good); sends["u0"] != 0 || len(sends) != 3 {
+		t.Errorf("sent %v", sends)
+	}
+	if r.b.ups["u0"].est != before {
+		t.Error("hearsay changed an estimate")
+	}
+	r.do(Hearsay{Upstream: "u0"})
+	probe := &request{class: r.b.classes["c"]}
+	for _, back := range []time.Duration{100 * ms, 900 * ms} {
+		kept := 0
+		for range 1000 {
+			r.b.now = r.now + back
+			if r.b.keptOut(r.b.ups["u0"], probe) {
+				kept++
+			}
+		}
+		if want := 1000 - int(back/ms); kept < want-60 || kept > want+60 {
+			t.Errorf("%d of 1000 kept out %v after the end", kept, back)
+		}
+	}
+	r.now += easeFor
+	if sends, _ := r.serve(200, "c", good); sends["u0"] < 10 {
+		t.Errorf("not back: sent %v", sends)
+	}
+}
+
+// Hearsay of a class leaves the others; of another life it is nothing; a restart voids it; an own success since outranks it,
+// and is told.
+func TestHearsayHoldsNoFurther(t *testing.T) {
+	r := sharingRig(t, 4)
+	r.hear("u0", "c", TriesEach, 0)
+	if sends, _ := r.serve(100, "c", good); sends["u0"] != 0 {
+		t.Errorf("c: sent %v", sends)
+	}
+	if sends, _ := r.serve(100, "d", good); sends["u0"] == 0 {
+		t.Errorf("d: sent %v", sends)
+	}
+	r.do(Hearsay{Upstream: "u1", CameUp: time.Second, Until: r.now + time.Minute, Since: r.now})
+	r.hear("u2", "", TriesEach, 0)
+	r.list(Change, Member{Upstream: "u2", Zone: "a", CameUp: r.now - 50*time.Second})
+	if sends, _ := r.serve(100, "d", good); sends["u1"] == 0 || sends["u2"] == 0 {
+		t.Errorf("sent %v", sends)
+	}
+	r.do(Hearsay{Upstream: "u3", Until: r.now + time.Minute, Since: r.now - time.Second})
+	if sends, _ := r.serve(100, "d", good); sends["u3"] == 0 {
+		t.Error("an own success since did not outrank what was said")
+	}
+	r.request("flying", "d", time.Second)
+	u := r.b.reqs["flying"].attempts[0].u
+	r.do(Hearsay{Upstream: u.id, Until: r.now + time.Minute, Since: r.now - ms})
+	r.now += 5 * ms
+	if rep := kinds(r.result("flying", 0, OK, 5*ms), Report); len(rep) != 1 || rep[0].Evidence != NoEvidence || rep[0].Count != 1 {
+		t.Errorf("its success was told as %+v", rep)
+	}
+}
+
+// However verdicts, ejections, bans and the list come together: hearsay keeps out no more than its part of the usable ones.
+func TestHearsayIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := testSettings()
+		s.Reports = true
+		b, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, probe := time.Minute, &request{class: b.classes["c"]}
+		upstream := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("u", rapid.IntRange(0, 8).Draw(t, "u")) })
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * ms
+			u := upstream.Draw(t, "upstream")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				b.Handle(now, Hearsay{Upstream: u, Class: rapid.SampledFrom([]string{"", "c"}).Draw(t, "class"), Since: now,
+					Until: now + time.Duration(rapid.IntRange(0, 5).Draw(t, "s"))*time.Second, Tries: Tries(rapid.IntRange(0, 2).Draw(t, "tries"))}, nil)
+			case 2:
+				state := State(rapid.IntRange(0, 1).Draw(t, "state"))
+				b.Handle(now, Members{Kind: Change, Entries: []Member{{Upstream: u, Zone: []string{"a", "b"}[int(u[1])%2], State: state}}}, nil)
+			case 3:
+				b.Handle(now, Ban{Upstream: u, Lifted: rapid.Bool().Draw(t, "lifted")}, nil)
+			case 4:
+				if x := b.ups[u]; x != nil {
+					b.now = now
+					b.eject(x)
+				}
+			}
+			b.now = now
+			for _, zone := range []string{"a", "b"} {
+				usable, kept := 0, 0
+				for _, x := range b.list {
+					if x.zone != zone || x.banned || now < x.until {
+						continue
+					}
+					usable++
+					if x.ejections == 0 && b.keptOut(x, probe) {
+						kept++
+					}
+				}
+				if 3*kept > usable {
+					t.Fatalf("hearsay keeps out %d of %d usable", kept, usable)
+				}
+			}
+		}
+	})
+}
+
+// The rules hold whatever is said of upstreams.
+func TestRulesUnderHearsay(t *testing.T) {
+	for seed := range uint64(40) {
+		g := rand.New(rand.NewPCG(seed, 8))
+		s := randomSettings(g)
+		s.Reports = true
+		b, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &referee{t: t, s: s, now: time.Hour, reqs: map[string]*owed{}, active: map[string]Member{}}
+		deal := func(e Event) {
+			for _, a := range b.Handle(f.now, e, nil) {
+				f.action(a)
+			}
+		}
+		run(f, g, func(e Event) {
+			deal(e)
+			if g.IntN(10) == 0 {
+				m := f.active[fmt.Sprint("u", g.IntN(10))]
+				deal(Hearsay{Upstream: m.Upstream, CameUp: m.CameUp, Until: f.now + time.Duration(g.IntN(3000))*ms, Since: f.now,
+					Share: float64(g.IntN(3)) / 2, Tries: Tries(g.IntN(3)), Tried: g.IntN(2) == 0})
+			}
+		}, 600)
+		if n := len(b.reqs); n != 0 {
+			t.Fatalf("seed %d: %d requests kept after all have ended", seed, n)
+		}
+	}
+}
--- a/balancer/trial.go
+++ b/balancer/trial.go
@@ -10,19 +10,20 @@
 
 const (
 	trialEvery = 300 * time.Millisecond // between trials that go well, jittered by half
-	trialTimes = 2.0                    // late quantiles that a trial waits: longer would cost its request more
+	trialTimes = 2.0                    // late quantiles that a trial waits at the most, and one at the least
+	retryTimes = 1.5                    // medians that are left for the attempt after it
 )
 
 // trial is the upstream that r makes a trial of, or nil.
 func (b *Balancer) trial(r *request) *upstream {
 	if len(b.ours) == 0 || r.class.Effect != Safe || r.open || len(r.attempts) > 0 || b.retries < 1 ||
-		min(r.most, b.set.MaxAttempts) < 2 || b.now+b.trialTime(r)+seconds(2*b.mid.v*r.cost) > r.end {
+		min(r.most, b.set.MaxAttempts) < 2 || b.trialTime(r) < seconds(b.late.v*r.cost) {
 		return nil
 	}
 	b.ours = slices.DeleteFunc(b.ours, func(u *upstream) bool { return b.ups[u.id] != u || !u.ours(b.now) })
 	for _, u := range b.ours {
 		t := u.talk
-		if t.trying != nil || b.now < t.next || b.now < u.until || len(u.out) > 0 || b.classOut(u, r) || !b.mayTry(r, u) {
+		if b.now < t.next || b.now < u.until || len(u.out) > 0 || b.classOut(u, r) || !b.mayTry(r, u) {
 			continue
 		}
 		t.trying, t.number = r, len(r.attempts)
@@ -36,16 +37,16 @@
 	return t != nil && now < t.until && t.tries == TriesOurs
 }
 
-// trialTime is how long a trial waits for its answer.
+// trialTime is how long a trial waits for its answer: so long that another attempt can follow.
 func (b *Balancer) trialTime(r *request) time.Duration {
-	return max(seconds(trialTimes*b.late.v*r.cost), 2*b.set.Tick)
+	return min(seconds(trialTimes*b.late.v*r.cost), r.end-b.now-seconds(retryTimes*b.mid.v*r.cost))
 }
 
 // allowance is how long r's next attempt may take at u.
 func (b *Balancer) allowance(r *request, u *upstream) time.Duration {
 	d := max(r.end-b.now, b.set.Tick)
 	if u.talk != nil && u.talk.trying == r {
-		d = min(d, b.trialTime(r))
+		d = max(min(d, b.trialTime(r)), b.set.Tick)
 	}
 	return d
 }
--- /dev/null
+++ b/balancer/trial_test.go
@@ -0,0 +1,160 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+// An upstream that errs in half of its answers for one class is left out for that class, and for no other; said so.
+func TestAnUpstreamBadForOneClass(t *testing.T) {
+	r, n := sharingRig(t, 4), 0
+	half := func(u string) Result {
+		if n++; u == "u0" && n%2 == 0 {
+			return ServerError
+		}
+		return OK
+	}
+	var c, d, again map[string]int
+	var reports []Action
+	for range 20 { // both classes side by side
+		x, rep := r.serve(20, "c", half)
+		y, _ := r.serve(20, "d", good)
+		if c = x; len(rep) > 0 && reports == nil {
+			reports = rep
+		}
+		d = y
+	}
+	if c["u0"] > 2 || d["u0"] == 0 {
+		t.Errorf("at last %d attempts of c and %d of d", c["u0"], d["u0"])
+	}
+	if len(reports) == 0 || reports[0].Class != "c" || reports[0].Evidence != ByErrors || reports[0].Count < 3 {
+		t.Fatalf("reported %+v", reports)
+	}
+	r.now += ejectMax * 2
+	reports = nil
+	for range 10 {
+		var rep []Action
+		again, rep = r.serve(30, "c", good)
+		reports = append(reports, rep...)
+	}
+	if again["u0"] == 0 || len(reports) != 1 || reports[0].Evidence != NoEvidence || reports[0].Class != "c" {
+		t.Errorf("well again: %d attempts, reported %+v", again["u0"], reports)
+	}
+}
+
+// Three errors in a row that are one class's alone leave the upstream to the others; a class that errs everywhere is left out
+// nowhere, so that one client's requests do not take the fleet away.
+func TestErrorsOfOneClass(t *testing.T) {
+	r := sharingRig(t, 4)
+	r.serve(100, "c", good)
+	r.b.Handle(r.now, Wake{}, nil)
+	u := r.b.ups["u0"]
+	answer := func(class string, res Result) {
+		r.b.health(&attempt{r: &request{class: r.b.classes[class], cost: 1}, u: u, sent: r.now}, res, 50*ms)
+	}
+	answer("d", OK)
+	u.talk.tallies["c"] = nil // what it did before this test's answers
+	for range ejectErrors {
+		answer("c", ServerError)
+	}
+	if u.ejections > 0 || u.talk.tallies["c"].outs == 0 {
+		t.Errorf("ejected %d times, out for c %d times", u.ejections, u.talk.tallies["c"].outs)
+	}
+	r = sharingRig(t, 4)
+	n := 0
+	r.serve(400, "c", func(string) Result {
+		if n++; n%2 == 0 {
+			return ServerError
+		}
+		return OK
+	})
+	for id, u := range r.b.ups {
+		if u.talk.tallies["c"].outs > 0 {
+			t.Errorf("%s is left out though all err", id)
+		}
+	}
+}
+
+// The trials of an upstream are made by the one whose duty they are: safe requests, one at a time, paced, cut short in time for
+// another attempt. The others make none, also when their own ejection is over.
+func TestOneTrialForAll(t *testing.T) {
+	silent := func(u string) Result {
+		if u == "u0" {
+			return Timeout
+		}
+		return OK
+	}
+	r := sharingRig(t, 4)
+	r.serve(100, "d", good)
+	r.hear("u0", "", TriesOurs, 0)
+	r.now += time.Second
+	if s, _ := r.serve(50, "unsafe", good); s["u0"] > 0 {
+		t.Error("an unsafe request was made a trial")
+	}
+	acts := r.request("trial", "c", time.Second)
+	if s := kinds(acts, Send); len(s) != 1 || s[0].Upstream != "u0" || s[0].Timeout > 180*ms {
+		t.Fatalf("the trial: %+v", s)
+	}
+	r.now += 50 * ms
+	if s := kinds(r.request("another", "c", time.Second), Send); len(s) != 1 || s[0].Upstream == "u0" {
+		t.Fatalf("two trials at once: %+v", s)
+	}
+	acts = r.result("trial", 0, Timeout, 50*ms)
+	if s, rep := kinds(acts, Send), kinds(acts, Report); len(s) != 1 || s[0].Upstream == "u0" || len(rep) != 1 || !rep[0].Trial || rep[0].Evidence != BySilence {
+		t.Fatalf("a failed trial: %+v", acts)
+	}
+	if s, _ := r.serve(8, "c", silent); s["u0"] > 0 {
+		t.Error("tried again at once")
+	}
+	r.now += 2 * time.Second
+	r.hear("u0", "", TriesOurs, 0)
+	if _, rep := r.serve(50, "c", good); len(rep) < 3 || len(rep) > 14 {
+		t.Errorf("%d trials that went well in 3 s", len(rep))
+	}
+	r.hear("u0", "", TriesOurs, 0)
+	r.now += time.Second
+	r.do(Ban{Upstream: "u0"})
+	if s, _ := r.serve(50, "c", good); s["u0"] > 0 {
+		t.Error("a banned upstream was tried")
+	}
+
+	for _, tries := range []Tries{TriesEach, TriesOthers} {
+		r = sharingRig(t, 4)
+		r.serve(500, "c", silent)
+		if r.b.ups["u0"].ejections == 0 {
+			t.Fatal("not ejected")
+		}
+		r.now += 10 * time.Second
+		r.hear("u0", "", tries, 0)
+		if s, _ := r.serve(50, "c", silent); s["u0"] > 0 != (tries == TriesEach) {
+			t.Errorf("trials are %d's: %d attempts", tries, s["u0"])
+		}
+		r.b.ups["u0"].until = r.now + 2*ejectMax
+		r.do(Hearsay{Upstream: "u0", Tried: true})
+		r.now += easeFor
+		if s, _ := r.serve(100, "c", good); s["u0"] == 0 {
+			t.Error("no own trial after one for all went well")
+		}
+	}
+}
+
+// What comes back cold is held to its budget, whoever tries it or lets it through.
+func TestTrialsHoldColdBudgets(t *testing.T) {
+	r := sharingRig(t, 4)
+	r.serve(300, "c", good)
+	r.list(Change, Member{Upstream: "u0", Zone: "a", CameUp: r.now})
+	if u := r.b.ups["u0"]; !u.cold {
+		t.Fatal("not cold")
+	}
+	r.b.ups["u0"].tokens = 0
+	r.do(Hearsay{Upstream: "u0", CameUp: r.now, Until: r.now + time.Minute, Since: r.now, Tries: TriesOurs})
+	r.now += time.Second
+	r.b.ups["u0"].filled = r.now
+	if s := r.wantSend(r.request("x", "c", time.Second)); s == "u0" {
+		t.Error("a trial over the cold budget")
+	}
+	r.b.ups["u0"].tokens = 5
+	if s := r.wantSend(r.request("y", "c", time.Second)); s != "u0" {
+		t.Error("no trial within it")
+	}
+}
