--- a/balancer/evidence.go
+++ b/balancer/evidence.go
@@ -26,13 +26,16 @@
 	errsLeast  = 0.02             // errors in a hundred pass as chance on the best of days
 	errsPart   = 0.25             // a class is left out where so many of its answers are errors: fewer cost less than the room
 	errsChance = 1e-4             // tried at each error, on tens of upstreams and classes
+	noTenant   = -2               // a request's tenant is -1 where it has none
 	backInRow  = 5                // trials that must go well before a class comes back: half good has 1 in 32
 )
 
 // tally is what recent answers of one class by one upstream came to.
 type tally struct {
-	errs   uint32 // the latest in the lowest bit; set: an error
-	n      int    // of them known
+	errs   uint32         // the latest in the lowest bit; set: an error
+	n      int            // of them known
+	who    [tallyMost]int // whose requests they were: the tenants' numbers, the latest at the index at
+	at     int
 	last   time.Duration
 	served time.Duration // when the latest success came
 	row    int           // errors in a row
@@ -41,10 +44,12 @@
 	back   int           // trials in a row that went well since
 }
 
-func (t *tally) add(err bool, now time.Duration) {
+func (t *tally) add(err bool, tenant int, now time.Duration) {
 	if now-t.last > tallyAge {
 		t.errs, t.n = 0, 0
 	}
+	t.at = (t.at + 1) % tallyMost
+	t.who[t.at] = tenant
 	t.last, t.errs, t.n = now, t.errs<<1, min(t.n+1, tallyMost)
 	if t.row++; err {
 		t.errs |= 1
@@ -55,14 +60,48 @@
 
 func (t *tally) count() int { return bits.OnesCount32(t.errs << (tallyMost - t.n)) }
 
+// oneTenant tells whether all errors are of one tenant's requests while another's are served: that tells of the tenant.
+func (t *tally) oneTenant() bool {
+	with, without := noTenant, 0
+	for i := range t.n {
+		who := t.who[(t.at-i+tallyMost)%tallyMost]
+		switch err := t.errs>>i&1 == 1; {
+		case err && with != noTenant && with != who:
+			return false
+		case err:
+			with = who
+		}
+	}
+	for i := range t.n {
+		if with != noTenant && t.errs>>i&1 == 0 && t.who[(t.at-i+tallyMost)%tallyMost] != with {
+			without++
+		}
+	}
+	return without >= ejectErrors
+}
+
 // out tells whether the class is left out.
 func (t *tally) out(now time.Duration) bool { return t != nil && now < t.until }
 
-// report says what this sidecar's own evidence comes to, where others want to hear it.
+// report says what this sidecar's own evidence comes to, where others want to hear it: of the one class that the errors are
+// of, if they are; nothing where they are of one tenant's requests.
 func (b *Balancer) report(u *upstream, why Evidence, count int) {
-	if b.set.Reports {
-		b.act(Action{Kind: Report, Upstream: u.id, Evidence: why, Count: count, At: u.cameUp})
+	if !b.set.Reports {
+		return
+	}
+	t := b.talk(u)
+	c := t.tallies[t.saidOf]
+	switch {
+	case why == NoEvidence && c != nil && c.outs > 0:
+		return // the class's own evidence stands, see weigh
+	case why == ByErrors:
+		if t.saidOf = t.run; t.run != "" && t.tallies[t.run].oneTenant() {
+			return
+		}
+	case why != NoEvidence:
+		t.saidOf = ""
 	}
+	b.act(Action{Kind: Report, Upstream: u.id, Class: t.saidOf, Evidence: why, Count: count, At: u.cameUp})
 }
 
 // evidence is why u is being left out.
@@ -97,7 +136,12 @@
 		c = &tally{}
 		t.tallies[a.r.class.Name] = c
 	}
-	c.add(res == ServerError, b.now)
+	c.add(res == ServerError, a.r.tenant, b.now)
+	if res == ServerError && a.u.errors == 0 {
+		t.run = a.r.class.Name
+	} else if res == ServerError && t.run != a.r.class.Name {
+		t.run = ""
+	}
 	switch {
 	case res == OK && c.outs > 0 && a.sent >= c.until:
 		if c.back++; c.back >= backInRow {
@@ -120,7 +164,7 @@
 // by chance less often than errsChance. So a class that errs everywhere is left out nowhere.
 func (b *Balancer) stands(u *upstream, class string, c *tally) bool {
 	k, n := c.count(), c.n
-	if float64(k) < errsPart*float64(n) {
+	if float64(k) < errsPart*float64(n) || c.oneTenant() {
 		return false
 	}
 	errs, all := 0.0, 0.0
@@ -173,7 +217,7 @@
 	c := t.tallies[a.r.class.Name]
 	for name, x := range t.tallies {
 		if name != a.r.class.Name && x.n > 0 && x.row == 0 && b.now-x.served < tallyAge/3 {
-			return c.outs > 0 && c.row >= a.u.errors
+			return c.outs > 0 && t.run != ""
 		}
 	}
 	return false
--- a/balancer/hearsay.go
+++ b/balancer/hearsay.go
@@ -56,6 +56,8 @@
 type talk struct {
 	told    map[string]*told  // by class; "" is all
 	tallies map[string]*tally // own evidence, by class
+	run     string            // whose the errors in a row are; empty: of several
+	saidOf  string            // the class that the ejection was reported of
 	trying  *request          // whose attempt is the trial for all that is out
 	number  int               // of that attempt
 	next    time.Duration     // the next one is not before
--- a/balancer/trial_test.go
+++ b/balancer/trial_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -60,6 +61,19 @@
 	if u.ejections > 0 || u.talk.tallies["c"].outs == 0 {
 		t.Errorf("ejected %d times, out for c %d times", u.ejections, u.talk.tallies["c"].outs)
 	}
+
+	r = sharingRig(t, 4) // d is not asked for: it is ejected, and that said of c; of one tenant's errors nothing is
+	r.b.now = r.now
+	for tenant := range 2 {
+		u = r.b.ups[fmt.Sprint("u", tenant)]
+		for i := range 2 * ejectErrors {
+			res := []Result{OK, ServerError}[i/ejectErrors]
+			r.b.health(&attempt{r: &request{class: r.b.classes["c"], cost: 1, tenant: tenant * (i / ejectErrors)}, u: u, sent: r.now}, res, 50*ms)
+		}
+	}
+	if said := kinds(r.b.acts, Report); len(said) != 1 || said[0].Upstream != "u0" || said[0].Class != "c" {
+		t.Errorf("reported %+v", said)
+	}
 	r = sharingRig(t, 4)
 	n := 0
 	r.serve(400, "c", func(string) Result {
--- a/internal/breaker/trust.go
+++ b/internal/breaker/trust.go
@@ -93,20 +93,21 @@
 	}
 }
 
-// reach is of how many upstreams each reporter speaks ill, by site; "" is all of them. Classes alone are not of them.
+// reach is of how many upstreams each reporter speaks ill, of a class of them perhaps, by site; "" is all of them.
 type reach map[string]map[string]int
 
 func (b *Board) reach() reach {
-	all := reach{}
+	all, counted := reach{}, map[subject]bool{} // by upstream and reporter
 	for s, by := range b.reports {
 		u, listed := b.listed[s.upstream]
-		if s.class != "" || !listed {
+		if !listed {
 			continue
 		}
 		for name, r := range by {
-			if !r.open() {
+			if !r.open() || counted[subject{s.upstream, name}] {
 				continue
 			}
+			counted[subject{s.upstream, name}] = true
 			if all[name] == nil {
 				all[name] = map[string]int{}
 			}
