--- a/internal/breaker/trust.go
+++ b/internal/breaker/trust.go
@@ -136,12 +136,13 @@
 		return 0, "nothing new for long"
 	case r.report.Round < b.round(s.upstream):
 		return 0, "said before it was closed"
-	case r.report.Doubt >= 0.5:
-		return 0, "doubts itself"
 	case b.over(all, name, b.listed[s.upstream].Site):
 		return 0, "speaks ill of most upstreams"
 	}
 	w, why := 1-r.report.Doubt, ""
+	if r.report.Doubt > 0 {
+		why = "doubts itself"
+	}
 	if bad := b.scores[name].now(now); bad >= 0.1 {
 		w, why = w*math.Exp2(-bad), "was wrong of late"
 	}
