sidecar: tests of trials said under a lease, and of reports said again

Need: the breakers' thread decides what is said under which epoch; nothing showed that it looks at the lease at each act.

Change: two tests on the thread's state without the thread; TestTheBoardIsBounded looks at the reporter that says most.

--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -173,8 +173,8 @@
 			t.Fatalf("%d reporters of one subject", len(by))
 		}
 	}
-	if len(b.reports) > subjectsMost || b.says("n05") > sayMost {
-		t.Errorf("%d subjects, %d of one reporter", len(b.reports), b.says("n05"))
+	if len(b.reports) > subjectsMost || b.says("n00") > sayMost {
+		t.Errorf("%d subjects, %d of one reporter", len(b.reports), b.says("n00"))
 	}
 }
 
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -58,11 +58,14 @@
 	trials map[string]*trials
 }
 
+func newBreakers(s *sharing) *breakers {
+	return &breakers{s: s, duties: s.duties, board: breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site}),
+		doubt: breaker.NewDoubt(s.clock.now(), lookEach), own: map[string]api.Report{}, said: map[string]time.Duration{}, trials: map[string]*trials{}}
+}
+
 // runBreakers is the thread.
 func (s *sharing) runBreakers(ctx context.Context) {
-	now := s.clock.now()
-	p := &breakers{s: s, duties: s.duties, board: breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site}),
-		doubt: breaker.NewDoubt(now, lookEach), own: map[string]api.Report{}, said: map[string]time.Duration{}, trials: map[string]*trials{}}
+	p := newBreakers(s)
 	tick := time.NewTicker(lookEach)
 	defer tick.Stop()
 	heard := s.carrier.Heard()
--- /dev/null
+++ b/internal/sidecar/breakers_test.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"mosslead/balancer"
+	"mosslead/internal/breaker"
+	"mosslead/internal/peer"
+	"mosslead/internal/peer/api"
+	"mosslead/internal/ring"
+)
+
+// leases are duties as a test says.
+type leases struct {
+	epoch  uint64
+	held   bool
+	wished map[string]bool
+}
+
+func (l *leases) wish(name string, wanted bool)        { l.wished[name] = wanted }
+func (l *leases) holds(string) (epoch uint64, ok bool) { return l.epoch, l.held }
+
+// breakersRig is the breakers' part without its thread: n0 at makati, beside n1 at cebu and n2 at davao.
+func breakersRig(t *testing.T, d trialDuties) *breakers {
+	s := &sharing{self: api.Member{Name: "n0", Site: "makati"}, clock: newClock(), duties: d,
+		reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost)}
+	s.dir = newDirectory(s.clock, func(string) {})
+	index := int64(1)
+	s.dir.apply(&listing{Index: &index, Snapshot: true, Endpoints: []endpoint{{Name: "s-1", Address: "127.0.0.1:1", Zone: "davao", Status: statusReady, SinceMs: 5},
+		{Name: "s-2", Address: "127.0.0.1:2", Zone: "davao", Status: statusReady, SinceMs: 5}}})
+	var err error
+	if s.carrier, err = peer.Join(peer.Config{Member: s.self, Address: "127.0.0.1:0"}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.carrier.Leave(); err != nil {
+			t.Error(err)
+		}
+	})
+	p := newBreakers(s)
+	p.handle(breaker.Batch{breaker.Listed{Upstreams: s.dir.lives()},
+		breaker.Roster{Members: []api.Member{s.self, {Name: "n1", Site: "cebu"}, {Name: "n2", Site: "davao"}}}})
+	s.clock.start = s.clock.start.Add(-time.Minute) // the board has settled
+	return p
+}
+
+// told is the newest verdict on s-1.
+func (p *breakers) told(t *testing.T) balancer.Hearsay {
+	t.Helper()
+	for h, ok := p.s.verdicts.Take(); ok; h, ok = p.s.verdicts.Take() {
+		if h.Upstream == "s-1" {
+			return h
+		}
+	}
+	t.Fatal("no verdict")
+	return balancer.Hearsay{}
+}
+
+func (p *breakers) blame() {
+	for _, name := range []string{"n1", "n2"} {
+		p.handle(breaker.Heard{From: api.Member{Name: name}, TTL: reportTTL,
+			Report: api.Report{Upstream: "s-1", SinceMs: 5, State: api.Open, Evidence: api.Silence, Count: 3}})
+	}
+}
+
+// Trials are wished for while a breaker is open, said under the lease's epoch, in steps, and not once the lease is over.
+func TestTrialsAreSaidUnderALease(t *testing.T) {
+	d := &leases{epoch: 3, wished: map[string]bool{}}
+	p := breakersRig(t, d)
+	result := func(state api.BreakerState) {
+		p.loopSaid(word{api.Report{Upstream: "s-1", SinceMs: 5, State: state, Evidence: api.Silence}, true})
+	}
+	p.blame()
+	if h := p.told(t); h.Until == 0 || h.Tries != balancer.TriesEach || !d.wished["trials/s-1"] {
+		t.Fatalf("told %+v, wished %v", h, d.wished)
+	}
+	result(api.Closed) // not held: says nothing
+	d.held = true
+	p.handle(p.hold(p.s.clock.now()))
+	if h := p.told(t); h.Tries != balancer.TriesOurs || h.Share != 0 {
+		t.Fatalf("held, and told %+v", h)
+	}
+	result(api.Closed)
+	if h := p.told(t); h.Share == 0 || h.Until == 0 {
+		t.Fatalf("after one step told %+v", h)
+	}
+	result(api.Open)
+	if h := p.told(t); h.Share != 0 || h.Until == 0 {
+		t.Fatalf("after a trial that failed told %+v", h)
+	}
+	result(api.Closed)
+	result(api.Closed)
+	d.held = false // the lease ends in the middle of it
+	result(api.Closed)
+	p.handle(p.hold(p.s.clock.now()))
+	if h := p.told(t); h.Until == 0 || h.Tries == balancer.TriesOurs {
+		t.Fatalf("closed without the lease: told %+v", h)
+	}
+	d.epoch, d.held = 4, true
+	p.handle(p.hold(p.s.clock.now()))
+	for range breaker.Steps {
+		result(api.Closed)
+	}
+	if h := p.told(t); h.Until != 0 || !h.Tried || d.wished["trials/s-1"] {
+		t.Fatalf("closed, and told %+v, wished %v", h, d.wished)
+	}
+	if p.board.Round("s-1") != 1 {
+		t.Errorf("round %d", p.board.Round("s-1"))
+	}
+}
+
+// What this sidecar says is said again until taken back, or until the upstream is another; a jammed loop is doubted.
+func TestReportsAreSaidAgain(t *testing.T) {
+	p := breakersRig(t, nil)
+	p.s.report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1", Evidence: balancer.BySilence, Count: 2})
+	p.s.report(&balancer.Action{Kind: balancer.Report, Upstream: "s-2", Class: "c", Evidence: balancer.ByErrors, Count: 4})
+	for w, ok := p.s.reports.Take(); ok; w, ok = p.s.reports.Take() {
+		p.loopSaid(w)
+	}
+	first := p.said["s-1 "]
+	p.s.clock.start = p.s.clock.start.Add(-sayAgain)
+	p.s.echo.heard(p.s.clock.now())
+	p.look()
+	if p.said["s-1 "] == first || len(p.own) != 2 {
+		t.Errorf("not said again: %v", p.own)
+	}
+	for range 8 { // the thread itself looks in time
+		p.doubt = breaker.NewDoubt(p.s.clock.now(), lookEach)
+		p.s.clock.start = p.s.clock.start.Add(-lookEach)
+		p.look()
+	}
+	if p.unsure < 1 {
+		t.Error("no doubt while the loop takes nothing")
+	}
+	index := int64(2)
+	p.s.dir.apply(&listing{Index: &index, Endpoints: []endpoint{{Name: "s-1", Address: "127.0.0.1:1", Zone: "davao", Status: statusReady, SinceMs: 9}}})
+	p.look()
+	p.s.report(&balancer.Action{Kind: balancer.Report, Upstream: "s-2", Class: "c"})
+	w, _ := p.s.reports.Take()
+	if p.loopSaid(w); len(p.own) != 0 {
+		t.Errorf("still says %v", p.own)
+	}
+}
