--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -157,12 +157,12 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
-// again, with mu held, renews what this process stands by and a third of whose time is over: a record may have missed some, and one
+// again, with mu held, renews what this process stands by and half of whose time is over: a record may have missed some, and one
 // whose owner has died lapses. What is soon made old by the next one is not said again.
 func (p *Carrier) again() (keys []api.Key) {
 	now := p.now()
 	for key, h := range p.records.owners[p.self.Name] {
-		if h.Over || !lasting(key.Kind) || h.until-now > 2*h.TTL/3 {
+		if h.Over || !lasting(key.Kind) || h.until-now > h.TTL/2 {
 			continue
 		}
 		p.seq++
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -38,6 +38,7 @@
 	site    string
 	c       duty.Config // times; the names are each duty's own
 	sites   func() []string
+	siteOf  func(upstream string) string
 	pressed atomic.Uint64 // pressure in thousandths
 
 	ctx  context.Context
@@ -113,6 +114,11 @@
 	return h.Act(time.Now())
 }
 
+// wish is want for the trials of an upstream.
+func (d *duties) wish(name string, wanted bool) {
+	d.want(name, wanted, d.siteOf(strings.TrimPrefix(name, trialsOf(""))))
+}
+
 // want makes this sidecar a candidate for a duty that is about a site, or not one any more: what it holds it then gives up.
 func (d *duties) want(name string, on bool, site string) {
 	if d == nil {
--- a/internal/sidecar/duties_test.go
+++ b/internal/sidecar/duties_test.go
@@ -30,15 +30,13 @@
 				t.Errorf("%s: %d, %v; the service says %+v", name, epoch, ok, service.Duty(name))
 			}
 		}
-		s := &sharing{dir: newDirectory(newClock(), func(string) {}), duties: a, suspects: map[string]suspicion{}}
-		s.suspect("s-1", func(x *suspicion) { x.own = true })
-		s.suspect("s-1", func(x *suspicion) { x.told = true })
-		s.suspect("s-1", func(x *suspicion) { x.own = false })
+		a.siteOf = func(string) string { return "cebu" }
+		a.wish(trialsOf("s-1"), true)
 		time.Sleep(10 * time.Second)
 		if _, ok := a.holds(trialsOf("s-1")); !ok {
 			t.Error("nobody holds the trials of one that is left out")
 		}
-		s.suspect("s-1", func(x *suspicion) { x.told = false })
+		a.wish(trialsOf("s-1"), false)
 		time.Sleep(time.Second)
 		if _, ok := a.holds(trialsOf("s-1")); ok || service.Duty(trialsOf("s-1")).Holder != "" {
 			t.Error("the trials of one that is used again are still held")
