sidecar: a new process that is told to end gives its clients back at once

Need: after SIGTERM during a hand-over the new process accepted for 0.6 s more, and the old one took clients again only when the link ended, up to 3.5 s later: until then connections lay in the queue that both share, and their requests with them. Change: the new process says that it ends; the old one, unless it was told the same, accepts at once, and goes by what the new one still holds, as the other way round before, so that both stay within the limits. One that has not taken over yet does not begin to. Measured: TestNewProcessIsToldToEnd fails without it (the waiting request gets its 502 with the process).

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -83,6 +83,13 @@
 	c.room.Broadcast()
 }
 
+// pausing tells whether another process takes clients.
+func (c *clientConns) pausing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.paused
+}
+
 // finish takes what waits in the kernel's queue, which would be reset with the listener, and then closes that. Each
 // connection ends once it is between requests.
 func (c *clientConns) finish() {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -15,8 +15,8 @@
 )
 
 // drain goes on accepting while clients still come, answers everything that was taken, and ends before the
-// process is killed, unless a client is slow to take its answer. Where another process takes clients already, it accepts
-// none: each connection ends with its next answer, and what is between requests ends only when another request could not
+// process is killed, unless a client is slow to take its answer. Where another process takes clients already, or still, it
+// accepts none: each connection ends with its next answer, and what is between requests ends only when another request could not
 // be answered within its aim. The states that connections can be in are in docs/ARCHITECTURE.md.
 func (p *process) drain(srv *http.Server) error {
 	begun := time.Now()
@@ -24,6 +24,7 @@
 	p.loop.shared.yield()
 	replaced := p.s.stopping.Swap(true)
 	p.conns.lingers.Store(true)
+	p.h.giveBack()
 	longest, aim := time.Duration(0), time.Duration(0)
 	for _, class := range p.c.Settings.Classes {
 		longest, aim = max(longest, class.Deadline), max(aim, class.Aim)
@@ -34,7 +35,7 @@
 		p.loop.post(abort{})
 	})
 	defer last.Stop()
-	if replaced {
+	if replaced || p.conns.pausing() {
 		p.conns.awaitNone(max(killAfter-aim, quietAfter))
 	} else {
 		time.Sleep(quietAfter)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -34,7 +34,8 @@
 type message struct {
 	State *inherited `json:",omitempty"` // old to new: what it begins with
 	Ready bool       `json:",omitempty"` // new to old: it can take clients
-	Uses  *uses      `json:",omitempty"` // old to new, once it accepts no more
+	Uses  *uses      `json:",omitempty"` // old to new, once it accepts no more; new to old after Back
+	Back  bool       `json:",omitempty"` // new to old: it was told to end
 	Ban   *call      `json:",omitempty"`
 	Ack   int        `json:",omitempty"` // the call of this number is taken over
 	Kept  bool       `json:",omitempty"` // and it is on disk
@@ -163,6 +164,8 @@
 
 	mu     sync.Mutex
 	peer   *link // nil: no other process
+	before *link // the process before, as long as it is there
+	over   chan struct{}
 	listen net.Listener
 	closed bool
 }
@@ -200,7 +203,7 @@
 		_ = conn.SetReadDeadline(time.Time{})
 		if err == nil {
 			l.ban = h.ban
-			h.peer = l
+			h.peer, h.before = l, l
 			return *m.State
 		}
 		conn.Close()
@@ -321,34 +324,27 @@
 	yielded := make(chan struct{})
 	end := make(chan struct{})
 	told := make(chan struct{})
-	go func() { // tells what is held, while the new process needs to know
+	go func() {
 		defer close(told)
 		select {
 		case <-yielded:
+			h.tell(l, end)
 		case <-end:
-			return
-		}
-		last := uses{-1, -1}
-		for {
-			if u := h.holds(); u != last {
-				if l.send(message{Uses: &u}) != nil {
-					return
-				}
-				last = u
-			}
-			select {
-			case <-time.After(usesEvery):
-			case <-end:
-				return
-			}
 		}
 	}()
-	ready := false
+	ready, back := false, false
 	err = l.follow(func(m message) {
-		if m.Ready && !ready {
+		switch {
+		case m.Ready && !ready:
 			ready = true
 			h.yield()
 			close(yielded)
+		case m.Back && ready && !back:
+			back = true
+			note(slog.LevelInfo, ofHandover, "the new process ends")
+			h.resume()
+		case m.Uses != nil && back:
+			h.bounded(m.Uses)
 		}
 	})
 	close(end)
@@ -359,20 +355,59 @@
 	}
 	closed = h.closed
 	h.mu.Unlock()
-	if !closed {
-		warn(ofHandover, "the new process is gone", err)
-		if ready {
-			h.resume()
+	if closed {
+		return
+	}
+	warn(ofHandover, "the new process is gone", err)
+	switch {
+	case back:
+		h.bounded(nil)
+	case ready:
+		h.resume()
+	}
+}
+
+// tell keeps the other process told what this one holds of the limits, until end or the link's.
+func (h *handover) tell(l *link, end <-chan struct{}) {
+	last := uses{-1, -1}
+	for {
+		if u := h.holds(); u != last {
+			if l.send(message{Uses: &u}) != nil {
+				return
+			}
+			last = u
+		}
+		select {
+		case <-time.After(usesEvery):
+		case <-end:
+			return
 		}
 	}
 }
 
+// giveBack has the process before, where it is still there, take clients again: this one was told to end, and may need
+// seconds for what it has in hand.
+func (h *handover) giveBack() {
+	h.mu.Lock()
+	l := h.before
+	h.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if err := l.send(message{Back: true}); err != nil {
+		warn(ofHandover, "giving clients back", err)
+		return
+	}
+	go h.tell(l, h.over)
+}
+
 func (h *handover) forget(l *link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.peer == l {
 		h.peer = nil
 	}
+	h.before = nil
 }
 
 // banned makes a ban outlive this process: it goes to the other one, if there is one, and to the file in TMPDIR. kept:
@@ -401,6 +436,9 @@
 func (h *handover) close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !h.closed {
+		close(h.over)
+	}
 	h.closed = true
 	if h.listen != nil {
 		h.listen.Close()
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // passed gives processes their own descriptors of one listening socket, as a platform does that holds it.
@@ -141,6 +142,48 @@
 	}
 }
 
+// Guards against clients that nobody accepts while a new process ends again, before it took over or after, with a request
+// in hand: the old one, if it stays, takes them at once.
+func TestNewProcessIsToldToEnd(t *testing.T) {
+	for _, took := range []bool{false, true} {
+		tmp, listeners := t.TempDir(), passed(t, 2)
+		s, release := held(t)
+		c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+		c.Ops = "127.0.0.1:0"
+		old := startOn(t, c, listeners[0], tmp)
+		old.awaitReady(t, "YES")
+		eventually(t, "the socket", func() bool { _, err := os.Stat(filepath.Join(tmp, linkName)); return err == nil })
+		fresh := startOn(t, c, listeners[1], tmp)
+		if took {
+			fresh.awaitReady(t, "YES")
+			old.awaitReady(t, "NO")
+			p := dialPeer(t, fresh.address)
+			p.send(text("confirm"))
+			eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
+			defer p.answered(200)
+			defer release()
+		}
+		begun := term(fresh)
+		old.awaitReady(t, "YES")
+		time.Sleep(time.Until(begun.Add(acceptAfter + 100*time.Millisecond)))
+		if !took {
+			<-fresh.ended
+		}
+		for range 10 {
+			p := dialPeer(t, old.address)
+			p.send(text("search"))
+			p.answered(200)
+		}
+		select {
+		case <-fresh.ended:
+			if took {
+				t.Error("it ended before its request was answered")
+			}
+		default:
+		}
+	}
+}
+
 // Guards against a start that fails for what an earlier process left, and against bans that are lost with it.
 func TestWhatAnEarlierProcessLeft(t *testing.T) {
 	for name, c := range map[string]struct{ bans, want string }{
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -207,7 +207,7 @@
 		ready: func() bool { return p.taking.Load() && l.started.Load() && !up.dir.empty() }}
 	p.s.classes.Store(&classes)
 	p.conns = newClientConns(listener, p.most)
-	p.h = &handover{dir: tmp, yielded: make(chan struct{}), halved: p.memory, state: p.state, ban: p.banned,
+	p.h = &handover{dir: tmp, yielded: make(chan struct{}), over: make(chan struct{}), halved: p.memory, state: p.state, ban: p.banned,
 		yield: p.yield, resume: p.resume, bounded: p.bounded,
 		holds: func() uses { return uses{p.conns.count(), up.count()} }}
 	p.memory(false)
@@ -255,12 +255,12 @@
 	for waits && (p.up.dir.empty() || !p.loop.started.Load()) && running.Err() == nil {
 		time.Sleep(startLook)
 	}
-	if waits {
+	if waits && !p.draining.Load() {
 		p.h.take()
 		p.conns.pause(false)
 	}
 	p.taking.Store(true)
-	if !p.meets {
+	if !p.meets || p.draining.Load() { // one that ends hands nothing over
 		return
 	}
 	if err := p.h.serve(); err != nil {
