--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -157,7 +157,7 @@
 		if took {
 			fresh.awaitReady(t, "YES")
 			old.awaitReady(t, "NO")
-			p := dialPeer(t, fresh.address)
+			p := dialRaw(t, fresh.address)
 			p.send(text("confirm"))
 			eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
 			defer p.answered(200)
@@ -170,7 +170,7 @@
 			<-fresh.ended
 		}
 		for range 10 {
-			p := dialPeer(t, old.address)
+			p := dialRaw(t, old.address)
 			p.send(text("search"))
 			p.answered(200)
 		}
