watch: one clock for silence; the next call opens beside the silent one, and the first line wins

Need: what a silent watch misses binds 6 s after its last byte, with pushed lists also what the agent has before anybody asks. The sidecar gave a watch up after 3.5 s, waited up to 5 s for the next one's first line and up to 4 s between calls; the list service's client waited 6.5 s. An agent that accepted and never answered once left 0 s of the 6, and an indented list ended the watch.

Change: internal/watch holds the clock for both. A watch without a sign of life for 2.5 s gets a second call beside it, each call gets two steps of 1.25 s to answer, the first line of either is believed, the other is ended unread; never more than two connections; 2 s a step once an outage is evident, 2 s at most between refused calls. Messages are read by json.Decoder, so that they may be indented; what is between them is a sign of life and is not kept. Where the module asks, two calls of 2.5 s and then its own waits, which need no change.

Shown: watch: TestNewsIsInHandInTime (13 ways to be silent, in virtual time, each to the millisecond), TestMessages; sidecar: TestListIsInHandWhenItBinds. The log's "watch ended" has no next_ms any more.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -1,25 +1,18 @@
 package client
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"mosslead/internal/registry/api"
+	"mosslead/internal/watch"
 )
 
-const (
-	emptyLineEvery = 2 * time.Second
-	watchSilence   = 3*emptyLineEvery + 500*time.Millisecond
-	firstPatience  = 2 * time.Second // for the first line: a replica has it at hand
-	maxLine        = 8 << 20
-	watchEnd       = "X-Registry-End"
-)
+// maxList bounds one message: twice the most entries that the service holds.
+const maxList = 8 << 20
 
 // Watcher is who follows the list. Calls come one at a time.
 type Watcher struct {
@@ -32,94 +25,38 @@
 	Says func(at string, why error)
 }
 
-var (
-	errSilent = errors.New("silent for three empty lines")
-	errSlow   = errors.New("no first line in time")
-	errEnded  = errors.New("the watch was ended")
-)
-
 // Watch follows the list until ctx ends. start is the list that is in use before, if any: its version is asked on from,
-// unless it is 0: that of a list from elsewhere.
+// unless it is 0: that of a list from elsewhere. Where a watch is silent, the next is opened at another replica.
 func (c *Client) Watch(ctx context.Context, start *api.Listing, w Watcher) {
 	d := &doubt{}
 	if start != nil {
 		d.start(*start)
 	}
 	var p pace
-	for ctx.Err() == nil {
-		at := c.at()
-		err := c.watch(ctx, at, d, w)
-		if ctx.Err() != nil {
-			return
-		}
-		w.Says(at, err)
-		c.next(at)
-		if !p.wait(ctx) {
-			return
-		}
-	}
-}
-
-// watch is one watch, to its end.
-func (c *Client) watch(ctx context.Context, at string, d *doubt, w Watcher) (err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer func() {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
-	}()
-	silence := time.AfterFunc(firstPatience, func() { cancel(errSlow) })
-	defer silence.Stop()
-	from := int64(-1) // the whole list
-	if d.index > 0 {
-		from = d.index
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", at, from), nil)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("answered %s", resp.Status)
-	}
-	silent := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
-	defer silent.Stop()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), maxLine)
-	for first := true; lines.Scan(); first = false {
-		silence.Stop()
-		silent.Reset(watchSilence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			if first && w.Stands != nil {
-				w.Stands()
+	f := watch.Follower[api.Listing]{Client: c.http, Most: maxList, At: c.at, Stands: w.Stands,
+		From: func() int64 {
+			if d.index > 0 {
+				return d.index
 			}
-			continue
-		}
-		var l api.Listing
-		if err := json.Unmarshal(line, &l); err != nil {
-			return fmt.Errorf("malformed list: %w", err)
-		}
-		if strange := d.why(l); strange != "" {
-			return c.doubted(ctx, at, d, w, l, strange)
-		}
-		if err := w.Take(l); err != nil {
-			return err
-		}
-		d.take(l)
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	if why := resp.Trailer.Get(watchEnd); why != "" {
-		return fmt.Errorf("%w: %s", errEnded, why)
+			return -1
+		},
+		Take: func(from string, l *api.Listing) error {
+			if strange := d.why(*l); strange != "" {
+				return c.doubted(ctx, from, d, w, *l, strange)
+			}
+			if err := w.Take(*l); err != nil {
+				return err
+			}
+			d.take(*l)
+			return nil
+		},
+		Says: func(at string, why error) {
+			w.Says(at, why)
+			c.next(at)
+		},
+		Wait: func() time.Duration { return p.next(time.Now(), rand.Float64()) },
 	}
-	return errEnded
+	_ = f.Follow(ctx) // ends with ctx alone
 }
 
 // doubted lets the list in use go on, but for what binds, and reads a second time, from another replica if there is
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -1,37 +1,35 @@
 package sidecar
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/watch"
 )
 
 const (
-	watchSilence   = 3500 * time.Millisecond // an empty line comes every 2 s: after this the watch is dead
-	answerPatience = 5 * time.Second         // for the first line: discovery works through calls in turn
-	maxLine        = 4 << 20
-	rewatchFirst   = 250 * time.Millisecond // where lists are pushed: the wait before the agent is watched again
-	rewatchMost    = 4 * time.Second
+	maxList      = 4 << 20                // bytes of one message
+	rewatchFirst = 250 * time.Millisecond // where lists are pushed: the wait before an agent that ended a watch is asked again
+	rewatchMost  = 2 * time.Second        // what it has binds, whether or not it is asked
+	// Where the list comes only to those who ask, a call is work, and discovery works through calls in turn: it gets twice
+	// as long to answer, and after two the module decides when to ask again.
+	askStep  = watch.Silence
+	askTries = 2
 )
 
-// watcher follows discovery: one watch at a time, each on a connection of its own so that no library sends
-// a call again by itself.
+// watcher follows discovery. Each watch has a connection of its own, so that no library sends a call again by itself.
 type watcher struct {
-	dir     *directory
-	client  *http.Client
-	index   int64
-	silence time.Duration // after this without a line a watch is dead
-	report  func(balancer.Members)
-	asked   chan struct{} // holds one: the module asked for a watch
+	dir    *directory
+	client *http.Client
+	index  int64
+	report func(balancer.Members)
+	asked  chan struct{} // holds one: the module asked for a watch
 
 	mu      sync.Mutex
 	address string
@@ -43,7 +41,7 @@
 var errMoved = errors.New("discovery has moved")
 
 func newWatcher(c *Config, dir *directory, report func(balancer.Members)) *watcher {
-	w := &watcher{address: c.Discovery, dir: dir, silence: watchSilence, report: report,
+	w := &watcher{address: c.Discovery, dir: dir, report: report,
 		asked: make(chan struct{}, 1)}
 	if c.Known != nil {
 		w.index = *c.Known.Index
@@ -95,10 +93,8 @@
 	return w.address, at, w.moved
 }
 
-// run watches until ctx ends. Where the module asks for the list, it also decides when to ask again; where
-// lists are pushed, the agent's watch is opened again with a growing wait.
+// run watches until ctx ends. Where the module asks for the list, it also decides when to ask again once that has failed.
 func (w *watcher) run(ctx context.Context, moduleAsks bool) {
-	wait := rewatchFirst
 	standing := false // a watch that the module asked for goes on elsewhere
 	for ctx.Err() == nil {
 		if moduleAsks && !standing {
@@ -111,83 +107,47 @@
 		address, at, end := w.here(ctx)
 		if several(address) {
 			w.follow(at, address)
-			standing = errors.Is(context.Cause(at), errMoved)
-			end(nil)
-			continue
+		} else {
+			w.watch(at, address, moduleAsks)
 		}
-		told, err := w.watch(at, address)
 		standing = errors.Is(context.Cause(at), errMoved)
-		switch {
-		case ctx.Err() != nil:
-		case standing:
-			warn(ofDiscovery, "watch ended", err)
-			wait = rewatchFirst
-		case moduleAsks:
-			warn(ofDiscovery, "watch ended", err)
+		end(nil)
+		if moduleAsks && !standing && ctx.Err() == nil {
 			w.report(balancer.Members{Kind: balancer.Failed})
-		default:
-			if told {
-				wait = rewatchFirst
-			}
-			note(slog.LevelWarn, ofDiscovery, "watch ended", millis("next_ms", wait), slog.Any("err", err))
-			select {
-			case <-time.After(wait):
-				wait = min(2*wait, rewatchMost)
-			case <-at.Done(): // discovery has moved, or all ends
-				wait = rewatchFirst
-			}
 		}
-		end(nil)
 	}
 }
 
-// watch follows one watch to its end, and tells whether it brought anything.
-func (w *watcher) watch(ctx context.Context, address string) (told bool, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer func() {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause // says more than that the connection was closed
-		}
-	}()
-	// A dead network is silent, so whatever is waited for has a limit.
-	silence := time.AfterFunc(answerPatience, func() { cancel(errors.New("discovery is silent")) })
-	defer silence.Stop()
-	url := fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", address, w.index)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return false, err
-	}
-	resp, err := w.client.Do(req)
-	if err != nil {
-		return false, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("discovery answered %s", resp.Status)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), maxLine)
-	for lines.Scan() {
-		silence.Reset(w.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			if !told { // the watch stands, and there is no news since the version asked from
-				w.report(balancer.Members{Kind: balancer.Change})
-				told = true
+// watch follows the list at one address until ctx ends or, where the module asks, until it can't.
+func (w *watcher) watch(ctx context.Context, address string, moduleAsks bool) {
+	wait := rewatchFirst
+	f := watch.Follower[listing]{Client: w.client, Most: maxList,
+		At:   func() string { return address },
+		From: func() int64 { return w.index },
+		Take: func(_ string, l *listing) error {
+			if err := l.check(); err != nil { // the last good list stays, and is asked for again from its version on
+				return fmt.Errorf("malformed list: %w", err)
 			}
-			continue
-		}
-		l, err := parseListing(line)
-		if err != nil { // the last good list stays, and is asked for again from its version on
-			return told, fmt.Errorf("malformed list: %w", err)
-		}
-		w.index = *l.Index
-		w.report(w.dir.apply(l))
-		told = true
+			wait = rewatchFirst
+			w.index = *l.Index
+			w.report(w.dir.apply(l))
+			return nil
+		},
+		Stands: func() {
+			wait = rewatchFirst
+			w.report(balancer.Members{Kind: balancer.Change})
+		},
+		Says: func(_ string, why error) { warn(ofDiscovery, "watch ended", why) },
+		Wait: func() time.Duration {
+			now := wait
+			wait = min(2*wait, rewatchMost)
+			return now
+		},
+	}
+	if moduleAsks {
+		f.Step, f.Tries = askStep, askTries
 	}
-	if err := lines.Err(); err != nil {
-		return told, err
+	if err := f.Follow(ctx); errors.Is(err, errMoved) {
+		warn(ofDiscovery, "watch ended", err)
 	}
-	return told, errors.New("discovery ended it")
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,17 +1,24 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mosslead/balancer"
 )
 
-// watch runs a watcher as a module would that asks again at once.
-func watch(t *testing.T, d *fakeDiscovery, silence time.Duration, known ...string) (*directory, chan balancer.Members) {
+// follow runs a watcher as a module would that asks again at once.
+func follow(t *testing.T, d *fakeDiscovery, known ...string) (*directory, chan balancer.Members) {
 	t.Helper()
 	told := make(chan balancer.Members, 64)
 	u := testUpstreams(t, 4, known...)
@@ -22,7 +29,6 @@
 			w.ask()
 		}
 	})
-	w.silence = silence
 	done := make(chan struct{})
 	go func() {
 		w.run(t.Context(), true) // ends before the cleanups
@@ -52,7 +58,7 @@
 		send(`{"index":6,"snapshot":true,"new_field":[1],"endpoints":[` + entry("c", "127.0.0.2:3", "Ready") + `]}`)
 		<-done
 	})
-	dir, told := watch(t, d, patience, entry("a", "127.0.0.2:1", "Ready"))
+	dir, told := follow(t, d, entry("a", "127.0.0.2:1", "Ready"))
 	m := next(t, told)
 	if m.Kind != balancer.Change || len(m.Entries) != 2 || m.Entries[0].State != balancer.Active ||
 		m.Entries[1].State != balancer.Leaving || m.Entries[0].Machine != "m" || m.Entries[0].Zone != "a" ||
@@ -75,12 +81,12 @@
 // Guards against a list lost to a bad line: the last good one stays, and is asked for again from there.
 func TestMalformedLines(t *testing.T) {
 	for name, bad := range map[string]string{
-		"not JSON":   `{"index":8,`,
+		"not JSON":   `{"index":8]`,
 		"no index":   `{"snapshot":true,"endpoints":[]}`,
 		"no name":    list(8, true, entry("", "127.0.0.2:2", "Ready")),
 		"no address": list(8, true, entry("b", "", "Ready")),
 		"a host":     list(8, true, entry("b", "elsewhere.example:80", "Ready")),
-		"too long":   list(8, true, entry(strings.Repeat("b", maxLine), "127.0.0.2:2", "Ready")),
+		"too long":   list(8, true, entry(strings.Repeat("b", maxList), "127.0.0.2:2", "Ready")),
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDiscovery(t, func(n int, send func(string), done <-chan struct{}) {
@@ -90,7 +96,7 @@
 				}
 				<-done
 			})
-			dir, told := watch(t, d, patience, entry("a", "127.0.0.2:1", "Ready"))
+			dir, told := follow(t, d, entry("a", "127.0.0.2:1", "Ready"))
 			if m := next(t, told); m.Kind != balancer.Change {
 				t.Errorf("told %+v", m)
 			}
@@ -108,20 +114,6 @@
 	}
 }
 
-// Guards against a watch that died in silence: the network reports nothing, the empty lines stop.
-func TestSilentWatchIsDead(t *testing.T) {
-	d := newDiscovery(t, func(n int, send func(string), done <-chan struct{}) {
-		send(list(6+n, false))
-		<-done
-	})
-	_, told := watch(t, d, 100*time.Millisecond)
-	for _, want := range []balancer.MembersKind{balancer.Change, balancer.Failed, balancer.Change} {
-		if m := next(t, told); m.Kind != want {
-			t.Fatalf("told %+v, want kind %d", m, want)
-		}
-	}
-}
-
 // Guards against a watch that is taken for not yet answered because there is no news: an empty line answers it.
 func TestWatchWithoutNewsIsAnswered(t *testing.T) {
 	d := newDiscovery(t, func(_ int, send func(string), done <-chan struct{}) {
@@ -130,7 +122,7 @@
 		send(list(9, false))
 		<-done
 	})
-	dir, told := watch(t, d, patience, entry("a", "127.0.0.2:1", "Ready"))
+	dir, told := follow(t, d, entry("a", "127.0.0.2:1", "Ready"))
 	for range 2 { // the answer and the news, nothing for the second empty line
 		if m := next(t, told); m.Kind != balancer.Change || len(m.Entries) != 0 {
 			t.Errorf("told %+v", m)
@@ -233,3 +225,95 @@
 		}
 	}
 }
+
+// agents are agents of discovery in memory: each connection runs script with its address and number at that address, from
+// 1, and then stays open. Not answering is silence; script ends the answer where it says so, and nil lines refuse.
+func agents(w *watcher, script func(address string, n int) (refuses bool, lines []string, ends bool)) *[]time.Time {
+	dials, numbers := &[]time.Time{}, map[string]int{}
+	w.client.Transport.(*http.Transport).DialContext = func(_ context.Context, _, address string) (net.Conn, error) {
+		*dials = append(*dials, time.Now())
+		numbers[address]++
+		refuses, lines, ends := script(address, numbers[address])
+		if refuses {
+			return nil, errors.New("refused")
+		}
+		ours, theirs := net.Pipe()
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(theirs)); err != nil || lines == nil {
+				return
+			}
+			text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			for _, line := range lines {
+				text += fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line)
+			}
+			if ends {
+				text += "0\r\n\r\n"
+			}
+			_, _ = io.WriteString(theirs, text)
+			_, _ = io.Copy(io.Discard, theirs)
+		}()
+		return ours, nil
+	}
+	return dials
+}
+
+// Guards against a list that comes too late where pushed lists bind whether or not they were heard: silence within the
+// 4 s after SIGHUP, with a successor that is never answered; an agent that ends the watch, is gone for a while, and has a
+// list that came meanwhile, which binds 3 s after its return.
+func TestListIsInHandWhenItBinds(t *testing.T) {
+	for name, x := range map[string]struct {
+		script func(address string, n int) (bool, []string, bool)
+		moves  bool
+		within time.Duration
+	}{
+		"silent after SIGHUP": {func(address string, n int) (bool, []string, bool) {
+			switch {
+			case address == "127.0.0.1:1":
+				return false, []string{list(5, false)}, false
+			case n == 1:
+				return false, []string{list(6, false)}, false
+			case n == 2:
+				return false, nil, false
+			}
+			return false, []string{list(7, false)}, false
+		}, true, 4 * time.Second},
+		"gone for 3.75 s": {func(_ string, n int) (bool, []string, bool) {
+			if n == 1 {
+				return false, []string{list(5, false)}, true
+			}
+			return n < 6, []string{list(7, false)}, false
+		}, false, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWatcher(testConfig(t, "127.0.0.1:1"), newDirectory(newClock(), func(string) {}), func(balancer.Members) {})
+				dials := agents(w, x.script)
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					w.run(ctx, false)
+					close(done)
+				}()
+				synctest.Wait()
+				if got := *w.dir.whole().Index; got != 5 {
+					t.Fatalf("version %d at the start", got)
+				}
+				if x.moves {
+					w.move("127.0.0.2:1")
+				}
+				time.Sleep(x.within)
+				synctest.Wait()
+				if got := *w.dir.whole().Index; got != 7 {
+					t.Errorf("version %d after %v", got, x.within)
+				}
+				for i, at := range (*dials)[1:] {
+					if gap := at.Sub((*dials)[i]); gap > 2500*time.Millisecond {
+						t.Errorf("not asked for %v", gap)
+					}
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -68,7 +68,7 @@
 
 func newLink(conn net.Conn) *link {
 	l := &link{conn: conn, in: bufio.NewScanner(conn), acks: map[int]chan bool{}}
-	l.in.Buffer(make([]byte, 0, 4096), maxLine)
+	l.in.Buffer(make([]byte, 0, 4096), maxList)
 	return l
 }
 
--- a/internal/sidecar/replicas_test.go
+++ b/internal/sidecar/replicas_test.go
@@ -14,7 +14,7 @@
 		send(list(9, true, entry("b", "127.0.0.2:2", "Terminating")))
 	}
 	one, other := newDiscovery(t, ends), newDiscovery(t, ends)
-	dir, told := watch(t, &fakeDiscovery{address: one.address + "," + other.address}, patience, entry("a", "127.0.0.2:1", "Ready"))
+	dir, told := follow(t, &fakeDiscovery{address: one.address + "," + other.address}, entry("a", "127.0.0.2:1", "Ready"))
 	if m := next(t, told); m.Kind != balancer.Change || len(m.Entries) != 2 {
 		t.Errorf("first told %+v", m)
 	}
--- /dev/null
+++ b/internal/watch/messages.go
@@ -0,0 +1,65 @@
+package watch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+const space = " \t\r\n"
+
+// messages takes a stream of JSON objects apart, each on a line or indented over several. What is between them never
+// reaches the decoder, which would keep it: empty lines are signs of life, and come for days.
+type messages struct {
+	body  io.Reader
+	rest  []byte           // read behind the last message
+	begun bool             // within a message
+	most  int              // bytes of one message
+	left  int              // bytes that the message may still have
+	heard func(blank bool) // something came: a part of a message or, where blank, an empty line between them
+}
+
+// next waits for a message and reads it into m. io.EOF: they ended between two.
+func (s *messages) next(m any) error {
+	s.begun, s.left = false, s.most
+	d := json.NewDecoder(s)
+	if err := d.Decode(m); err != nil {
+		if err == io.EOF {
+			return err
+		}
+		return fmt.Errorf("reading a list: %w", err)
+	}
+	behind, err := io.ReadAll(d.Buffered())
+	s.rest = append(behind, s.rest...)
+	return err
+}
+
+// Read is the decoder's.
+func (s *messages) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, fmt.Errorf("over %d bytes", s.most)
+	}
+	p = p[:min(len(p), s.left)]
+	for {
+		n, again := copy(p, s.rest), len(s.rest) > 0
+		var err error
+		if s.rest = s.rest[n:]; !again {
+			n, err = s.body.Read(p)
+		}
+		text := p[:n]
+		if !s.begun {
+			text = bytes.TrimLeft(text, space)
+		}
+		blank := len(bytes.TrimLeft(text, space)) == 0
+		if n > 0 && !again && !(blank && s.begun) { // empty lines within a message do not bring it nearer
+			s.heard(blank)
+		}
+		if len(text) == 0 && err == nil {
+			continue
+		}
+		s.begun = s.begun || len(text) > 0
+		s.left -= len(text)
+		return copy(p, text), err
+	}
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,221 @@
+// Package watch owns the clock of silence: when a watch on a list counts as broken, what is opened beside it, and which
+// of the two is believed. It makes the calls and takes messages apart; what they mean is its caller's.
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	// Silence is how long a watch may bring nothing. An empty line comes every 2 s; what comes a quarter late costs one
+	// call more and loses nothing, since the silent watch stays open beside its successor.
+	Silence = 2500 * time.Millisecond
+	// Step is how long a call may bring nothing before another is opened beside it. The one after that takes its place, so
+	// that each has two steps to answer: some hold back an answer's head until its first line.
+	Step = Silence / 2
+	// stepLater is the step once an outage is evident: after so many calls without a line. What the other side has
+	// binds within 3 s of its return, whoever asks.
+	stepLater = 2 * time.Second
+	evident   = 3
+)
+
+var (
+	// ErrSilent is why a watch is not relied on any more.
+	ErrSilent = errors.New("nothing was heard in time")
+	// errEnded is why a watch is over that the other side has ended in order.
+	errEnded = errors.New("the other side ended it")
+)
+
+// Follower follows one list. It holds two connections at the most. Its functions are called one at a time, by Follow.
+type Follower[M any] struct {
+	Client *http.Client
+	Step   time.Duration               // 0: Step
+	Most   int                         // bytes of one message
+	Tries  int                         // calls without a line before Follow gives up; it does too when none is open. 0: it never does
+	At     func() string               // host:port that the next call goes to
+	From   func() int64                // the version that is held; -1: the whole list is asked for
+	Take   func(at string, m *M) error // a message. An error: it is of no use, and its watch is ended
+	Stands func()                      // once for each watch that was taken up and has no news
+	Says   func(at string, why error)
+	Wait   func() time.Duration // after a watch that ended, until the next call; used where Tries is 0
+}
+
+// call is one watch.
+type call struct {
+	at     string
+	from   int64
+	cancel context.CancelFunc
+	over   chan struct{}
+	told   bool // it has brought a line
+	silent bool // that was said
+}
+
+// end waits for the call's end, so that there is never a third connection.
+func (c *call) end() {
+	c.cancel()
+	<-c.over
+}
+
+// event is what a call reports: one of message, blank, err, or else that something was heard.
+type event[M any] struct {
+	from    *call
+	message *M
+	blank   bool // an empty line
+	err     error
+}
+
+// Follow watches until ctx ends, or until it gives up. Whichever of its calls brings a line first is believed, and the
+// other is ended unread, so that versions can't go back.
+func (f *Follower[M]) Follow(ctx context.Context) error {
+	var open []*call // two at most, the newest last
+	defer func() {
+		for _, c := range open {
+			c.end()
+		}
+	}()
+	events := make(chan event[M])
+	tries := 0 // since the last line
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-next.C:
+			if len(open) > 0 {
+				f.doubt(open[len(open)-1])
+			}
+			if f.Tries > 0 && tries >= f.Tries {
+				return ErrSilent
+			}
+			if len(open) == 2 {
+				open[0].end()
+				open = open[1:]
+			}
+			open = append(open, f.begin(ctx, events))
+			tries++
+			next.Reset(f.step(tries))
+		case e := <-events:
+			i := slices.Index(open, e.from)
+			if i < 0 || ctx.Err() != nil { // another is believed, or took its place
+				continue
+			}
+			newest := i == len(open)-1
+			if e.message != nil || e.blank {
+				if !newest {
+					open[1].end()
+				} else if i > 0 {
+					open[0].end()
+				}
+				open, tries, newest = []*call{e.from}, 0, true
+				e.err = f.line(e)
+			}
+			switch {
+			case e.err != nil:
+				e.from.end()
+				open = slices.DeleteFunc(open, func(c *call) bool { return c == e.from })
+				if !e.from.silent {
+					f.Says(e.from.at, e.err)
+				}
+				switch {
+				case f.Tries > 0 && len(open) == 0:
+					return e.err
+				case f.Tries == 0 && newest:
+					next.Reset(f.Wait())
+				}
+			case newest:
+				next.Reset(Silence)
+			}
+		}
+	}
+}
+
+func (f *Follower[M]) step(tries int) time.Duration {
+	switch {
+	case f.Step > 0:
+		return f.Step
+	case tries > evident:
+		return stepLater
+	}
+	return Step
+}
+
+// doubt says once that a call is silent.
+func (f *Follower[M]) doubt(c *call) {
+	if !c.silent {
+		c.silent = true
+		f.Says(c.at, ErrSilent)
+	}
+}
+
+// line takes in what a call brought, which is believed.
+func (f *Follower[M]) line(e event[M]) error {
+	first := !e.from.told
+	e.from.told, e.from.silent = true, false
+	switch {
+	case e.message != nil:
+		return f.Take(e.from.at, e.message)
+	case first && f.Stands != nil:
+		f.Stands()
+	}
+	return nil
+}
+
+// begin makes the next call.
+func (f *Follower[M]) begin(ctx context.Context, events chan<- event[M]) *call {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &call{at: f.At(), from: f.From(), cancel: cancel, over: make(chan struct{})}
+	go func() {
+		defer close(c.over)
+		f.read(ctx, c, events)
+	}()
+	return c
+}
+
+// read carries a call out, and reports what it brings until it ends.
+func (f *Follower[M]) read(ctx context.Context, c *call, events chan<- event[M]) {
+	tell := func(e event[M]) {
+		e.from = c
+		select {
+		case events <- e:
+		case <-ctx.Done():
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", c.at, c.from), nil)
+	if err != nil {
+		tell(event[M]{err: err})
+		return
+	}
+	resp, err := f.Client.Do(req)
+	if err != nil {
+		tell(event[M]{err: err})
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		tell(event[M]{err: fmt.Errorf("answered %s", resp.Status)})
+		return
+	}
+	tell(event[M]{}) // its head is a sign of life too
+	in := &messages{body: resp.Body, most: f.Most, heard: func(blank bool) { tell(event[M]{blank: blank}) }}
+	for err == nil {
+		m := new(M)
+		if err = in.next(m); err == nil {
+			tell(event[M]{message: m})
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		err = errEnded
+		for _, why := range resp.Trailer { // where the other side says why
+			err = fmt.Errorf("%w: %s", errEnded, why)
+		}
+	}
+	tell(event[M]{err: err})
+}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,215 @@
+package watch
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	head  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	lineA = `{"index":1}` + "\n"
+	lineB = `{"index":2}` + "\n"
+)
+
+type version struct{ Index int }
+
+// step is what an agent does on one connection: it waits, and then writes. An empty text: the head; none: nothing.
+type step struct {
+	after time.Duration
+	text  string
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// agent plays one script for each call, the last for all further ones; nil refuses it. Connections stay open.
+type agent struct {
+	scripts [][]step
+	begun   time.Time
+	open    atomic.Int32
+
+	mu    sync.Mutex
+	froms []string
+	calls []time.Duration
+	most  int32
+}
+
+type counted struct {
+	net.Conn
+	open   *atomic.Int32
+	closed atomic.Bool
+}
+
+func (c *counted) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+func (a *agent) dial(context.Context, string, string) (net.Conn, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	script := a.scripts[min(len(a.calls), len(a.scripts)-1)]
+	a.calls = append(a.calls, time.Since(a.begun))
+	if script == nil {
+		return nil, errors.New("refused")
+	}
+	a.most = max(a.most, a.open.Add(1))
+	ours, theirs := net.Pipe()
+	go func() {
+		req, err := http.ReadRequest(bufio.NewReader(theirs))
+		if err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.froms = append(a.froms, req.FormValue("from"))
+		a.mu.Unlock()
+		for _, s := range script {
+			time.Sleep(s.after)
+			if _, err := io.WriteString(theirs, s.text); err != nil {
+				return
+			}
+		}
+		_, _ = io.Copy(io.Discard, theirs)
+	}()
+	return &counted{Conn: ours, open: &a.open}, nil
+}
+
+// At every silence the news is in hand within 6 s of the last byte, or within 3 s of the first moment; never with a third
+// connection, and an outage costs few calls.
+func TestNewsIsInHandInTime(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	stood := []step{{0, head}, {0, chunk(lineA)}, {ms(2000), chunk("\n")}} // its last byte comes after 2 s
+	news := []step{{0, head}, {0, chunk(lineB)}}
+	mute := []step{}
+	for _, x := range []struct {
+		name  string
+		f     Follower[version]
+		plays [][]step
+		by    int // ms, of the news
+		calls int
+		from  string // of the last call
+	}{
+		{"silent after a line", Follower[version]{}, [][]step{stood, news}, 4500, 2, "1"},
+		{"silent in the middle of a line", Follower[version]{}, [][]step{append(slices.Clone(stood), step{0, chunk(lineB[:5])}), news}, 4500, 2, "1"},
+		{"silent, with empty lines within a list", Follower[version]{}, [][]step{append(slices.Clone(stood),
+			step{0, chunk(lineB[:9])}, step{ms(2000), chunk("\n")}, step{ms(2000), chunk("\n")}), news}, 4500, 2, "1"},
+		{"silent, and the next two are never answered", Follower[version]{}, [][]step{stood, mute, mute, news}, 7000, 4, "1"},
+		{"silent, and the next is refused", Follower[version]{}, [][]step{stood, nil, nil, news}, 5000, 4, "1"},
+		{"silent, and asked for, the next never answered", Follower[version]{Step: Silence, Tries: 2}, [][]step{stood, mute, news}, 7000, 3, "1"},
+		{"silent, and the next has its head and nothing else", Follower[version]{}, [][]step{stood, {{0, head}}, news}, 7000, 3, "1"},
+		{"slow: head and line after 2 s", Follower[version]{}, [][]step{stood, {{ms(2000), head}, {0, chunk(lineB)}}}, 6500, 3, "1"},
+		{"silent, and it comes back before the next speaks", Follower[version]{}, [][]step{append(slices.Clone(stood), step{ms(3000), chunk(lineB)}),
+			{{0, head}, {ms(1000), chunk(`{"index":0}`)}}}, 5000, 2, "1"},
+		{"never answered at the start", Follower[version]{}, [][]step{mute, mute, news}, 2500, 3, "0"},
+		{"refused at the start", Follower[version]{}, [][]step{nil, nil, nil, news}, 750, 4, "0"},
+		{"down for 8 s, and what came then is lost", Follower[version]{}, [][]step{mute, mute, mute, mute, mute, mute, news}, 9750, 7, "0"},
+		{"in order", Follower[version]{}, [][]step{{{0, head}, {ms(2000), chunk("\n")}, {ms(2000), chunk("\n")}, {ms(2000), chunk("\n")}, {0, chunk(lineB)}}}, 6000, 1, "0"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &agent{scripts: x.plays, begun: time.Now()}
+				ctx, cancel := context.WithCancel(t.Context())
+				held, at, believed := 0, time.Duration(0), int32(0)
+				f := x.f
+				f.Client = &http.Client{Transport: &http.Transport{DialContext: a.dial, DisableKeepAlives: true}}
+				f.Most, f.At, f.From = 1000, func() string { return "agent" }, func() int64 { return int64(held) }
+				f.Take = func(_ string, v *version) error {
+					if held = v.Index; held != 1 {
+						at = time.Since(a.begun)
+						time.AfterFunc(time.Second, func() { // whatever else there is comes before
+							believed = a.open.Load()
+							cancel()
+						})
+					}
+					return nil
+				}
+				f.Says, f.Wait = func(string, error) {}, func() time.Duration { return ms(250) }
+				if err := f.Follow(ctx); !errors.Is(err, context.Canceled) {
+					t.Errorf("gave up: %v", err)
+				}
+				time.Sleep(time.Minute) // the scripts end
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				if held != 2 || at != ms(x.by) || len(a.calls) != x.calls || a.froms[len(a.froms)-1] != x.from {
+					t.Errorf("version %d after %v, want 2 after %d ms; calls at %v from %v", held, at, x.by, a.calls, a.froms)
+				}
+				if a.most > 2 || believed != 1 || a.open.Load() != 0 {
+					t.Errorf("%d connections at a time, %d once there is news, %d left", a.most, believed, a.open.Load())
+				}
+			})
+		})
+	}
+}
+
+// Where another decides when to ask again, it is told once two calls have brought nothing.
+func TestAskedForGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &agent{scripts: [][]step{{}}, begun: time.Now()}
+		f := Follower[version]{Client: &http.Client{Transport: &http.Transport{DialContext: a.dial}}, Step: Silence, Tries: 2,
+			At: func() string { return "agent" }, From: func() int64 { return 0 }, Says: func(string, error) {}}
+		if err := f.Follow(t.Context()); !errors.Is(err, ErrSilent) || time.Since(a.begun) != 2*Silence || len(a.calls) != 2 {
+			t.Errorf("%v after %v, calls at %v", err, time.Since(a.begun), a.calls)
+		}
+	})
+}
+
+// Messages are the same however they are laid out and cut, and what is between them is never held.
+func TestMessages(t *testing.T) {
+	var want []version
+	text := strings.Repeat("\n", 5000)
+	for i := range 20 {
+		v := version{i}
+		want = append(want, v)
+		whole, err := json.MarshalIndent(v, " ", "\t")
+		if i%3 == 0 {
+			whole, err = json.Marshal(v)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		text += string(whole) + strings.Repeat("\r\n", i%4)
+	}
+	text += strings.Repeat(" \n", 5000)
+	for name, cut := range map[string]func(io.Reader) io.Reader{
+		"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "ends with data": iotest.DataErrReader,
+	} {
+		blanks := 0
+		in := &messages{body: cut(strings.NewReader(text)), most: 600, heard: func(blank bool) {
+			if blank {
+				blanks++
+			}
+		}}
+		var got []version
+		var err error
+		for err == nil {
+			var v version
+			if err = in.next(&v); err == nil {
+				got = append(got, v)
+			}
+		}
+		if !slices.Equal(got, want) || err != io.EOF || blanks == 0 {
+			t.Errorf("%s: %v, %v, %d empty lines", name, got, err, blanks)
+		}
+	}
+	for _, bad := range []string{`{"index":1`, `{"index":1]`, `{"index":1,"x":"` + strings.Repeat("x", 600) + `"}`} {
+		in := &messages{body: strings.NewReader(bad), most: 600, heard: func(bool) {}}
+		if err := in.next(&version{}); err == nil || err == io.EOF {
+			t.Errorf("%.20s: %v", bad, err)
+		}
+	}
+}
