--- a/internal/registry/client/client_test.go
+++ b/internal/registry/client/client_test.go
@@ -1,10 +1,12 @@
 package client
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,9 +14,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mosslead/internal/registry/api"
+	"mosslead/internal/watch"
 )
 
 func list(index int64, names ...string) api.Listing {
@@ -160,6 +164,44 @@
 	}
 }
 
+// A replica that falls silent costs a few seconds: the next is asked beside it, from the version that is held.
+func TestSilentReplicaIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := ""
+		c := New([]string{"127.0.0.1:1", "127.0.0.1:2"})
+		c.current = 0
+		c.http.Transport.(*http.Transport).DialContext = func(_ context.Context, _, at string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReader(theirs))
+				if err != nil {
+					return
+				}
+				l := list(3, "a")
+				if at != "127.0.0.1:1" {
+					asked, l = req.FormValue("from"), list(4, "a", "b")
+				}
+				line, _ := json.Marshal(l)
+				_, _ = fmt.Fprintf(theirs, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
+				_, _ = io.Copy(io.Discard, theirs)
+			}()
+			return ours, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		begun, took := time.Now(), time.Duration(0)
+		c.Watch(ctx, nil, Watcher{Take: func(l api.Listing) error {
+			if l.Index == 4 {
+				took = time.Since(begun)
+				cancel()
+			}
+			return nil
+		}, Says: func(string, error) {}})
+		if took != watch.Silence || asked != "3" {
+			t.Errorf("went on after %v from %q", took, asked)
+		}
+	})
+}
+
 // What may have been carried out is not asked again, unless twice is the same as once.
 func TestConditionalWritesAreNotRepeated(t *testing.T) {
 	var calls atomic.Int64
