sidecar: log limits by x/time/rate, lines by the standard library, errors of the file with their place

Need: plumbing written by hand where a library has it, and an error in the configuration that named no place in a file of one long line. Change: the log's limits are golang.org/x/time/rate; a call at the door is read by bufio.Scanner, and part of a line before a broken connection is no call (it was none before); the link of an upgrade reads by watch.Messages and writes by json.Encoder; JSON errors say line and column, and the key where its type is wrong. Where it stays by hand, a sentence says why: framing, figures, X-Timeout's units, hop-by-hop headers, client connections' limit, bodies' patience, the file's keys. Not taken: a JSON library with pointers in its errors (experimental, and stricter on keys than what the platform may send); net/textproto at the door (its lines have no bound); renameio for the bans in TMPDIR (it syncs, and that is memory).

--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -89,9 +89,7 @@
 			return body, 0, false, nil
 		}
 		if len(body) == cap(body) {
-			grown := make([]byte, len(body), min(took, int64(2*cap(body))))
-			copy(grown, body)
-			body = grown
+			body = append(make([]byte, 0, min(took, int64(2*cap(body)))), body...)
 		}
 		var n int
 		n, err = resp.Body.Read(body[len(body):cap(body)])
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -184,7 +184,8 @@
 	return n, err
 }
 
-// patientReader reads a client's body for as long as it makes progress. What an upstream makes us wait does not count.
+// patientReader reads a client's body for as long as it makes progress. What an upstream makes us wait does not count, as it
+// would with http.Server's ReadTimeout.
 type patientReader struct {
 	body   io.Reader
 	conn   *http.ResponseController
@@ -240,10 +241,8 @@
 			b.kept, b.from = buf, from
 			return b, nil
 		}
-		if len(buf) == cap(buf) { // grown by halves, so that small bodies of unknown length stay small
-			grown := make([]byte, len(buf), min(b.took, int64(2*cap(buf))))
-			copy(grown, buf)
-			buf = grown
+		if len(buf) == cap(buf) { // by hand, to double exactly and not beyond the budget; small bodies of unknown length stay small
+			buf = append(make([]byte, 0, min(b.took, int64(2*cap(buf)))), buf...)
 		}
 		n, err := from.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -11,7 +11,7 @@
 )
 
 // clientConns is the listener for clients. It bounds their connections: at the limit it closes the one that
-// has been idle for longest, and accepts no more until there is room.
+// has been idle for longest, and accepts no more until there is room. A netutil.LimitListener would only wait.
 type clientConns struct {
 	net.Listener
 	most int
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -84,7 +85,7 @@
 		Settings                      json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, err
+		return nil, located(text, text, err)
 	}
 	keys, err := keysOf(text)
 	if err != nil {
@@ -118,14 +119,14 @@
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		if c.Known, err = parseListing(file.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+			return nil, fmt.Errorf("known: %w", located(text, file.Known, err))
 		}
 	}
 	if len(file.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
 	if c.Settings, err = wire.DecodeSettings(file.Settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w", located(text, file.Settings, err))
 	}
 	if c.keys["settings.Limits.SendCap"] && c.Settings.MaxAttempts < 1 {
 		return nil, fmt.Errorf("settings: Limits.SendCap: %d is not above 0", c.Settings.MaxAttempts)
@@ -173,8 +174,27 @@
 	return nil
 }
 
+// located says where in the text an error of the JSON library is, which counts from the beginning of the part it was given
+// and names the key itself.
+func located(text, part []byte, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	at := max(0, bytes.Index(text, part))
+	switch {
+	case errors.As(err, &syntax):
+		at += int(syntax.Offset)
+	case errors.As(err, &kind):
+		at += int(kind.Offset)
+	default:
+		return err
+	}
+	before := text[:min(at, len(text))]
+	return fmt.Errorf("line %d, column %d: %w", 1+bytes.Count(before, []byte("\n")), len(before)-1-bytes.LastIndexByte(before, '\n'), err)
+}
+
 // keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
-// of them hold. What discovery words is left out: its entries hold what they need to.
+// of them hold. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
+// is absent from one that is 0, but for pointers in each field.
 func keysOf(text []byte) (map[string]bool, error) {
 	var file map[string]any
 	if err := json.Unmarshal(text, &file); err != nil {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -21,19 +21,22 @@
 		t.Errorf("read as %+v", c)
 	}
 	for name, change := range map[string][2]string{
-		"no JSON":    {`{"name"`, `{name`},
-		"listen":     {"127.0.0.4:9000", "everywhere:9000"},
-		"port":       {"127.0.0.4:9000", "127.0.0.4:90000"},
-		"discovery":  {"127.2.0.1:8500", ""},
-		"seed":       {"8c1f30d27a5be964", "chance"},
-		"no limits":  {`"limits"`, `"limit"`},
-		"cores":      {`"cores":0.5`, `"cores":0`},
-		"memory":     {`"memory_mb":192`, `"memory_mb":-1`},
-		"sockets":    {`"sockets":1024`, `"sockets":3`},
-		"known":      {`"index":41,`, ``},
-		"settings":   {`"settings"`, `"setting"`},
-		"no classes": {`"Classes"`, `"Class"`},
-		"effect":     {`"fragile"`, `"brittle"`},
+		"no JSON: line 1, column 2":       {`{"name"`, `{name`},
+		"limits.sockets: line 2":          {`"sockets":1024`, `"sockets":"1024"`},
+		"known: line 2":                   {`"index":41,`, `"index":"41",`},
+		"settings: line 3 Limits.SendCap": {`"SendCap":5`, `"SendCap":"5"`},
+		"listen":                          {"127.0.0.4:9000", "everywhere:9000"},
+		"port":                            {"127.0.0.4:9000", "127.0.0.4:90000"},
+		"discovery":                       {"127.2.0.1:8500", ""},
+		"seed":                            {"8c1f30d27a5be964", "chance"},
+		"no limits":                       {`"limits"`, `"limit"`},
+		"cores":                           {`"cores":0.5`, `"cores":0`},
+		"memory":                          {`"memory_mb":192`, `"memory_mb":-1`},
+		"sockets":                         {`"sockets":1024`, `"sockets":3`},
+		"known":                           {`"index":41,`, ``},
+		"settings":                        {`"settings"`, `"setting"`},
+		"no classes":                      {`"Classes"`, `"Class"`},
+		"effect":                          {`"fragile"`, `"brittle"`},
 	} {
 		text := strings.Replace(good, change[0], change[1], 1)
 		if text == good {
@@ -41,6 +44,12 @@
 		}
 		if _, err := parseConfig([]byte(text)); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v", name, err)
+		} else if _, where, told := strings.Cut(name, ": "); told {
+			for _, words := range strings.Fields(where) {
+				if !strings.Contains(err.Error(), words) {
+					t.Errorf("%s: error %v", name, err)
+				}
+			}
 		}
 	}
 }
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/watch"
 )
 
 // An upgrade: a new process takes over from the one that serves, see docs/ONCALL.md. Both hold one end of a link, a
@@ -58,7 +58,7 @@
 // link is one end of the line between the two processes.
 type link struct {
 	conn net.Conn
-	in   *bufio.Scanner
+	in   *watch.Messages
 	ban  func(call) (kept bool, err error) // takes over a ban that came to the other process
 
 	mu    sync.Mutex
@@ -67,42 +67,24 @@
 }
 
 func newLink(conn net.Conn) *link {
-	l := &link{conn: conn, in: bufio.NewScanner(conn), acks: map[int]chan bool{}}
-	l.in.Buffer(make([]byte, 0, 4096), maxList)
-	return l
+	return &link{conn: conn, in: watch.NewMessages(conn, maxList), acks: map[int]chan bool{}}
 }
 
 func (l *link) send(m message) error {
-	text, err := json.Marshal(m)
-	if err != nil {
-		return err
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(linkPatience)); err != nil {
 		return err
 	}
-	_, err = l.conn.Write(append(text, '\n'))
-	return err
-}
-
-// next reads a message.
-func (l *link) next() (m message, err error) {
-	if !l.in.Scan() {
-		if err = l.in.Err(); err == nil {
-			err = errors.New("the other process ended it")
-		}
-		return m, err
-	}
-	return m, json.Unmarshal(l.in.Bytes(), &m)
+	return json.NewEncoder(l.conn).Encode(m) // in one write
 }
 
 // follow handles what comes until the link ends; more handles what is not about bans.
 func (l *link) follow(more func(message)) error {
 	for {
-		m, err := l.next()
-		if err != nil {
-			return err
+		var m message
+		if err := l.in.Next(&m); err != nil {
+			return fmt.Errorf("the link has ended: %w", err)
 		}
 		switch {
 		case m.Ban != nil:
@@ -195,9 +177,9 @@
 	conn, err := net.DialTimeout("unix", filepath.Join(h.dir, linkName), linkPatience)
 	if err == nil {
 		l := newLink(conn)
-		_ = conn.SetReadDeadline(time.Now().Add(linkPatience)) // see next
+		_ = conn.SetReadDeadline(time.Now().Add(linkPatience))
 		var m message
-		if m, err = l.next(); err == nil && m.State == nil {
+		if err = l.in.Next(&m); err == nil && m.State == nil {
 			err = errors.New("it began with something else")
 		}
 		_ = conn.SetReadDeadline(time.Time{})
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -86,20 +86,20 @@
 func (d *door) serve(c net.Conn) {
 	// Deadlines can't fail on an open connection; on one that gave way the read shows it.
 	_ = c.SetReadDeadline(time.Now().Add(doorPatience))
-	line, err := bufio.NewReaderSize(c, doorLine).ReadSlice('\n')
+	in := bufio.NewScanner(c)
+	in.Buffer(make([]byte, doorLine), doorLine)
+	came := in.Scan() // also on the part of a line that came before an error
 	d.mu.Lock()
 	d.callers = slices.DeleteFunc(d.callers, func(x net.Conn) bool { return x == c })
 	d.mu.Unlock()
 	var answer string
 	switch {
-	case errors.Is(err, bufio.ErrBufferFull):
+	case errors.Is(in.Err(), bufio.ErrTooLong):
 		answer = "NO the line is too long\n"
-	case errors.Is(err, io.EOF) && len(line) > 0: // the caller ended its sending with its last line
-		answer = d.call(string(line))
-	case err != nil:
+	case in.Err() != nil || !came:
 		answer = "NO a call is one line, and none came\n"
-	default:
-		answer = d.call(string(line))
+	default: // also where the caller ended its sending with its last line
+		answer = d.call(in.Text())
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(doorAnswer))
 	if _, err := io.WriteString(c, answer); err != nil {
--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 )
 
@@ -59,6 +61,29 @@
 	}
 }
 
+// Guards against a call cut off by a broken connection that is carried out: DISABLE s-1 is not DISABLE s-12.
+func TestPartOfALineIsNoCall(t *testing.T) {
+	for broken, want := range map[error]int{io.EOF: 1, errors.New("reset"): 0} {
+		ours, theirs := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, ours) }()
+		calls := 0
+		d := &door{ban: func(string, bool) error { calls++; return nil }}
+		d.serve(&brokenConn{theirs, io.MultiReader(strings.NewReader("DISABLE s-1"), iotest.ErrReader(broken))})
+		ours.Close()
+		if calls != want {
+			t.Errorf("ended by %v: %d calls carried out", broken, calls)
+		}
+	}
+}
+
+// brokenConn reads from elsewhere.
+type brokenConn struct {
+	net.Conn
+	from io.Reader
+}
+
+func (c *brokenConn) Read(p []byte) (int, error) { return c.from.Read(p) }
+
 // Guards against callers that hold the door shut by sending nothing: the oldest of them gives way.
 func TestSilentCallersGiveWay(t *testing.T) {
 	r, _ := withDoor(t, "s")
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -7,9 +7,11 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mosslead/balancer"
 )
 
@@ -18,9 +20,9 @@
 // minute must not cost the CPU that is needed to get out of it.
 
 const (
-	badLines  = 20.0 // a second, and as many at once
-	lateLines = 2.0  // the same, on requests that were served late: a few tell enough
-	noteBytes = 160  // of what a peer may have worded
+	badLines  = 20  // a second, and as many at once
+	lateLines = 2   // the same, on requests that were served late: a few tell enough
+	noteBytes = 160 // of what a peer may have worded
 )
 
 // The components that the log's lines name.
@@ -46,34 +48,23 @@
 
 // lines bounds a log's lines, and counts those that it left out.
 type lines struct {
-	rate float64
-
-	mu      sync.Mutex
-	tokens  float64
-	at      time.Time
-	dropped int
+	limit   *rate.Limiter
+	dropped atomic.Int64
 }
 
-func newLines(rate float64) *lines { return &lines{rate: rate, tokens: rate, at: time.Now()} }
+func newLines(perSecond int) *lines {
+	return &lines{limit: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+}
 
 // note writes a line on a request, with what attrs gives, unless there were too many; then attrs is not asked.
 func (l *lines) note(text string, attrs func() []slog.Attr) {
-	l.mu.Lock()
-	now := time.Now()
-	l.tokens = min(l.rate, l.tokens+l.rate*now.Sub(l.at).Seconds())
-	l.at = now
-	if l.tokens < 1 {
-		l.dropped++
-		l.mu.Unlock()
+	if !l.limit.Allow() {
+		l.dropped.Add(1)
 		return
 	}
-	l.tokens--
-	dropped := l.dropped
-	l.dropped = 0
-	l.mu.Unlock()
 	all := attrs()
-	if dropped > 0 {
-		all = append(all, slog.Int("left_out", dropped))
+	if dropped := l.dropped.Swap(0); dropped > 0 {
+		all = append(all, slog.Int64("left_out", dropped))
 	}
 	note(slog.LevelWarn, ofRequests, text, all...)
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -50,7 +50,8 @@
 	writePatience = 5 * time.Second // for a client to take its answer
 )
 
-// hopByHop headers belong to one connection and do not go on.
+// hopByHop headers belong to one connection and do not go on. httputil keeps its list to its proxy, whose transport may send
+// a request twice.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
@@ -393,7 +394,7 @@
 
 const maxTimeout = time.Hour
 
-// parseTimeout reads a number and a unit: m milliseconds or u microseconds.
+// parseTimeout reads a number and a unit: m milliseconds or u microseconds. To time.ParseDuration, m is minutes.
 func parseTimeout(text string) (time.Duration, error) {
 	unit := time.Millisecond
 	number, ok := strings.CutSuffix(text, "m")
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -114,7 +114,7 @@
 		slog.Int64("refused", now.refused-then.refused), slog.Int64("failed", now.failed-then.failed), slog.Int64("gone", f.gone-before.gone)}
 }
 
-// lines words the figures for operators.
+// lines words the figures for operators, in the form of their page; metrics libraries have forms of their own.
 func (f *figures) lines() string {
 	var s strings.Builder
 	counter := func(name string, n int64) { fmt.Fprintf(&s, "gw.%s:%d|c\n", name, n) }
--- a/internal/watch/messages.go
+++ b/internal/watch/messages.go
@@ -9,9 +9,9 @@
 
 const space = " \t\r\n"
 
-// messages takes a stream of JSON objects apart, each on a line or indented over several. What is between them never
+// Messages takes a stream of JSON objects apart, each on a line or indented over several. What is between them never
 // reaches the decoder, which would keep it: empty lines are signs of life, and come for days.
-type messages struct {
+type Messages struct {
 	body  io.Reader
 	rest  []byte           // read behind the last message
 	begun bool             // within a message
@@ -20,15 +20,17 @@
 	heard func(blank bool) // something came: a part of a message or, where blank, an empty line between them
 }
 
-// next waits for a message and reads it into m. io.EOF: they ended between two.
-func (s *messages) next(m any) error {
+// NewMessages reads from body, at most so many bytes of one message.
+func NewMessages(body io.Reader, most int) *Messages {
+	return &Messages{body: body, most: most, heard: func(bool) {}}
+}
+
+// Next waits for a message and reads it into m. io.EOF: they ended between two.
+func (s *Messages) Next(m any) error {
 	s.begun, s.left = false, s.most
 	d := json.NewDecoder(s)
 	if err := d.Decode(m); err != nil {
-		if err == io.EOF {
-			return err
-		}
-		return fmt.Errorf("reading a list: %w", err)
+		return err
 	}
 	behind, err := io.ReadAll(d.Buffered())
 	s.rest = append(behind, s.rest...)
@@ -36,7 +38,7 @@
 }
 
 // Read is the decoder's.
-func (s *messages) Read(p []byte) (int, error) {
+func (s *Messages) Read(p []byte) (int, error) {
 	if s.left == 0 {
 		return 0, fmt.Errorf("over %d bytes", s.most)
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -204,14 +204,17 @@
 		return
 	}
 	tell(event[M]{}) // its head is a sign of life too
-	in := &messages{body: resp.Body, most: f.Most, heard: func(blank bool) { tell(event[M]{blank: blank}) }}
+	in := NewMessages(resp.Body, f.Most)
+	in.heard = func(blank bool) { tell(event[M]{blank: blank}) }
 	for err == nil {
 		m := new(M)
-		if err = in.next(m); err == nil {
+		if err = in.Next(m); err == nil {
 			tell(event[M]{message: m})
 		}
 	}
-	if errors.Is(err, io.EOF) {
+	if err != io.EOF {
+		err = fmt.Errorf("reading a list: %w", err)
+	} else {
 		err = errEnded
 		for _, why := range resp.Trailer { // where the other side says why
 			err = fmt.Errorf("%w: %s", errEnded, why)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -189,16 +189,17 @@
 		"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "ends with data": iotest.DataErrReader,
 	} {
 		blanks := 0
-		in := &messages{body: cut(strings.NewReader(text)), most: 600, heard: func(blank bool) {
+		in := NewMessages(cut(strings.NewReader(text)), 600)
+		in.heard = func(blank bool) {
 			if blank {
 				blanks++
 			}
-		}}
+		}
 		var got []version
 		var err error
 		for err == nil {
 			var v version
-			if err = in.next(&v); err == nil {
+			if err = in.Next(&v); err == nil {
 				got = append(got, v)
 			}
 		}
@@ -207,8 +208,7 @@
 		}
 	}
 	for _, bad := range []string{`{"index":1`, `{"index":1]`, `{"index":1,"x":"` + strings.Repeat("x", 600) + `"}`} {
-		in := &messages{body: strings.NewReader(bad), most: 600, heard: func(bool) {}}
-		if err := in.next(&version{}); err == nil || err == io.EOF {
+		if err := NewMessages(strings.NewReader(bad), 600).Next(&version{}); err == nil || err == io.EOF {
 			t.Errorf("%.20s: %v", bad, err)
 		}
 	}
