--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -13,8 +13,6 @@
 //   - cold upstreams: mayTry draws on the cold upstream's budget (see "cold starts").
 
 import (
-	"container/heap"
-	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -719,26 +717,6 @@
 	return from[i]
 }
 
-// draw takes one by chance, in proportion to size, but not the one given; nil where there is no other.
-func (b *Balancer) draw(from []*upstream, not *upstream) (drawn *upstream) {
-	total := 0.0
-	for _, u := range from {
-		if u != not {
-			total += u.weight
-		}
-	}
-	x := b.rng.Float64() * total
-	for _, u := range from {
-		if u != not {
-			if drawn = u; x < u.weight {
-				break
-			}
-			x -= u.weight
-		}
-	}
-	return drawn
-}
-
 // load is the design's: latency x (pending+1). Two exceptions: an idle estimate decays to the mean of its
 // kind of machine, not to nothing (idleness is not speed), and an attempt out takes its age at least.
 func (b *Balancer) load(u *upstream) float64 {
@@ -939,16 +917,6 @@
 	}
 }
 
-// Ejected names the upstreams that are left out now for their failures.
-func (b *Balancer) Ejected(now time.Duration) (ids []string) {
-	for _, u := range b.list {
-		if now < u.until {
-			ids = append(ids, u.id)
-		}
-	}
-	return ids
-}
-
 func (b *Balancer) ask() {
 	b.asking = true
 	b.act(Action{Kind: Subscribe})
@@ -1167,30 +1135,6 @@
 
 // ---- estimates ----
 
-// estimate is a peak-EWMA in seconds.
-type estimate struct {
-	value float64
-	at    time.Duration
-}
-
-func (e *estimate) weight(now, decay time.Duration) float64 {
-	return math.Exp(-float64(now-e.at) / float64(decay))
-}
-
-// add replaces the estimate by a sample above its projection to now, and blends in any other.
-func (e *estimate) add(sample float64, now, decay time.Duration) {
-	if now < e.at {
-		return
-	}
-	w := e.weight(now, decay)
-	if sample > e.value*w {
-		e.value = sample
-	} else {
-		e.value = e.value*w + sample*(1-w)
-	}
-	e.at = now
-}
-
 func (b *Balancer) decay() time.Duration { return seconds(decayAims * b.meanAim) }
 
 // observe feeds an attempt's outcome to the estimates. Samples are normalised by the work expected of the
@@ -1247,38 +1191,3 @@
 	}
 	return min(max(x, 0.25), 8)
 }
-
-// ---- timers and small things ----
-
-func (b *Balancer) wake() {
-	if b.now >= b.armed {
-		b.armed = 0
-	}
-	for len(b.timers.t) > 0 && b.timers.t[0].at <= b.now {
-		switch t := heap.Pop(&b.timers).(timer); {
-		case t.kind == timerAsk:
-			if !b.asking && !b.subscribed {
-				b.ask()
-			}
-		case t.r.done || t.r.stream:
-		case t.kind == timerEnd:
-			if b.now >= t.r.end && (!t.r.open || t.r.out == 0) { // else the body came, or still does
-				b.giveUp(t.r)
-			}
-		case t.kind == timerLate:
-			b.lateAttempt(t.r)
-		case t.kind == timerLost:
-			b.lookLost(t.r)
-		case t.r.out == 0:
-			b.move(t.r)
-		}
-	}
-}
-
-func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
-
-func (b *Balancer) log(format string, args ...any) {
-	b.act(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -2,10 +2,11 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"time"
 )
 
-// Timers: a heap of what is to be looked at again, behind the one Wake that the sidecar keeps for us.
+// Timers: a heap of what is to be looked at again, behind the one Wake that the sidecar keeps for us; and how actions are given.
 
 type timerKind int
 
@@ -58,3 +59,37 @@
 		b.act(Action{Kind: SetTimer, At: b.armed})
 	}
 }
+
+// wake carries out what is due.
+func (b *Balancer) wake() {
+	if b.now >= b.armed {
+		b.armed = 0
+	}
+	for len(b.timers.t) > 0 && b.timers.t[0].at <= b.now {
+		switch t := heap.Pop(&b.timers).(timer); {
+		case t.kind == timerAsk:
+			if !b.asking && !b.subscribed {
+				b.ask()
+			}
+		case t.r.done || t.r.stream:
+		case t.kind == timerEnd:
+			if b.now >= t.r.end && (!t.r.open || t.r.out == 0) { // else the body came, or still does
+				b.giveUp(t.r)
+			}
+		case t.kind == timerLate:
+			b.lateAttempt(t.r)
+		case t.kind == timerLost:
+			b.lookLost(t.r)
+		case t.r.out == 0:
+			b.move(t.r)
+		}
+	}
+}
+
+func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
+
+func (b *Balancer) log(format string, args ...any) {
+	b.act(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/balancer/pressure.go
+++ b/balancer/views.go
@@ -20,3 +20,13 @@
 	}
 	return min(1, b.pressure()), zone
 }
+
+// Ejected names the upstreams that are left out now for their failures.
+func (b *Balancer) Ejected(now time.Duration) (ids []string) {
+	for _, u := range b.list {
+		if now < u.until {
+			ids = append(ids, u.id)
+		}
+	}
+	return ids
+}
