--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -17,6 +17,8 @@
 	sidecarPort         = 9000
 	doorPort            = 9800
 	agentPort           = 8500
+	peerPort            = 7946 // where a sidecar takes part among the others
+	peerLinkPort        = 7947 // and where the others reach it
 	upstreamPort        = 9000
 	windowPorts         = 8600 // and up, one for each replica
 	replicaAPIPort      = 7600
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -193,6 +193,7 @@
 	Program  string `toml:"program"`  // a path, or "naive"
 	Breaks   string `toml:"breaks"`   // the rule that a naive sidecar breaks
 	State    bool   `toml:"state"`    // sidecars have a directory that outlives them
+	Share    bool   `toml:"share"`    // sidecars share what they know with each other
 	Known    string `toml:"known"`    // the list in the configuration of a restarted sidecar: "latest" (absent) or "none"
 	Registry int    `toml:"registry"` // replicas of the list service that sidecars ask; absent: the stand-in for discovery
 	// ServiceRevision is what the first replica is built from; absent: this program, as the others.
@@ -210,6 +211,7 @@
 	Kind  string   `toml:"kind"`  // sidecar, upstream, discovery, replica
 	Names []string `toml:"names"` // of replicas also "leader", who it is when the fault begins
 	Zone  string   `toml:"zone"`
+	Apart string   `toml:"apart"` // all zones but this
 	Count int      `toml:"count"` // so many, drawn
 	Share float64  `toml:"share"` // or such a share, drawn; all where neither is given
 }
@@ -222,15 +224,15 @@
 	Kind string   `toml:"kind"`
 
 	Of Parties `toml:"of"`
-	To Parties `toml:"to"` // links: the other side; absent: all upstreams
+	To Parties `toml:"to"` // links: the other side; absent: all upstreams. Sidecars: their links to those for what they share
 
 	Way   string   `toml:"way"`                    // cut: both (absent), forth, back
 	Mode  string   `toml:"mode"`                   // cut: silent (absent) or reset
 	Delay Duration `toml:"delay"`                  // delay, late
 	Rate  int      `toml:"rate"`                   // throttle: bytes a second
 	Chop  int      `toml:"chop"`                   // chop: bytes
-	Share float64  `toml:"share"`                  // fail, resets
-	Class string   `toml:"class"`                  // fail: of this class all
+	Share float64  `toml:"share"`                  // fail, resets, loss
+	Class string   `toml:"class"`                  // fail: of this class alone, all or the share
 	Times float64  `toml:"times"`                  // slow
 	Waves int      `toml:"waves"`                  // replace, term: so many steps over the time
 	Drain Duration `toml:"drain"`                  // replace: from the news to the end of the old process
@@ -259,12 +261,14 @@
 	"kill":           {"sidecar or upstream or replica", "kill -9, and a new start after the time down"},
 	"term":           {"sidecar", "SIGTERM, in waves, and a new start once it has ended or was killed for being late"},
 	"stop":           {"sidecar or replica", "SIGSTOP; SIGCONT at the end"},
+	"starve":         {"sidecar", "stopped 9 ms in 10"},
 	"hup":            {"sidecar", "SIGHUP with the configuration as it is"},
 	"ban":            {"sidecar", "the upstreams in 'to' are disabled at its door, and enabled at the end"},
-	"cut":            {"sidecar or replica", "its links to the parties in 'to' are cut, one way or both, silent or reset"},
+	"cut":            {"sidecar or replica", "its links to the parties in 'to' are cut, one way or both, silent or reset; sidecars in 'to': those for what they share"},
 	"delay":          {"sidecar", "its links are slower by 'delay' each way"},
 	"throttle":       {"sidecar", "its links carry 'rate' bytes a second"},
 	"chop":           {"sidecar", "its links pass on pieces of 'chop' bytes"},
+	"loss":           {"sidecar", "a share of its datagrams to the sidecars in 'to' is lost, and of its pieces late"},
 	"resets":         {"sidecar", "a share of its new connections breaks at the first answer"},
 	"slow":           {"upstream", "'times' slower"},
 	"fail":           {"upstream", "a share of its answers is an error, or all of a class"},
@@ -392,6 +396,8 @@
 		return fmt.Errorf("at: %v is not within the length of %v", f.At, e.Length)
 	case !slices.Contains(strings.Split(kind.Party, " or "), f.Of.Kind):
 		return fmt.Errorf("of.kind: %q: this befalls a %s", f.Of.Kind, kind.Party)
+	case f.Kind == "loss" && (f.To.Kind != "sidecar" || f.Share <= 0 || f.Share > 1):
+		return errors.New("loss wants to.kind = \"sidecar\" and a share above 0 and up to 1")
 	case f.Of.Zone != "" && !slices.Contains(e.Fleet.Zones, f.Of.Zone):
 		return fmt.Errorf("of.zone: there is no zone %q", f.Of.Zone)
 	case f.Kind == "cut" && f.Way != "" && f.Way != "both" && f.Way != "forth" && f.Way != "back":
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -16,6 +17,8 @@
 const (
 	insistTimes = 40
 	insistEvery = 100 * time.Millisecond
+	starvedFor  = 9 * time.Millisecond
+	fedFor      = time.Millisecond
 )
 
 // befall lets a fault happen, and returns once it is undone.
@@ -25,6 +28,10 @@
 		p.befallReplicas(ev)
 		return
 	}
+	if f.To.Kind == "sidecar" {
+		during(p, f, p.peerLinksOf(ev), linkChange(f))
+		return
+	}
 	switch f.Kind {
 	case "term":
 		p.waves(ev, func(s *sidecar) { p.restart(s, f) })
@@ -32,6 +39,8 @@
 		p.together(ev, func(s *sidecar) { p.restart(s, f) }, func(u *upstream) { p.crashes(u, f) })
 	case "stop":
 		p.together(ev, func(s *sidecar) { p.pause(s, f.For.Duration) }, nil)
+	case "starve":
+		p.together(ev, func(s *sidecar) { p.starve(s, f.For.Duration) }, nil)
 	case "hup":
 		p.together(ev, func(s *sidecar) { p.signal(s, syscall.SIGHUP) }, nil)
 	case "ban":
@@ -163,6 +172,21 @@
 	p.rec.Change(func() { paused.End = p.rec.Now() })
 }
 
+// starve leaves a sidecar's process a tenth of each 10 ms.
+func (p *play) starve(s *sidecar, for_ time.Duration) {
+	starved := &record.Life{Party: s.name, Paused: true, Start: p.rec.Now()}
+	p.rec.Life(starved)
+	defer p.rec.Change(func() { starved.End = p.rec.Now() })
+	for until := starved.Start + for_; p.rec.Now() < until; {
+		p.signal(s, syscall.SIGSTOP)
+		fed := p.sleep(starvedFor)
+		p.signal(s, syscall.SIGCONT)
+		if !fed || !p.sleep(fedFor) {
+			return
+		}
+	}
+}
+
 // ban disables upstreams at a sidecar's door. It binds from the yes on.
 func (p *play) ban(s *sidecar, ups []*upstream, for_ time.Duration) {
 	for _, u := range ups {
@@ -212,6 +236,8 @@
 			s.SilentBack = s.SilentBack || f.Way != "forth"
 		case "delay":
 			s.Delay += f.Delay.Duration
+		case "loss":
+			s.Loss = f.Share
 		case "throttle":
 			s.Rate = f.Rate
 		case "chop":
@@ -256,9 +282,8 @@
 		case "slow":
 			t.Slower = max(t.Slower, 1) * f.Times
 		case "fail":
-			t.FailClass = f.Class
-			if f.Class == "" {
-				t.FailShare = f.Share
+			if t.FailShare = f.Share; f.Class != "" {
+				t.FailClass, t.FailShare, t.FailPart = f.Class, 0, cmp.Or(f.Share, 1)
 			}
 		case "hang":
 			t.Hang = true
--- /dev/null
+++ b/internal/lab/peers.go
@@ -0,0 +1,108 @@
+package lab
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"mosslead/internal/lab/record"
+	"mosslead/internal/lab/relay"
+)
+
+const (
+	peerSeeds  = 3 // sidecars that the others join by
+	lineMost   = 64 << 10
+	peerStream = 77 // of what is lost between sidecars
+)
+
+// addPeer puts a sidecar among those that share, with links to all that are there; the caller holds mu.
+func (p *play) addPeer(s *sidecar) error {
+	err := p.mesh.Add(s.name, p.block.sidecar(s.number, peerLinkPort), p.block.sidecar(s.number, peerPort), p.seed*1_000_003+uint64(s.number)+peerStream)
+	if err != nil {
+		return err
+	}
+	s.peers = map[string]*overlay[relay.State]{}
+	for _, o := range p.sidecars {
+		base := relay.State{Delay: p.e.Net.Same.Duration, Jitter: p.e.Net.Jitter.Duration}
+		if s.zone != o.zone {
+			base.Delay = p.e.Net.Cross.Duration
+		}
+		s.peers[o.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(s.name, o.name, state)) })
+		o.peers[s.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(o.name, s.name, state)) })
+		s.peers[o.name].apply()
+		o.peers[s.name].apply()
+	}
+	return nil
+}
+
+// peers words what a sidecar is told of the others. Each knows its own address, and the others by their links.
+func (p *play) peers(s *sidecar) map[string]any {
+	var seeds []string
+	for i := range min(peerSeeds, p.e.Fleet.Sidecars) {
+		seeds = append(seeds, p.block.sidecar(i, peerLinkPort))
+	}
+	return map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": seeds, "zone": s.zone}
+}
+
+// peerLinksOf are the links from the chosen sidecars to those in 'to'. Where these are others too, a cut is between the chosen
+// and the others, and not among the chosen.
+func (p *play) peerLinksOf(ev *event) (all []*overlay[relay.State]) {
+	others := slices.ContainsFunc(ev.peers, func(o *sidecar) bool { return !slices.Contains(ev.sidecars, o) })
+	for _, s := range ev.sidecars {
+		for _, o := range ev.peers {
+			if l := s.peers[o.name]; l != nil && !(others && slices.Contains(ev.sidecars, o)) {
+				all = append(all, l)
+			}
+		}
+	}
+	return all
+}
+
+// hearLogs takes from the sidecars' logs what they said of upstreams, once they have ended.
+func (p *play) hearLogs() {
+	if p.mesh == nil {
+		return
+	}
+	for _, s := range p.sidecars {
+		f, err := os.Open(filepath.Join(s.dir, "log"))
+		if err != nil {
+			p.note(fmt.Errorf("log of %s: %w", s.name, err))
+			continue
+		}
+		lines := bufio.NewScanner(f)
+		lines.Buffer(nil, lineMost)
+		for lines.Scan() {
+			if said, ok := hear(lines.Bytes(), p.rec); ok {
+				said.Sidecar = s.name
+				p.rec.Said = append(p.rec.Said, said)
+			}
+		}
+		p.note(lines.Err())
+		f.Close()
+	}
+	slices.SortStableFunc(p.rec.Said, func(a, b record.Said) int { return cmp.Compare(a.At, b.At) })
+}
+
+// hear reads a line of a log; not ok: it is on something else.
+func hear(line []byte, rec *record.Record) (record.Said, bool) {
+	var l struct {
+		Time      time.Time
+		Msg       string
+		Component string
+		Upstream  string
+		Class     string
+		Open      bool
+		ForMs     int64 `json:"for_ms"`
+		Why       string
+	}
+	if json.Unmarshal(line, &l) != nil || l.Component != "peers" || l.Msg != "verdict" && l.Msg != "report" {
+		return record.Said{}, false
+	}
+	return record.Said{At: rec.Since(l.Time), Upstream: l.Upstream, Class: l.Class, Verdict: l.Msg == "verdict", Open: l.Open,
+		For: time.Duration(l.ForMs) * time.Millisecond, Why: l.Why}, true
+}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -15,6 +15,7 @@
 	"mosslead/internal/lab/experiment"
 	"mosslead/internal/lab/load"
 	"mosslead/internal/lab/record"
+	"mosslead/internal/lab/relay"
 	"mosslead/internal/lab/standin"
 )
 
@@ -51,7 +52,8 @@
 	log      *slog.Logger
 
 	discovery *standin.Discovery
-	service   *service // nil: sidecars ask the stand-in
+	service   *service    // nil: sidecars ask the stand-in
+	mesh      *relay.Mesh // between sidecars; nil: they share nothing
 	clients   *load.Clients
 	spec      load.Spec  // of their traffic
 	mu        sync.Mutex // guards what follows, and each sidecar's links
@@ -88,6 +90,9 @@
 	p := &play{ctx: running, e: e, v: v, seed: seed, dir: dir, programs: programs, rec: record.New(), block: block, log: log,
 		number: map[string]int{}}
 	p.discovery = standin.NewDiscovery(p.rec)
+	if v.Share {
+		p.mesh = relay.NewMesh()
+	}
 	defer func() { // whatever happened: nothing of the play is left
 		stop()
 		p.close()
@@ -116,6 +121,7 @@
 	p.rec.Partial = ctx.Err() != nil
 	p.endSidecars()
 	p.rec.Length = p.rec.Now()
+	p.hearLogs()
 	for _, u := range p.upstreams {
 		area, sojourns := u.Little()
 		out.Littles[0] += area
@@ -296,6 +302,9 @@
 		}
 		s.agent.Close()
 	}
+	if p.mesh != nil {
+		p.mesh.Close()
+	}
 	for _, u := range p.upstreams {
 		u.Close()
 	}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -117,6 +117,16 @@
 	Usable            bool // false: draining, gone or banned from now on
 }
 
+// Said is a line of a sidecar's log on an upstream: what it says to others by its own evidence, or a verdict upon what others say.
+type Said struct {
+	At                       time.Duration
+	Sidecar, Upstream, Class string
+	Verdict                  bool // else its own evidence
+	Open                     bool
+	For                      time.Duration // a verdict's; 0: until taken back
+	Why                      string
+}
+
 // Listed is a change of the list as the service was asked for it, before anybody was told.
 type Listed struct {
 	At       time.Duration
@@ -188,6 +198,7 @@
 // Band is a fault's time.
 type Band struct {
 	Name     string
+	Of       []string // the parties that it befell
 	From, To time.Duration
 }
 
@@ -202,6 +213,7 @@
 	Cuts     []Cut
 	Told     []Told
 	Listed   []Listed
+	Said     []Said
 	Reported []Reported
 	Calls    int // on the list service by callers of a history
 	Unknown  int // of them, without an answer
@@ -236,6 +248,9 @@
 	r.Requests = append(r.Requests, q)
 }
 
+// Since is the time in the play of a moment of the machine's clock.
+func (r *Record) Since(t time.Time) time.Duration { return t.Sub(r.begin.Round(0)) }
+
 // Lookup is the try of that id; nil: no client sent it.
 func (r *Record) Lookup(id string) *Request {
 	r.mu.Lock()
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -26,6 +26,8 @@
 	SilentForth, SilentBack bool
 	// Reset breaks open connections and refuses new ones.
 	Reset bool
+	// Loss is the share of datagrams that vanish. On a connection that share of the pieces comes later by retransmitAfter.
+	Loss float64
 	// ResetShare of new connections is broken at their first answer's first byte.
 	ResetShare float64
 }
@@ -35,6 +37,8 @@
 	heldPieces = 8
 	dialLimit  = 2 * time.Second
 	backlog    = 1024
+	// retransmitAfter is the least time after which Linux sends again what was lost on a connection.
+	retransmitAfter = 200 * time.Millisecond
 )
 
 // Link carries connections from one party to another.
@@ -133,6 +137,13 @@
 	l.changed = make(chan struct{})
 	silent, wasSilent := s.SilentForth || s.SilentBack, was.SilentForth || was.SilentBack
 	switch {
+	case l.listener == nil: // a mesh listens
+		for p := range l.conns {
+			if s.Reset {
+				p.abort()
+			}
+		}
+		return nil
 	case s.Reset && !was.Reset:
 		l.listener.Close()
 		l.hush(false)
@@ -211,7 +222,9 @@
 	l.mu.Lock()
 	if !l.closed {
 		l.closed = true
-		l.listener.Close()
+		if l.listener != nil {
+			l.listener.Close()
+		}
 		close(l.changed)
 		l.changed = make(chan struct{})
 		for p := range l.conns {
@@ -342,6 +355,9 @@
 		if first && forth {
 			wait += s.Setup
 		}
+		if s.Loss > 0 && float64(uint32(passed+1)*0x9e3779b9>>8)/(1<<24) < s.Loss {
+			wait += retransmitAfter
+		}
 		left := time.Until(at.Add(wait))
 		if left <= 0 {
 			return true
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -40,6 +40,10 @@
 	{"dark_served", "share of the worth earned of what clients asked restarted sidecars, from 1 s after the restart on"},
 	{"news_ms", "from a change of the list to a sidecar's being told, median; changes that servers or operators asked for"},
 	{"news_max_ms", "the same, the longest"},
+	{"harmed", "share of wishes with an attempt that an upstream failed, broke or never answered"},
+	{"hung", "attempts that were never answered"},
+	{"know95_ms", "from the first sidecar's own evidence against an upstream in a fault until 95 of 100 sidecars knew, the slowest upstream"},
+	{"hearsay_part", "greatest part of a zone's upstreams that a sidecar believed to be bad upon what others said"},
 	{"calls", "calls on the list service whose answers were judged"},
 	{"calls_unknown", "of them, those without an answer"},
 	{"watched", "messages of watches that were judged"},
@@ -76,11 +80,13 @@
 	}
 	f.outcomes(some)
 	f.attempts(o.Record, some)
+	f.harm(some)
 	f["worst_2s"] = worst(some, from, to)
 	if whole {
 		f.restarts(o, all)
 		f.uses(o.Record, some)
 		f.news(o)
+		f.sharing(o)
 	}
 	return f
 }
--- a/internal/lab/sidecars.go
+++ b/internal/lab/sidecars.go
@@ -43,7 +43,8 @@
 	dir    string // its own: configuration, log, TMPDIR and state
 	agent  *standin.Agent
 	mood   *overlay[standin.Mood]
-	links  map[string]*link // by upstream
+	links  map[string]*link                 // by upstream
+	peers  map[string]*overlay[relay.State] // links to other sidecars for what they share, by name
 
 	windows  map[string]*window // by replica, where there is a list service
 	replicas []string           // the windows' addresses
@@ -89,6 +90,11 @@
 			return err
 		}
 	}
+	if p.v.Share {
+		if err := p.addPeer(s); err != nil {
+			return err
+		}
+	}
 	p.rec.Zones[s.name] = s.zone
 	p.rec.Limits[s.name] = record.Limits{Descriptors: p.e.Fleet.Sockets, MemoryMB: p.e.Fleet.MemoryMB}
 	p.sidecars = append(p.sidecars, s)
@@ -115,6 +121,9 @@
 	if p.e.Fleet.Door {
 		c["ops"] = p.block.sidecar(s.number, doorPort)
 	}
+	if p.v.Share {
+		c["peers"] = p.peers(s)
+	}
 	if p.v.State {
 		c["state"] = filepath.Join(s.dir, "state")
 	}
--- a/internal/lab/standin/upstream.go
+++ b/internal/lab/standin/upstream.go
@@ -27,7 +27,8 @@
 type Trouble struct {
 	Slower    float64 // so many times; 0 or 1: not at all
 	FailShare float64 // of its jobs that end as an error
-	FailClass string  // whose requests fail all; empty: none
+	FailClass string  // whose requests fail; empty: none
+	FailPart  float64 // so many of them, evenly spread
 	Hang      bool    // answers probes and never its work
 	TurnAway  bool    // takes nothing new: it drains
 }
@@ -47,6 +48,7 @@
 	trouble  Trouble
 	waiting  map[string]chan model.Done // by job
 	jobs     int
+	failable int              // jobs of the class that fails
 	conns    map[string]*conn // by the address of the other end
 	listener net.Listener     // nil: the process is down
 	cold     *record.ColdStart
@@ -381,7 +383,12 @@
 	if offer != model.Down {
 		u.rearm()
 	}
-	return done, offer, u.trouble.FailClass == q.Class
+	if u.trouble.FailClass == q.Class {
+		u.failable++
+		part := u.trouble.FailPart
+		fails = int(float64(u.failable)*part) > int(float64(u.failable-1)*part)
+	}
+	return done, offer, fails
 }
 
 // sent tells whether a request is one that its client sent, in that form.
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -23,6 +23,7 @@
 	sidecars []*sidecar
 	replicas []*replica // who of them leads is found out when the fault begins
 	ups, to  []*upstream
+	peers    []*sidecar // in 'to'
 }
 
 // timeline draws the faults of the play, in the order of their begin.
@@ -53,6 +54,14 @@
 				ev.Of = append(ev.Of, s.name)
 			}
 		}
+		if f.To.Kind == "sidecar" {
+			ev.peers = choose(p.sidecars, f.To, rng, func(s *sidecar) (string, string) { return s.name, s.zone })
+			for _, s := range ev.peers {
+				ev.To = append(ev.To, s.name)
+			}
+			all = append(all, ev)
+			continue
+		}
 		ev.to = choose(p.upstreams, f.To, rng, func(u *upstream) (string, string) { return u.Name, u.entry.Zone })
 		for _, u := range ev.to {
 			ev.To = append(ev.To, u.Name)
@@ -68,7 +77,7 @@
 	var fit []T
 	for _, x := range from {
 		name, zone := is(x)
-		if (len(by.Names) == 0 || slices.Contains(by.Names, name)) && (by.Zone == "" || by.Zone == zone) {
+		if (len(by.Names) == 0 || slices.Contains(by.Names, name)) && (by.Zone == "" || by.Zone == zone) && (by.Apart == "" || by.Apart != zone) {
 			fit = append(fit, x)
 		}
 	}
@@ -115,7 +124,7 @@
 			if ev.Fault.Stays {
 				to = begin + p.e.Length.Duration
 			}
-			p.rec.Band(record.Band{Name: ev.Fault.Name, From: from, To: to})
+			p.rec.Band(record.Band{Name: ev.Fault.Name, Of: ev.Of, From: from, To: to})
 		}()
 	}
 	return &all
--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -45,6 +45,7 @@
 type Config struct {
 	Member    api.Member           // this process
 	Address   string               // host:port, for UDP and TCP; port 0: any
+	Advertise string               // host:port at which the others reach it, where that is another; empty: Address
 	Seeds     []string             // host:port of members to join by; none need be there
 	Transport memberlist.Transport // nil: sockets at Address
 }
@@ -87,10 +88,23 @@
 	}
 	p := newCarrier(c)
 	conf := memberlist.DefaultLANConfig()
+	if c.Transport == nil {
+		if c.Transport, err = newTransport(host, int(number)); err != nil {
+			return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
+		}
+	}
 	conf.Name, conf.BindAddr, conf.BindPort, conf.AdvertisePort = c.Member.Name, host, int(number), int(number)
 	conf.Transport, conf.LogOutput, conf.GossipInterval = c.Transport, io.Discard, gossipEvery
 	conf.Delegate, conf.Events, conf.Conflict = (*delegate)(p), (*events)(p), (*conflict)(p)
+	if c.Advertise != "" {
+		at, err := net.ResolveTCPAddr("tcp", c.Advertise)
+		if err != nil {
+			return nil, fmt.Errorf("advertise: %w", err)
+		}
+		conf.AdvertiseAddr, conf.AdvertisePort = at.IP.String(), at.Port
+	}
 	if p.list, err = memberlist.Create(conf); err != nil {
+		_ = c.Transport.Shutdown() // what is wrong is said by err
 		return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -102,7 +116,7 @@
 // newCarrier takes part in nothing yet.
 func newCarrier(c Config) *Carrier {
 	p := &Carrier{self: c.Member, name: c.Member.Name, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
-		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address }),
+		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address || s == c.Advertise }),
 		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
 		budget: rate.NewLimiter(bytesRate, bytesBurst)}
 	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial, api.Ask} {
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -154,6 +154,8 @@
 	}
 	key := r.Upstream + " " + r.Class
 	r.Round = p.board.Round(r.Upstream)
+	note(slog.LevelInfo, ofPeers, "report", slog.String("upstream", r.Upstream), slog.String("class", r.Class),
+		slog.Bool("open", r.State != api.Closed), slog.Int("evidence", int(r.Evidence)))
 	switch {
 	case r.State != api.Closed:
 		p.own[key] = r
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -154,6 +154,11 @@
 	if err := checkAddress(p.Address); err != nil {
 		return fmt.Errorf("address: %w", err)
 	}
+	if p.Advertise != "" {
+		if err := checkAddress(p.Advertise); err != nil {
+			return fmt.Errorf("advertise: %w", err)
+		}
+	}
 	for i, seed := range p.Seeds {
 		if err := checkAddress(seed); err != nil {
 			return fmt.Errorf("seeds: number %d: %w", i+1, err)
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -23,11 +23,12 @@
 
 // Peers is what a sidecar is told of the others; absent, it shares nothing.
 type Peers struct {
-	Address string   `json:"address"` // host:port, UDP and TCP
-	Seeds   []string `json:"seeds"`
-	Zone    string   `json:"zone"` // absent: that of the settings
-	Service string   `json:"service"`
-	Forward string   `json:"forward"`
+	Address   string   `json:"address"`   // host:port, UDP and TCP
+	Advertise string   `json:"advertise"` // at which the others reach it; absent: address
+	Seeds     []string `json:"seeds"`
+	Zone      string   `json:"zone"` // absent: that of the settings
+	Service   string   `json:"service"`
+	Forward   string   `json:"forward"`
 }
 
 // sharing is what a sidecar does with others: a thread for each part, each owner of its state, joined to the loop by rings.
@@ -57,7 +58,7 @@
 			return nil, fmt.Errorf("peers: %w", err)
 		}
 	}
-	if s.carrier, err = peer.Join(peer.Config{Member: s.self, Address: c.Peers.Address, Seeds: c.Peers.Seeds}); err != nil {
+	if s.carrier, err = peer.Join(peer.Config{Member: s.self, Address: c.Peers.Address, Advertise: c.Peers.Advertise, Seeds: c.Peers.Seeds}); err != nil {
 		s.forwards.close()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
