--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -261,6 +261,7 @@
 	"kill":           {"sidecar or upstream or replica", "kill -9, and a new start after the time down"},
 	"term":           {"sidecar", "SIGTERM, in waves, and a new start once it has ended or was killed for being late"},
 	"stop":           {"sidecar or replica", "SIGSTOP; SIGCONT at the end"},
+	"lie":            {"sidecar", "another member of its site tells all that the upstreams in 'to' never answer"},
 	"starve":         {"sidecar", "stopped 9 ms in 10"},
 	"hup":            {"sidecar", "SIGHUP with the configuration as it is"},
 	"ban":            {"sidecar", "the upstreams in 'to' are disabled at its door, and enabled at the end"},
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -39,6 +39,8 @@
 		p.together(ev, func(s *sidecar) { p.restart(s, f) }, func(u *upstream) { p.crashes(u, f) })
 	case "stop":
 		p.together(ev, func(s *sidecar) { p.pause(s, f.For.Duration) }, nil)
+	case "lie":
+		p.together(ev, func(s *sidecar) { p.note(p.lie(s, ev.to, f.For.Duration)) }, nil)
 	case "starve":
 		p.together(ev, func(s *sidecar) { p.starve(s, f.For.Duration) }, nil)
 	case "hup":
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -198,7 +198,7 @@
 	var text strings.Builder
 	for i, kind := range slices.Sorted(maps.Keys(experiment.FaultKinds)) { // one after another: each is to find its party there
 		party, _, _ := strings.Cut(experiment.FaultKinds[kind].Party, " ")
-		fmt.Fprintf(&text, "[[fault]]\nkind = %q\nat = \"%dms\"\nfor = \"200ms\"\ntimes = 2\nof = { kind = %q, count = 1 }\nto = { kind = \"upstream\", count = 1 }\n", kind, i*400, party)
+		fmt.Fprintf(&text, "[[fault]]\nkind = %q\nat = \"%dms\"\nfor = \"200ms\"\ntimes = 2\nof = { kind = %q, count = 1 }\nshare = 0.5\nto = { kind = %q, count = 1 }\n", kind, i*400, party, map[bool]string{true: "sidecar", false: "upstream"}[kind == "loss"])
 	}
 	e := quick(t, "")
 	e.Length.Duration = time.Duration(len(experiment.FaultKinds)) * 400 * time.Millisecond
--- /dev/null
+++ b/internal/lab/liar.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mosslead/internal/lab/relay"
+	"mosslead/internal/peer"
+	"mosslead/internal/peer/api"
+)
+
+const (
+	liarNumber = 500 // and up: where liars take part, beyond all sidecars
+	lieEvery   = time.Second
+	lieTTL     = 5 * time.Second
+	lieCount   = 9 // attempts that never were
+)
+
+// lie lets a member beside a sidecar, of its site and with links like its own, say over and over that upstreams never answer. The
+// sidecars can't tell it from one of theirs.
+func (p *play) lie(s *sidecar, ups []*upstream, for_ time.Duration) (err error) {
+	if p.mesh == nil {
+		return nil // nobody hears it
+	}
+	name, number := s.name+"-liar", liarNumber+s.number
+	if err := p.addLiar(s, name, number); err != nil {
+		return err
+	}
+	c, err := peer.Join(peer.Config{Member: api.Member{Name: name, Site: s.zone, Version: "liar", Schema: api.Schema,
+		Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()}},
+		Address: p.block.sidecar(number, peerPort), Advertise: p.block.sidecar(number, peerLinkPort), Seeds: p.seeds()})
+	if err != nil {
+		return fmt.Errorf("liar beside %s: %w", s.name, err)
+	}
+	defer func() { err = errors.Join(err, c.Leave()) }()
+	for until := p.rec.Now() + for_; p.rec.Now() < until; {
+		for _, u := range ups {
+			p.mu.Lock()
+			since := u.entry.SinceMs
+			p.mu.Unlock()
+			r := api.Report{Upstream: u.Name, SinceMs: since, State: api.Open, Evidence: api.Silence, Count: lieCount}
+			if err := c.Say(api.Breaker, u.Name, r, lieTTL, false); err != nil {
+				return fmt.Errorf("liar beside %s: %w", s.name, err)
+			}
+		}
+		if !p.sleep(lieEvery) {
+			break
+		}
+	}
+	return nil
+}
+
+// addLiar puts a liar into the mesh.
+func (p *play) addLiar(s *sidecar, name string, number int) error {
+	if err := p.mesh.Add(name, p.block.sidecar(number, peerLinkPort), p.block.sidecar(number, peerPort), p.seed+uint64(number)); err != nil {
+		return err
+	}
+	for _, o := range p.sidecars {
+		base := p.peerLink(s.zone, o.zone)
+		if err := errors.Join(p.mesh.Set(name, o.name, base), p.mesh.Set(o.name, name, base)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// peerLink is what an undisturbed link between sidecars of two zones does.
+func (p *play) peerLink(from, to string) relay.State {
+	base := relay.State{Delay: p.e.Net.Same.Duration, Jitter: p.e.Net.Jitter.Duration}
+	if from != to {
+		base.Delay = p.e.Net.Cross.Duration
+	}
+	return base
+}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	peerSeeds  = 3 // sidecars that the others join by
 	lineMost   = 64 << 10
 	peerStream = 77 // of what is lost between sidecars
 )
@@ -28,10 +27,7 @@
 	}
 	s.peers = map[string]*overlay[relay.State]{}
 	for _, o := range p.sidecars {
-		base := relay.State{Delay: p.e.Net.Same.Duration, Jitter: p.e.Net.Jitter.Duration}
-		if s.zone != o.zone {
-			base.Delay = p.e.Net.Cross.Duration
-		}
+		base := p.peerLink(s.zone, o.zone)
 		s.peers[o.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(s.name, o.name, state)) })
 		o.peers[s.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(o.name, s.name, state)) })
 		s.peers[o.name].apply()
@@ -42,11 +38,15 @@
 
 // peers words what a sidecar is told of the others. Each knows its own address, and the others by their links.
 func (p *play) peers(s *sidecar) map[string]any {
-	var seeds []string
-	for i := range min(peerSeeds, p.e.Fleet.Sidecars) {
-		seeds = append(seeds, p.block.sidecar(i, peerLinkPort))
+	return map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": p.seeds(), "zone": s.zone}
+}
+
+// seeds are the addresses of those that the others join by: one of each zone.
+func (p *play) seeds() (at []string) {
+	for i := range min(len(p.e.Fleet.Zones), p.e.Fleet.Sidecars) {
+		at = append(at, p.block.sidecar(i, peerLinkPort))
 	}
-	return map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": seeds, "zone": s.zone}
+	return at
 }
 
 // peerLinksOf are the links from the chosen sidecars to those in 'to'. Where these are others too, a cut is between the chosen
@@ -88,6 +88,8 @@
 	slices.SortStableFunc(p.rec.Said, func(a, b record.Said) int { return cmp.Compare(a.At, b.At) })
 }
 
+var saidWords = map[string]record.SaidKind{"report": record.Evidence, "verdict": record.Verdict, "present": record.Present}
+
 // hear reads a line of a log; not ok: it is on something else.
 func hear(line []byte, rec *record.Record) (record.Said, bool) {
 	var l struct {
@@ -97,12 +99,17 @@
 		Upstream  string
 		Class     string
 		Open      bool
+		Members   int
 		ForMs     int64 `json:"for_ms"`
 		Why       string
 	}
-	if json.Unmarshal(line, &l) != nil || l.Component != "peers" || l.Msg != "verdict" && l.Msg != "report" {
+	if json.Unmarshal(line, &l) != nil || l.Component != "peers" {
+		return record.Said{}, false
+	}
+	what, heard := saidWords[l.Msg]
+	if !heard {
 		return record.Said{}, false
 	}
-	return record.Said{At: rec.Since(l.Time), Upstream: l.Upstream, Class: l.Class, Verdict: l.Msg == "verdict", Open: l.Open,
+	return record.Said{At: rec.Since(l.Time), What: what, Upstream: l.Upstream, Class: l.Class, Open: l.Open, Members: l.Members,
 		For: time.Duration(l.ForMs) * time.Millisecond, Why: l.Why}, true
 }
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -117,13 +117,24 @@
 	Usable            bool // false: draining, gone or banned from now on
 }
 
-// Said is a line of a sidecar's log on an upstream: what it says to others by its own evidence, or a verdict upon what others say.
+// SaidKind is what a line of a sidecar's log is about.
+type SaidKind int
+
+// The kinds.
+const (
+	Evidence SaidKind = iota // its own against an upstream, or that it is used again
+	Verdict                  // on an upstream, upon what others say
+	Present                  // how many it counts as there
+)
+
+// Said is a line of a sidecar's log on what it shares with others.
 type Said struct {
 	At                       time.Duration
+	What                     SaidKind
 	Sidecar, Upstream, Class string
-	Verdict                  bool // else its own evidence
 	Open                     bool
-	For                      time.Duration // a verdict's; 0: until taken back
+	For                      time.Duration // a verdict's: no longer
+	Members                  int           // present, itself too
 	Why                      string
 }
 
--- a/internal/lab/report/sharing.go
+++ b/internal/lab/report/sharing.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -50,6 +51,13 @@
 		}
 	}
 	f["hearsay_part"] = hearsayPart(o.Record)
+	healed := time.Duration(0)
+	for _, b := range o.Record.Bands {
+		healed = max(healed, b.To)
+	}
+	if healed > 0 && healed < o.Begin+o.Plan.Spec.Length {
+		f["view_ms"] = oneView(o, healed).Seconds() * 1e3
+	}
 }
 
 // knowing is when the first sidecar found an upstream bad by its own evidence during a fault, and when each knew, by its own or by
@@ -57,7 +65,7 @@
 func knowing(rec *record.Record, upstream string, b record.Band) (first time.Duration, knew []time.Duration) {
 	known := map[string]bool{}
 	for _, s := range rec.Said { // in time
-		if s.Upstream != upstream || !s.Open || s.At < b.From || s.At > b.To || first == 0 && s.Verdict || known[s.Sidecar] {
+		if s.Upstream != upstream || !s.Open || s.At < b.From || s.At > b.To || s.What == record.Present || first == 0 && s.What != record.Evidence || known[s.Sidecar] {
 			continue
 		}
 		if first == 0 {
@@ -78,21 +86,9 @@
 			of[zone]++
 		}
 	}
-	until := map[string]map[string]time.Duration{} // by sidecar and upstream
-	for _, s := range rec.Said {
-		if !s.Verdict {
-			continue
-		}
-		mine := until[s.Sidecar]
-		if mine == nil {
-			mine = map[string]time.Duration{}
-			until[s.Sidecar] = mine
-		}
-		if delete(mine, s.Upstream); s.Open {
-			mine[s.Upstream] = s.At + s.For
-		}
+	for s, open := range believing(rec) {
 		out := map[string]int{}
-		for u, end := range mine {
+		for u, end := range open {
 			if end > s.At {
 				out[rec.Zones[u]]++
 			}
@@ -103,3 +99,63 @@
 	}
 	return most
 }
+
+// believing goes through the verdicts in time, with what the sidecar of each then holds open and until when.
+func believing(rec *record.Record) iter.Seq2[record.Said, map[string]time.Duration] {
+	return func(yield func(record.Said, map[string]time.Duration) bool) {
+		open := map[string]map[string]time.Duration{} // by sidecar and upstream
+		for _, s := range rec.Said {
+			if s.What != record.Verdict {
+				continue
+			}
+			if open[s.Sidecar] == nil {
+				open[s.Sidecar] = map[string]time.Duration{}
+			}
+			if delete(open[s.Sidecar], s.Upstream); s.Open {
+				open[s.Sidecar][s.Upstream] = s.At + s.For
+			}
+			if !yield(s, open[s.Sidecar]) {
+				return
+			}
+		}
+	}
+}
+
+// oneView is how long after t it took until every sidecar counted all as present and none believed others' words against an
+// upstream any more; never: until the end.
+func oneView(o *lab.Outcome, t time.Duration) time.Duration {
+	end := o.Begin + o.Plan.Spec.Length
+	present, whole := map[string]int{}, map[string]time.Duration{}
+	for _, s := range o.Record.Said {
+		if s.What != record.Present || s.At > end {
+			continue
+		}
+		if present[s.Sidecar] = s.Members; s.Members == len(o.Record.Limits) {
+			whole[s.Sidecar] = s.At
+		}
+	}
+	last := t
+	for sidecar := range o.Record.Limits {
+		if present[sidecar] != len(o.Record.Limits) {
+			return end - t
+		}
+		last = max(last, whole[sidecar])
+	}
+	open := map[[2]string]time.Duration{}
+	for s := range believing(o.Record) {
+		key := [2]string{s.Sidecar, s.Upstream}
+		if s.At > end {
+			break
+		}
+		if s.Open {
+			open[key] = s.At + s.For
+		} else if until, was := open[key]; was {
+			last = max(last, min(until, s.At))
+			delete(open, key)
+		}
+	}
+	for _, until := range open {
+		last = max(last, min(until, end))
+	}
+	return last - t
+}
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -56,6 +56,8 @@
 	own    map[string]api.Report // open breakers of this sidecar, said again until closed
 	said   map[string]time.Duration
 	trials map[string]*trials
+
+	present int // members, as told to the log
 }
 
 func newBreakers(s *sharing, duties trialDuties) *breakers {
@@ -123,6 +125,10 @@
 func (p *breakers) look() {
 	now := p.s.clock.now()
 	members := p.s.carrier.Members()
+	if len(members) != p.present {
+		p.present = len(members)
+		note(slog.LevelInfo, ofPeers, "present", slog.Int("members", p.present))
+	}
 	p.unsure = p.doubt.Look(now, len(members), p.s.echo.waits(now))
 	p.s.verdicts.Put("", balancer.Hearsay{}, false) // its taker is heard to be alive, see echo
 	batch := breaker.Batch{breaker.Listed{Upstreams: p.s.dir.lives()}, breaker.Roster{Members: members}}
