--- a/internal/duty/candidate.go
+++ b/internal/duty/candidate.go
@@ -133,7 +133,7 @@
 			c.giveUp(now, "it ends")
 		}
 	}
-	if c.out != None && now >= c.sent+c.patience() {
+	if c.out != None && now >= c.sent+c.c.Patience {
 		c.answered(now, Answer{})
 	}
 	c.call(now)
@@ -152,7 +152,7 @@
 	}
 	switch {
 	case c.out != None:
-		earlier(c.sent + c.patience())
+		earlier(c.sent + c.c.Patience)
 	case c.tell:
 		earlier(min(c.next, c.over))
 	case c.held:
@@ -163,9 +163,6 @@
 	return at, ok
 }
 
-// patience is that of a call: a renewal leaves time for others before the lease is over.
-func (c *Candidate) patience() time.Duration { return min(Patience, c.c.Lease/renewals) }
-
 // call asks the service for what is wanted, if it is time.
 func (c *Candidate) call(now time.Duration) {
 	if c.tell && now >= c.over {
@@ -196,7 +193,7 @@
 	}
 	c.id++
 	c.sent = now
-	c.act(Call{c.id, c.out, claim, c.patience()})
+	c.act(Call{c.id, c.out, claim, c.c.Patience})
 }
 
 func (c *Candidate) act(a Action) { c.actions = append(c.actions, a) }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -31,8 +31,10 @@
 	// Margin is taken off the lease's end: the holder's clock may run slower than the service's by Margin/Lease. 0: a tenth
 	// of the lease, which is a hundred times what a clock drifts that is not broken.
 	Margin time.Duration
-	Start  time.Duration  // the first call comes within that; 0: Start
-	Chance func() float64 // at least 0, below 1; nil: rand.Float64
+	// Patience is how long an answer is waited for. 0: Patience, or less, so that a renewal leaves time for others.
+	Patience time.Duration
+	Start    time.Duration  // the first call comes within that; 0: Start
+	Chance   func() float64 // at least 0, below 1; nil: rand.Float64
 }
 
 // The times of a candidate. With them a duty costs the service, whatever the number of candidates, one call a second of its
@@ -68,6 +70,9 @@
 	if c.Chance == nil {
 		c.Chance = rand.Float64
 	}
+	if c.Patience == 0 {
+		c.Patience = min(Patience, c.Lease/renewals)
+	}
 	if c.Start == 0 {
 		c.Start = Start
 	}
--- a/internal/duty/explore/explore.go
+++ b/internal/duty/explore/explore.go
@@ -19,7 +19,7 @@
 	"mosslead/internal/duty"
 )
 
-// The scale of the model: a lease is three ticks, a margin one, and a clock stands still at most once in a lease, which is
+// The scale of the model: a lease is three ticks, a margin one, an answer is waited for two, and a clock stands still at most once in a lease, which is
 // the drift that the margin is for.
 const (
 	Tick     = time.Second
@@ -118,7 +118,8 @@
 }
 
 func (f Faults) config(who int) duty.Config {
-	c := duty.Config{Name: name, Holder: holder(who), Lease: Lease, Margin: Margin, Start: time.Nanosecond, Chance: func() float64 { return 0 }}
+	c := duty.Config{Name: name, Holder: holder(who), Lease: Lease, Margin: Margin, Patience: 2 * Tick,
+		Start: time.Nanosecond, Chance: func() float64 { return 0 }}
 	if f.NoMargin {
 		c.Margin = time.Nanosecond
 	}
--- a/internal/registry/list/duties_test.go
+++ b/internal/registry/list/duties_test.go
@@ -17,12 +17,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := New(History)
 		highest, holder := uint64(0), map[uint64]string{}
-		backups := []State{l.State()}
+		backups := []State{l.State(), {Version: 3, Epoch: 5 * restoreStep}} // the second of another service
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			d, held := l.Duty(fmt.Sprint("d", rapid.IntRange(0, 1).Draw(t, "duty")))
 			c := Command{Index: uint64(i + 1), Op: rapid.SampledFrom([]string{Take, Take, Take, Renew, Release, Lapse, Restore, "snapshot", "forget"}).Draw(t, "op"),
 				Claim: &Claim{Claim: api.Claim{Name: d.Name, Holder: fmt.Sprint("h", rapid.IntRange(0, 2).Draw(t, "holder")), LeaseMs: 1000,
-					Epoch: uint64(rapid.IntRange(0, int(highest)).Draw(t, "epoch"))}}}
+					Epoch: uint64(rapid.IntRange(0, int(highest%64)).Draw(t, "epoch"))}}}
 			if rapid.Bool().Draw(t, "over") {
 				over := d.Term
 				over.Turn -= uint64(rapid.IntRange(0, 1).Draw(t, "turns ago"))
@@ -53,7 +53,7 @@
 				if held && (!heldNow || now.Term != d.Term) {
 					t.Fatalf("a restore changed who holds %s: %+v, %+v", d.Name, d, now)
 				}
-				highest = max(highest, l.epoch)
+				highest = max(highest, c.State.Epoch)
 			case c.Op == Take && r.Err == nil && (!held || r.Duty.Epoch != d.Epoch):
 				if r.Duty.Epoch <= highest {
 					t.Fatalf("epoch %d after %d", r.Duty.Epoch, highest)
