lab: duties are handed on among real processes, and every act is judged

Change: mosslead lab duties: three replicas, four candidate processes (mosslead lab candidate), the relay's links between them, and one that is acted upon every 20 ms. Holders are killed, ended, stopped for 0.85 to 10 leases, cut off from the service both ways, one way or by resets; leaders are killed, stopped and given a full disk, quorums lost. Looks and answers are written down by the candidates on the machine's monotonic clock, taken acts by the one acted upon; internal/lab/acts judges.

--- a/internal/duty/candidate.go
+++ b/internal/duty/candidate.go
@@ -245,7 +245,7 @@
 
 // back is how long after a failure the next call comes.
 func (c *Candidate) back(op Op) time.Duration {
-	most := min(backFirst<<min(c.failures, 10), backMost)
+	most := min(backFirst<<min(c.failures, 10), c.c.backMost())
 	if op != Take && c.held || op == Release { // the lease runs on
 		most = min(most, c.c.Lease/(2*renewals))
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -38,15 +38,14 @@
 }
 
 // The times of a candidate. With them a duty costs the service, whatever the number of candidates, one call a second of its
-// holder and at most ten of those who wait (terms.Spacing); while it answers nobody, each candidate calls every 2 to 4 s:
-// 100 calls a second of 300 candidates.
+// holder and at most ten of those who wait (terms.Spacing); while it answers nobody, each candidate calls every 2 to 4 s
+// (backMost): 100 calls a second of 300 candidates.
 const (
 	Lease     = 3 * time.Second
 	Start     = 3 * time.Second
 	Patience  = time.Second // of a call
 	renewals  = 3           // in a lease
 	backFirst = 200 * time.Millisecond
-	backMost  = 4 * time.Second
 	jitter    = 20 * time.Millisecond // after a time that the service named
 	// A holder hands on to a better one only after so long, and does not want the duty back for a while: two whose fitness
 	// changes hand it to and fro no faster.
@@ -60,6 +59,9 @@
 	strikesLast = 10 * time.Minute
 )
 
+// backMost is the longest wait after a call that was not answered: the lease and a third.
+func (c *Config) backMost() time.Duration { return c.Lease + c.Lease/3 }
+
 func (c *Config) complete() {
 	if c.Lease == 0 {
 		c.Lease = Lease
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	child, err := r.start("dev", "--dev", "--listen", at)
+	child, err := r.Start("dev", "--dev", "--listen", at)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +134,7 @@
 			b.close()
 		}
 	}()
-	if err := await(ctx, b.c, 1); err != nil {
+	if err := Await(ctx, b.c, 1); err != nil {
 		return nil, err
 	}
 	for i := range entries {
@@ -232,7 +232,7 @@
 // MeasureRenewals has servers renew their leases one by one, each through any of the replicas.
 func (r Runner) MeasureRenewals(ctx context.Context, replicas, servers int, rate float64, length time.Duration) (m Renewals, err error) {
 	m = Renewals{Replicas: replicas, Servers: servers, Asked: rate}
-	at, children, err := r.quorum(replicas)
+	at, children, err := r.Quorum(replicas)
 	defer func() {
 		for _, c := range children {
 			_ = c.Kill() // whatever came of it
@@ -243,7 +243,7 @@
 	}
 	c := client.New(at)
 	defer c.Close()
-	if err := await(ctx, c, replicas); err != nil {
+	if err := Await(ctx, c, replicas); err != nil {
 		return m, err
 	}
 	for i := range servers {
@@ -316,8 +316,8 @@
 	return len(done.Lost), nil
 }
 
-// quorum starts replicas that form one.
-func (r Runner) quorum(n int) (at []string, children []*proc.Child, err error) {
+// Quorum starts replicas that form one, r0 and so on. Their configurations are in Dir, each NAME.toml.
+func (r Runner) Quorum(n int) (at []string, children []*proc.Child, err error) {
 	var peers []map[string]any
 	for i := range n {
 		a, err1 := freeAddress()
@@ -338,7 +338,7 @@
 		if err := os.WriteFile(path, text, 0o644); err != nil {
 			return nil, children, err
 		}
-		child, err := r.start(name, "--config", path)
+		child, err := r.Start(name, "--config", path)
 		if err != nil {
 			return nil, children, err
 		}
@@ -347,13 +347,14 @@
 	return at, children, nil
 }
 
-func (r Runner) start(name string, words ...string) (*proc.Child, error) {
+// Start starts a replica, or starts one again, with words after the command's.
+func (r Runner) Start(name string, words ...string) (*proc.Child, error) {
 	return proc.Start(proc.Spec{Name: name, Path: r.Command[0], Args: append(r.Command[1:len(r.Command):len(r.Command)], words...), Dir: r.Dir,
 		LogFile: filepath.Join(r.Dir, name+".log")})
 }
 
-// await returns once all replicas serve.
-func await(ctx context.Context, c *client.Client, replicas int) error {
+// Await returns once all replicas serve.
+func Await(ctx context.Context, c *client.Client, replicas int) error {
 	ctx, cancel := context.WithTimeout(ctx, serveWithin)
 	defer cancel()
 	for {
--- /dev/null
+++ b/internal/lab/duties/candidate.go
@@ -0,0 +1,129 @@
+package duties
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mosslead/internal/duty"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	dutyName     = "lab/duty"
+	actEvery     = 20 * time.Millisecond
+	linger       = 5 * time.Millisecond // between the look and the act: a stop lands there now and then
+	actPatience  = 500 * time.Millisecond
+	startsWithin = 200 * time.Millisecond // of a candidate's first call
+)
+
+// clock is the machine's monotonic clock, which all of its processes read alike.
+func clock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // the kernel has had it for twenty years
+	}
+	return time.Duration(t.Nano())
+}
+
+// Candidate is a process that wants the duty and acts under it, until ctx ends. What it began and what it was told it writes to
+// journal, a line each.
+type Candidate struct {
+	Service string // addresses of the replicas
+	Target  string // who is acted upon
+	Holder  string
+	Number  uint64 // begins the values that it writes: unlike any other's
+	Lease   time.Duration
+}
+
+// Run is the process.
+func (c Candidate) Run(ctx context.Context, journal io.Writer) error {
+	all, err := client.Addresses(c.Service)
+	if err != nil {
+		return fmt.Errorf("service: %w", err)
+	}
+	service := client.New(all)
+	defer service.Close()
+	r := duty.NewRunner(service, duty.Config{Name: dutyName, Holder: c.Holder, Lease: c.Lease, Start: startsWithin}, func(duty.Action) {})
+	r.Want(true, 0)
+	var running sync.WaitGroup
+	running.Go(func() { r.Run(ctx) })
+	defer running.Wait()
+	var conn *link
+	defer func() { conn.close() }()
+	tick := time.NewTicker(actEvery)
+	defer tick.Stop()
+	for value := c.Number << 32; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		looked := clock()
+		epoch, ok := r.Act(time.Now())
+		if !ok {
+			continue
+		}
+		value++
+		fmt.Fprintf(journal, "act %d %d %d\n", value, epoch, looked)
+		time.Sleep(linger)
+		if conn == nil {
+			if conn, err = dial(c.Target); err != nil {
+				continue
+			}
+		}
+		taken, before, err := conn.act(c.Holder, epoch, value)
+		if err != nil {
+			conn.close()
+			conn = nil
+			continue
+		}
+		fmt.Fprintf(journal, "heard %d %d %v %d\n", value, clock(), taken, before)
+	}
+}
+
+// link is a connection to the one that is acted upon: a line for each act, and a line back.
+type link struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(at string) (*link, error) {
+	conn, err := net.DialTimeout("tcp", at, actPatience)
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn, bufio.NewReaderSize(conn, 256)}, nil
+}
+
+func (l *link) close() {
+	if l != nil {
+		_ = l.Conn.Close()
+	}
+}
+
+var errAnswer = errors.New("no answer to an act")
+
+func (l *link) act(holder string, epoch, value uint64) (taken bool, before uint64, err error) {
+	_ = l.SetDeadline(time.Now().Add(actPatience))
+	if _, err := fmt.Fprintf(l, "%s %d %d\n", holder, epoch, value); err != nil {
+		return false, 0, err
+	}
+	line, err := l.in.ReadSlice('\n')
+	if err != nil {
+		return false, 0, err
+	}
+	var word string
+	if _, err := fmt.Sscan(strings.TrimSpace(string(line)), &word, &before); err != nil || word != "ok" && word != "no" {
+		return false, 0, errAnswer
+	}
+	return word == "ok", before, nil
+}
--- /dev/null
+++ b/internal/lab/duties/faults.go
@@ -0,0 +1,190 @@
+package duties
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"mosslead/internal/lab/acts"
+	"mosslead/internal/lab/relay"
+)
+
+const (
+	restartAfter = 300 * time.Millisecond
+	answersMost  = 20 * time.Second // the service, after its trouble
+)
+
+// fault does one of the experiment's faults, and returns when its trouble is over, but for a stop of ten leases.
+func (r *run) fault() error {
+	last, _ := r.target.holder()
+	var holder *party
+	for _, p := range r.parties {
+		if p.name == last.Holder {
+			holder = p
+		}
+	}
+	if holder == nil { // it was started anew meanwhile, and another holds the duty in a moment
+		return nil
+	}
+	switch r.Kind {
+	case Stall:
+		return r.stall(holder)
+	case Cut:
+		return r.cut(holder)
+	case Service:
+		return r.trouble(holder)
+	}
+	return fmt.Errorf("no experiment is called %q", r.Kind)
+}
+
+func (r *run) count(fault string) { r.faults[fault]++ }
+
+// replace ends a holder with a signal and starts another process in its place.
+func (r *run) replace(p *party, s syscall.Signal) error {
+	if err := p.child.Signal(s); err != nil {
+		return err
+	}
+	select {
+	case <-p.child.Ended():
+	case <-time.After(endsWithin):
+		return fmt.Errorf("%s does not end", p.name)
+	}
+	sleep(r.ctx, restartAfter)
+	return r.start(p)
+}
+
+func (r *run) stall(p *party) error {
+	stop := func(fault string, leases float64) error {
+		r.count(fault)
+		if err := p.child.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		sleep(r.ctx, time.Duration(leases*float64(r.Lease)))
+		return p.child.Signal(syscall.SIGCONT)
+	}
+	switch r.rng.IntN(6) {
+	case 0:
+		r.count("killed")
+		return r.replace(p, syscall.SIGKILL)
+	case 1:
+		r.count("ended")
+		return r.replace(p, syscall.SIGTERM)
+	case 2:
+		return stop("stopped just under", 0.85)
+	case 3:
+		return stop("stopped just over", 1.15)
+	case 4:
+		return stop("stopped for two", 2)
+	}
+	r.count("stopped for ten")
+	child := p.child
+	if err := child.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	on := time.AfterFunc(10*r.Lease, func() { _ = child.Signal(syscall.SIGCONT) })
+	r.later = append(r.later, func() { on.Stop() })
+	return nil
+}
+
+func (r *run) cut(p *party) error {
+	states := map[string]relay.State{"cut both ways": {SilentForth: true, SilentBack: true}, "cut forth": {SilentForth: true},
+		"cut back": {SilentBack: true}, "reset": {Reset: true}}
+	fault := []string{"cut both ways", "cut forth", "cut back", "reset"}[r.rng.IntN(4)]
+	r.count(fault)
+	set := func(s relay.State) error {
+		for _, l := range p.links {
+			if err := l.Set(s); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if err := set(states[fault]); err != nil {
+		return err
+	}
+	sleep(r.ctx, time.Duration((0.7+1.5*r.rng.Float64())*float64(r.Lease)))
+	return set(relay.State{})
+}
+
+// trouble takes the service's leader, disk or quorum away, and the holder's life in half of the cases. Until the service
+// answers again nobody can take over: that time is excused.
+func (r *run) trouble(p *party) error {
+	leader, err := r.leader()
+	if err != nil {
+		return err
+	}
+	from := clock()
+	kill := r.rng.IntN(2) == 0
+	long := time.Duration((0.5 + 2*r.rng.Float64()) * float64(r.Lease))
+	var down []int
+	switch r.rng.IntN(4) {
+	case 0:
+		r.count("leader killed")
+		down = []int{leader}
+	case 1:
+		r.count("no quorum")
+		down = []int{leader, (leader + 1) % replicas}
+	case 2:
+		r.count("leader stopped")
+		err = r.procs[leader].Signal(syscall.SIGSTOP)
+	case 3:
+		r.count("leader's disk full")
+		err = r.procs[leader].FileLimit(new(uint64))
+	}
+	if err != nil {
+		return err
+	}
+	for _, i := range down {
+		if err := r.procs[i].Kill(); err != nil {
+			return err
+		}
+	}
+	if kill {
+		r.count("with the holder")
+		if err := r.replace(p, syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	sleep(r.ctx, long)
+	_ = r.procs[leader].Signal(syscall.SIGCONT)
+	if err := r.procs[leader].FileLimit(nil); err != nil {
+		return err
+	}
+	for _, i := range down {
+		name := fmt.Sprint("r", i)
+		if r.procs[i], err = r.all.Start(name, "--config", filepath.Join(r.Dir, name+".toml")); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, answersMost)
+	defer cancel()
+	if _, err := r.service.Duties(ctx, true); err != nil {
+		return fmt.Errorf("the service does not come back: %w", err)
+	}
+	r.excused = append(r.excused, acts.Span{From: from, To: clock()})
+	if !kill {
+		r.count("holder ended after")
+		return r.replace(p, syscall.SIGTERM)
+	}
+	return nil
+}
+
+// leader is the number of the replica that leads.
+func (r *run) leader() (int, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, answersMost)
+	defer cancel()
+	for {
+		said, _ := r.service.Status(ctx)
+		for i, at := range r.at {
+			if said[at].State == "leader" {
+				return i, nil
+			}
+		}
+		if ctx.Err() != nil {
+			return 0, fmt.Errorf("nobody leads for %v", answersMost)
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
