balancer: the first cold upstreams back are not given all the work of those that are gone

Ruled out: the bucket's depth, the lag of the offered rate and unequal traffic: replaced six in ten with or without a restart of all stays under 0.45 of the limit, and three times the budget fells nothing there.

At fault: coldAllows divides what stays at home by the upstreams listed at home now. While one is listed of forty, each sidecar of the zone gives it the work of forty. Now what is listed counts as no fewer than carried the work (the most of late, forgotten over the rateMemory as the work is), nor than a zone's part of the whole list, which a process knows that began in the middle of it.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -147,6 +147,9 @@
 	ups     map[string]*upstream
 	list    []*upstream // in an order drawn by this sidecar; see subset
 	homes   int         // of them, those in the home zone
+	zones   int         // that they stand in, the home zone counted
+	wide    float64     // most listed of late; see spread
+	wideAt  time.Duration
 	banned  map[string]bool
 	lifted  map[string]time.Duration // when bans were lifted, while what they held back may be cold
 	owed    map[string]bool          // of them, those that were sent nothing since
@@ -846,12 +849,7 @@
 		}
 		return !u.listed
 	})
-	b.homes = 0
-	for _, u := range b.list {
-		if u.zone == b.set.Zone {
-			b.homes++
-		}
-	}
+	b.spread()
 	if e.Kind == Saved && b.set.MustSubscribe && !b.asking && !b.subscribed {
 		b.ask()
 	}
@@ -964,23 +962,42 @@
 	return min(1, b.set.ColdFrom+(1-b.set.ColdFrom)*age)
 }
 
+// spread counts the list over the zones. The most listed of late is forgotten as the work offered is: what
+// an upstream carries on the mean is the one over the other.
+func (b *Balancer) spread() {
+	zones := map[string]bool{b.set.Zone: true}
+	b.homes = 0
+	for _, u := range b.list {
+		zones[u.zone] = true
+		if u.zone == b.set.Zone {
+			b.homes++
+		}
+	}
+	b.zones = len(zones)
+	b.wide = max(float64(len(b.list)), b.wide*math.Exp(-float64(b.now-b.wideAt)/float64(rateMemory)))
+	b.wideAt = b.now
+}
+
 // coldAllows holds a cold upstream to a part of what would push it over. The rule counts all sidecars' work;
 // each does its part by sending no more than that multiple of what it sends on the mean to one of its subset,
-// at home or away, as far as the upstream is warm. Only those whose subset it is in do: else, with many cold,
-// every sidecar would come to each of them.
+// at home or away, as far as the upstream is warm; all together then stay under it (docs/ARCHITECTURE.md,
+// "Cold upstreams"). Only those whose subset it is in do: else, with many cold, every sidecar would come to
+// each. Where fewer are listed than carried the work, or at home than a zone's part, that many count. Guards
+// against all of a zone's work for the first that come back.
 func (b *Balancer) coldAllows(u *upstream) bool {
 	f := b.warmth(u)
 	if !u.cold {
 		return true
 	}
 	home := u.zone == b.set.Zone
-	share, size := b.atHome, b.homes
+	share, size, usual := b.atHome, b.homes, b.wide/float64(b.zones)
 	if !home {
-		share, size = 1-share, len(b.list)-size
+		share, size, usual = 1-share, len(b.list)-size, b.wide-usual
 	}
 	if size == len(b.list) {
-		share = 1
+		share, usual = 1, b.wide
 	}
+	f *= min(1, float64(size)/usual)
 	size = min(size, b.subset())
 	ahead := 0
 	for _, x := range b.list {
