breaker: a first failure is a suspicion that adds to another's breaker

Change: the first failure of an upstream unheard since is said, with a doubt of one half, taken back when it is heard; suspicions open nothing without a firm report. A holder's trials are paced by the duty alone, 5 s at the most and not by its own ejection (8 s): one sidecar's trials cost all others little. A class is left out at 3 errors in 6 (chance 2e-4, was 1e-4: 4 in 8).

Without the firm report, the saying or the taking back a test fails.

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -231,5 +231,6 @@
 	Evidence Evidence // NoEvidence: it is used again, or with Count above 0 it serves us whatever others say
 	Count    int      // attempts that it rests on
 	Class    string   // whose requests it is of; empty: all
+	Suspect  bool     // it is not left out: this is a first failure, to add to what others say
 	Trial    bool     // a trial made for all ended: well with NoEvidence
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -783,6 +783,7 @@
 		u.broke = res == Reset || res == ConnectFailed
 		if u.fails++; u.fails == 1 {
 			u.silentSince = a.sent
+			b.suspect(u)
 		}
 		dead := u.fails >= ejectErrors && (res == Reset || res == ConnectFailed && elapsed < b.set.ConnectTimeout/2)
 		silent := u.fails > 1 && (b.now-u.silentSince).Seconds() > silentAims*b.meanAim
--- a/balancer/evidence.go
+++ b/balancer/evidence.go
@@ -25,7 +25,7 @@
 	tallyAge   = 30 * time.Second // and no further than this
 	errsLeast  = 0.02             // errors in a hundred pass as chance on the best of days
 	errsPart   = 0.25             // a class is left out where so many of its answers are errors: fewer cost less than the room
-	errsChance = 1e-4             // tried at each error, on tens of upstreams and classes
+	errsChance = 2e-4             // tried at each error, on tens of upstreams and classes
 	noTenant   = -2               // a request's tenant is -1 where it has none
 	backInRow  = 5                // trials that must go well before a class comes back: half good has 1 in 32
 )
@@ -104,6 +104,15 @@
 	b.act(Action{Kind: Report, Upstream: u.id, Class: t.saidOf, Evidence: why, Count: count, At: u.cameUp})
 }
 
+// suspect says the first failure of an upstream that was not heard since: no evidence by itself, but one may be all that a
+// sidecar sees of it for seconds, and several together with another's breaker tell.
+func (b *Balancer) suspect(u *upstream) {
+	if _, spoken := u.spoken(b.now, ""); b.set.Reports && u.ejections == 0 && !spoken {
+		b.talk(u).suspect = true
+		b.act(Action{Kind: Report, Suspect: true, Upstream: u.id, Evidence: u.evidence(), Count: 1, At: u.cameUp})
+	}
+}
+
 // evidence is why u is being left out.
 func (u *upstream) evidence() Evidence {
 	switch {
@@ -127,6 +136,11 @@
 	if t.trying == a.r && a.n == t.number {
 		b.tried(a, res)
 	}
+	if t.suspect && (res == OK || res == ServerError || res == Overloaded) {
+		if t.suspect = false; a.u.ejections == 0 {
+			b.act(Action{Kind: Report, Upstream: a.u.id, At: a.u.cameUp})
+		}
+	}
 	if res != OK && res != ServerError {
 		return
 	}
--- a/balancer/hearsay.go
+++ b/balancer/hearsay.go
@@ -56,6 +56,7 @@
 type talk struct {
 	told    map[string]*told  // by class; "" is all
 	tallies map[string]*tally // own evidence, by class
+	suspect bool              // a first failure was said
 	run     string            // whose the errors in a row are; empty: of several
 	saidOf  string            // the class that the ejection was reported of
 	trying  *request          // whose attempt is the trial for all that is out
--- a/balancer/trial.go
+++ b/balancer/trial.go
@@ -10,6 +10,7 @@
 
 const (
 	trialEvery = 300 * time.Millisecond // between trials that go well, jittered by half
+	trialMax   = 5 * time.Second        // between trials that fail: they double up to this, as one sidecar's cost all others little
 	trialTimes = 2.0                    // late quantiles that a trial waits at the most, and one at the least
 	retryTimes = 1.5                    // medians that are left for the attempt after it
 )
@@ -23,7 +24,7 @@
 	b.ours = slices.DeleteFunc(b.ours, func(u *upstream) bool { return b.ups[u.id] != u || !u.ours(b.now) })
 	for _, u := range b.ours {
 		t := u.talk
-		if b.now < t.next || b.now < u.until || len(u.out) > 0 || b.classOut(u, r) || !b.mayTry(r, u) {
+		if b.now < t.next || len(u.out) > 0 || b.classOut(u, r) || !b.mayTry(r, u) {
 			continue
 		}
 		t.trying, t.number = r, len(r.attempts)
@@ -62,7 +63,7 @@
 	if res == OK {
 		t.failed = 0
 	} else {
-		wait = min(ejectBase<<min(t.failed, 10), ejectMax)
+		wait = min(ejectBase<<min(t.failed, 10), trialMax)
 		t.failed++
 		switch res {
 		case ServerError:
--- a/balancer/trial_test.go
+++ b/balancer/trial_test.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// A first failure is said as a suspicion, and taken back once the upstream is heard.
+func TestAFirstFailureIsASuspicion(t *testing.T) {
+	r := sharingRig(t, 1)
+	r.request("x", "c", time.Second)
+	if rep := kinds(r.result("x", 0, Timeout, 100*ms), Report); len(rep) != 1 || !rep[0].Suspect || rep[0].Evidence != BySilence {
+		t.Errorf("said %+v", rep)
+	}
+	if rep := kinds(r.result("x", 1, OK, 50*ms), Report); len(rep) != 1 || rep[0].Suspect || rep[0].Evidence != NoEvidence {
+		t.Errorf("then said %+v", rep)
+	}
+}
+
 // The trials of an upstream are made by the one whose duty they are: safe requests, one at a time, paced, cut short in time for
 // another attempt. The others make none, also when their own ejection is over.
 func TestOneTrialForAll(t *testing.T) {
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -56,8 +56,8 @@
 // Each hard case by itself: what is said, and whether u5 (at cebu) is open for n00 then.
 func TestVerdicts(t *testing.T) {
 	silent, errs := ill("u5", "", api.Silence), ill("u5", "", api.Errors)
-	older, doubting, odd := silent, silent, silent
-	older.SinceMs, doubting.Doubt, odd.Evidence = 0, 0.9, 77
+	older, doubting, odd, suspect := silent, silent, silent, silent
+	older.SinceMs, doubting.Doubt, odd.Evidence, suspect.Doubt = 0, 0.9, 77, Suspicion
 	most := func(n int) (all Batch) { // of cebu
 		for _, u := range []string{"u1", "u5", "u9"} {
 			all = append(all, heard(n, ill(u, "", api.Silence)))
@@ -88,6 +88,8 @@
 		{"its life before", 1, []Event{heard(1, older), heard(2, older)}, false},
 		{"evidence of a later schema", 1, []Event{heard(1, odd), heard(2, odd)}, false},
 		{"who doubts itself", 1, []Event{heard(1, silent), heard(2, doubting)}, false},
+		{"suspicions alone", 3, []Event{heard(1, suspect), heard(5, suspect), heard(2, suspect), heard(6, suspect)}, false},
+		{"suspicions beside a breaker", 3, []Event{heard(1, silent), heard(2, suspect), heard(6, suspect)}, true},
 		{"who speaks ill of most of the site", 1, []Event{heard(1, silent), most(2)}, false},
 		{"broken links at two sites", 1, []Event{fromAll(1), fromAll(2)}, false},
 		{"who is not present", 1, []Event{heard(1, silent), heard(99, silent)}, false},
--- a/internal/breaker/judge.go
+++ b/internal/breaker/judge.go
@@ -48,6 +48,7 @@
 type tally struct {
 	open, well  map[string]float64 // weight by site
 	paths, sure map[string]float64 // of open: what may be the paths' doing, and what is not
+	firm        bool               // one at least is more than a suspicion
 	since, last time.Duration
 }
 
@@ -98,7 +99,7 @@
 	if old.Open { // what stands falls below half a report less
 		need, home = need-0.5, home-0.5
 	}
-	v.Open = listed && now-b.began >= settle && (t.fleet(need, b.c.Site) || t.home(home, b.c.Site))
+	v.Open = listed && now-b.began >= settle && t.firm && (t.fleet(need, b.c.Site) || t.home(home, b.c.Site))
 	if s.class == "" {
 		v.Tries, v.Step, v.Share = b.trying(now, s.upstream)
 	}
@@ -125,6 +126,7 @@
 		}
 		site := b.members[name].Site
 		t.open[site] += w
+		t.firm = t.firm || r.report.Doubt < Suspicion && w >= 0.5
 		t.since, t.last = min(t.since, r.first), max(t.last, r.until)
 		if path(r.report.Evidence) {
 			t.paths[site] += w
--- a/internal/breaker/trust.go
+++ b/internal/breaker/trust.go
@@ -7,6 +7,9 @@
 	"mosslead/internal/peer/api"
 )
 
+// Suspicion is the doubt of a report on a first failure: it adds to what others say, and opens nothing without a firm one.
+const Suspicion = 0.5
+
 // How far a reporter is believed.
 const (
 	sizeMemory    = 2 * time.Minute  // a site counts as large as it was within this: who lost sight of others is no bolder for it
--- a/internal/lab/spread/spread.go
+++ b/internal/lab/spread/spread.go
@@ -18,6 +18,7 @@
 const (
 	sites      = 4
 	sayTTL     = 5 * time.Second
+	sayAgain   = 2 * time.Second
 	askEvery   = 100 * time.Millisecond // one member in ten asks two others for their pressure, as hot sidecars do
 	askers     = 10
 	joinWithin = time.Minute
@@ -131,6 +132,7 @@
 		if err := m.Say(api.Breaker, upstream, report, sayTTL, false); err != nil {
 			return r, err
 		}
+		parts.Go(func() { m.again(ctx, upstream, report) })
 	}
 	said := time.Now()
 	if err := wait(ctx, 2*p.Length/3); err != nil {
@@ -197,6 +199,13 @@
 	}
 }
 
+// again says what was said again, as sidecars do, until ctx ends.
+func (m *member) again(ctx context.Context, upstream string, report api.Report) {
+	for wait(ctx, sayAgain) == nil {
+		_ = m.Say(api.Breaker, upstream, report, sayTTL, false) // it was within the bounds before
+	}
+}
+
 // ask asks others for their pressure, until ctx ends.
 func (m *member) ask(ctx context.Context, members int) {
 	for wait(ctx, askEvery) == nil {
--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -142,11 +142,7 @@
 		case <-sweep.C:
 			p.mu.Lock()
 			p.records.sweep(p.now())
-			again := p.again()
 			p.mu.Unlock()
-			for _, key := range again {
-				p.pass(key)
-			}
 		case <-ctx.Done():
 			return
 		}
@@ -171,27 +167,6 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
-// again, with mu held, renews what this process stands by and half of whose time is over: a record may have missed some, and one
-// whose owner has died lapses. What is soon made old by the next one is not said again.
-func (p *Carrier) again() (keys []api.Key) {
-	now := p.now()
-	for key, h := range p.records.owners[p.self.Name] {
-		if h.Over || !lasting(key.Kind) || h.until-now > h.TTL/2 {
-			continue
-		}
-		p.seq++
-		r := h.Record
-		r.Seq = p.seq
-		if p.records.merge(now, r) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-// lasting tells the kinds that their owner stands by until it takes them back.
-func lasting(k api.Kind) bool { return k == api.Breaker || k == api.Incident }
-
 func (p *Carrier) now() time.Duration { return time.Since(p.start) }
 
 // Address is where this process takes part.
@@ -252,8 +227,8 @@
 // Heard holds what others say of a kind, as it comes. One part takes it; what no part takes is bounded like the rest.
 func (p *Carrier) Heard(kind api.Kind) *ring.Ring[api.Key, api.Record] { return p.heard[kind] }
 
-// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. A breaker or an incident is
-// said again while this process lives, until over takes it back; that is told on for ttl, which has to be the same.
+// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl: some may miss it, so what lasts
+// has to be said again within that time. over takes it back; it is told on for ttl, which has to be that of what it takes back.
 func (p *Carrier) Say(kind api.Kind, name string, word any, ttl time.Duration, over bool) error {
 	r, err := p.word(kind, name, word, ttl, over)
 	if err != nil {
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -31,6 +31,13 @@
 	holds(name string) (epoch uint64, ok bool)
 }
 
+// speaker is what the breakers need of the carrier.
+type speaker interface {
+	Say(kind api.Kind, name string, word any, ttl time.Duration, over bool) error
+	Heard(kind api.Kind) *ring.Ring[api.Key, api.Record]
+	Members() []api.Member
+}
+
 // word is what the loop says of an upstream.
 type word struct {
 	report api.Report
@@ -48,33 +55,28 @@
 
 // breakers is the thread that owns the board: reports in, from here and from others, verdicts out.
 type breakers struct {
-	s      *sharing
-	duties trialDuties
-	board  *breaker.Board
-	doubt  *breaker.Doubt
-	unsure float64               // how far this process doubts itself, as of the latest look
-	own    map[string]api.Report // open breakers of this sidecar, said again until closed
-	said   map[string]time.Duration
-	trials map[string]*trials
-
+	s       *sharing
+	carrier speaker
+	duties  trialDuties
+	board   *breaker.Board
+	doubt   *breaker.Doubt
+	unsure  float64               // how far this process doubts itself, as of the latest look
+	own     map[string]api.Report // open breakers of this sidecar, said again until closed
+	said    map[string]time.Duration
+	trials  map[string]*trials
 	present int // members, as told to the log
 }
 
 func newBreakers(s *sharing, duties trialDuties) *breakers {
-	return &breakers{s: s, duties: duties, board: breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site}),
+	return &breakers{s: s, carrier: s.carrier, duties: duties, board: breaker.New(breaker.Config{Self: s.self.Name, Site: s.self.Site}),
 		doubt: breaker.NewDoubt(s.clock.now(), lookEach), own: map[string]api.Report{}, said: map[string]time.Duration{}, trials: map[string]*trials{}}
 }
 
-// runBreakers is the thread.
-func (s *sharing) runBreakers(ctx context.Context) {
-	var held trialDuties // not a nil *duties, which would be one that is never held
-	if s.duties != nil {
-		held = s.duties
-	}
-	p := newBreakers(s, held)
+// run is the thread.
+func (p *breakers) run(ctx context.Context) {
 	tick := time.NewTicker(lookEach)
 	defer tick.Stop()
-	reports, tried := s.carrier.Heard(api.Breaker), s.carrier.Heard(api.Trial)
+	reports, tried := p.carrier.Heard(api.Breaker), p.carrier.Heard(api.Trial)
 	p.look()
 	for {
 		select {
@@ -82,8 +84,8 @@
 			return
 		case <-tick.C:
 			p.look()
-		case <-s.reports.Wake():
-			for w, ok := s.reports.Take(); ok; w, ok = s.reports.Take() {
+		case <-p.s.reports.Wake():
+			for w, ok := p.s.reports.Take(); ok; w, ok = p.s.reports.Take() {
 				p.loopSaid(w)
 			}
 		case <-reports.Wake():
@@ -124,7 +126,7 @@
 // look lets time pass: who is present, what is listed, what must be said again, which trials are held.
 func (p *breakers) look() {
 	now := p.s.clock.now()
-	members := p.s.carrier.Members()
+	members := p.carrier.Members()
 	if len(members) != p.present {
 		p.present = len(members)
 		note(slog.LevelInfo, ofPeers, "present", slog.Int("members", p.present))
@@ -163,23 +165,23 @@
 	note(slog.LevelInfo, ofPeers, "report", slog.String("upstream", r.Upstream), slog.String("class", r.Class),
 		slog.Bool("open", r.State != api.Closed), slog.Int("evidence", int(r.Evidence)))
 	switch {
-	case r.State != api.Closed:
+	case r.State != api.Closed && r.Doubt == 0:
 		p.own[key] = r
 		p.say(key, r)
-	case r.Count > 0: // it serves us, whatever is said
+	case r.Count > 0: // a first failure, or that it serves us whatever is said: said once
 		p.say(key, r)
 	default:
 		p.drop(key, r)
 	}
-	r.Doubt = p.unsure
+	r.Doubt = max(r.Doubt, p.unsure)
 	p.handle(breaker.Own{Report: r})
 }
 
 // say tells the others a report, with how far this process doubts itself by now.
 func (p *breakers) say(key string, r api.Report) {
-	r.Doubt = p.unsure
+	r.Doubt = max(r.Doubt, p.unsure)
 	p.said[key] = p.s.clock.now()
-	if err := p.s.carrier.Say(api.Breaker, key, r, reportTTL, false); err != nil {
+	if err := p.carrier.Say(api.Breaker, key, r, reportTTL, false); err != nil {
 		warn(ofPeers, "a report was not said", err)
 	}
 }
@@ -188,7 +190,7 @@
 func (p *breakers) drop(key string, r api.Report) {
 	delete(p.own, key)
 	delete(p.said, key)
-	if err := p.s.carrier.Say(api.Breaker, key, closed(r), reportTTL, true); err != nil {
+	if err := p.carrier.Say(api.Breaker, key, closed(r), reportTTL, true); err != nil {
 		warn(ofPeers, "the end of a report was not said", err)
 	}
 }
@@ -239,7 +241,7 @@
 
 func (p *breakers) sayTried(t *trials) breaker.Event {
 	t.said = p.s.clock.now()
-	if err := p.s.carrier.Say(api.Trial, t.tried.Upstream, t.tried, triedTTL, false); err != nil {
+	if err := p.carrier.Say(api.Trial, t.tried.Upstream, t.tried, triedTTL, false); err != nil {
 		warn(ofPeers, "a trial was not said", err)
 	}
 	return breaker.Trial{From: p.s.self.Name, Tried: t.tried, TTL: triedTTL}
@@ -294,6 +296,9 @@
 	if a.Evidence == balancer.NoEvidence {
 		r.State = api.Closed
 	}
+	if a.Suspect {
+		r.Doubt = breaker.Suspicion
+	}
 	key := r.Upstream + " " + r.Class
 	if a.Trial {
 		key = "trial " + r.Upstream
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -73,7 +73,11 @@
 	if s.duties != nil {
 		s.parts.Go(func() { s.duties.run(s.ctx) })
 	}
-	s.parts.Go(func() { s.runBreakers(s.ctx) })
+	var held trialDuties // not a nil *duties, which would be one that is never held
+	if s.duties != nil {
+		held = s.duties
+	}
+	s.parts.Go(func() { newBreakers(s, held).run(s.ctx) })
 	return s, nil
 }
 
