--- a/balancer/evidence.go
+++ b/balancer/evidence.go
@@ -162,11 +162,13 @@
 			b.log("return %s for %s", a.u.id, a.r.class.Name)
 			b.act(Action{Kind: Report, Upstream: a.u.id, Class: a.r.class.Name, At: a.u.cameUp})
 			*c = tally{last: b.now, served: b.now}
+			t.outs--
 		}
 	case res == ServerError && b.now >= c.until && (c.outs > 0 || b.stands(a.u, a.r.class.Name, c)):
 		d := min(ejectBase<<min(c.outs, 10), ejectMax)
 		c.until, c.back = b.now+time.Duration(float64(d)*(0.75+0.5*b.rng.Float64())), 0
 		if c.outs++; c.outs == 1 {
+			t.outs++
 			b.log("leave %s out for %s: %d errors in %d answers", a.u.id, a.r.class.Name, c.count(), c.n)
 		}
 		b.act(Action{Kind: Report, Upstream: a.u.id, Class: a.r.class.Name, Evidence: ByErrors, Count: max(c.count(), c.outs), At: a.u.cameUp})
--- a/balancer/hearsay.go
+++ b/balancer/hearsay.go
@@ -56,6 +56,7 @@
 type talk struct {
 	told    map[string]*told  // by class; "" is all
 	tallies map[string]*tally // own evidence, by class
+	outs    int               // classes of them that are left out
 	suspect bool              // a first failure was said
 	run     string            // whose the errors in a row are; empty: of several
 	saidOf  string            // the class that the ejection was reported of
@@ -105,8 +106,8 @@
 
 // keptOut tells whether r is kept from u, by what is said of u or by own evidence on r's class.
 func (b *Balancer) keptOut(u *upstream, r *request) bool {
-	if u.talk == nil {
-		return false
+	if t := u.talk; t == nil || len(t.told) == 0 && t.outs == 0 {
+		return false // the ordinary case costs each pick next to nothing
 	}
 	if u.ejections > 0 { // by own evidence: hearsay only tells whose the trials are
 		t := u.talk.told[""]
--- a/balancer/property_test.go
+++ b/balancer/property_test.go
@@ -126,6 +126,7 @@
 	for seed := range uint64(150) {
 		g := rand.New(rand.NewPCG(seed, 7))
 		s := randomSettings(g)
+		s.Reports = seed%3 == 0
 		b, err := New(s, seed)
 		if err != nil {
 			t.Fatal(err)
@@ -210,8 +211,13 @@
 	}
 }
 
-// noise is what must change nothing: strangers, repeats, stale timers, messages.
+// noise is what must change nothing: strangers, repeats, stale timers, messages, and for the rules what others say.
 func (f *referee) noise(g *rand.Rand, deal func(Event)) {
+	if f.s.Reports && g.IntN(10) == 0 {
+		m := f.active[fmt.Sprint("u", g.IntN(10))]
+		deal(Hearsay{Upstream: m.Upstream, CameUp: m.CameUp, Until: f.now + time.Duration(g.IntN(3000))*ms, Since: f.now,
+			Share: float64(g.IntN(3)) / 2, Tries: Tries(g.IntN(3)), Tried: g.IntN(2) == 0})
+	}
 	switch g.IntN(12) {
 	case 0:
 		deal(Outcome{ID: "nobody", Result: OK, Finished: true})
