sidecar: a broken answer says that the request may have run, without waiting for the writer's word

Without an answer's head the library waits for its writer itself, so only an answer that begins and breaks off can come before the writer's word. Change: that wait is taken out; once an answer has begun, its breaking off is a reset unless a write has failed. A test holds the write's return back on a network in memory.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,7 +22,6 @@
 
 const (
 	maxHeader = 16 << 10
-	wroteMost = 100 * time.Millisecond // for the library to say how its writing ended, once the connection has broken
 	idleLast  = 500 * time.Millisecond // for the last requests that clients bring to a process that is replaced
 	idlePart  = 0.6                    // idle connections are retired after this part of the time after which upstreams close them
 )
@@ -113,23 +112,6 @@
 	return n, err
 }
 
-// unsent tells whether the request's last byte was surely not written. wrote is closed when the library has said how its writing
-// ended; what the upstream does may be heard before that, an answer and a reset too, so its word is waited for. Without it the
-// request may have run.
-func (c *upstreamConn) unsent(wrote <-chan struct{}) bool {
-	if c.writeErr.Load() || !c.begun.Load() {
-		return true
-	}
-	late := time.NewTimer(wroteMost)
-	defer late.Stop()
-	select {
-	case <-wrote:
-		return c.writeErr.Load() || !c.encoded.Load()
-	case <-late.C:
-		return false
-	}
-}
-
 // reply is how an attempt ended; the rest belongs to an answer.
 type reply struct {
 	result balancer.Result
@@ -252,9 +234,7 @@
 	c.allowed = func() bool { return u.dir.ready(c.name, c.at) }
 	c.begun.Store(false)
 	c.encoded.Store(false)
-	wrote := make(chan struct{})
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
-		defer close(wrote) // once: a ClientConn writes a request once
 		c.encoded.Store(i.Err == nil)
 		if i.Err == nil && !c.writeErr.Load() {
 			u.dispatched()
@@ -268,6 +248,7 @@
 	if left > 0 {
 		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10)+"u")
 	}
+	begun := false // the answer: whatever is left to be said of the writing, the request may have run
 	broken := func(err error) reply {
 		switch {
 		case c.stopped.Load():
@@ -278,7 +259,7 @@
 			return reply{result: balancer.Timeout, err: err}
 		case ctx.Err() != nil:
 			return reply{result: balancer.Cancelled, err: err}
-		case c.unsent(wrote):
+		case !begun && !c.encoded.Load() || c.writeErr.Load():
 			return reply{result: balancer.ConnectFailed, err: err}
 		}
 		return reply{result: balancer.Reset, err: err}
@@ -287,6 +268,7 @@
 	if err != nil {
 		return broken(err), false
 	}
+	begun = true
 	defer func() {
 		if rep.rest == nil {
 			resp.Body.Close()
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -8,9 +8,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/lab/memnet"
+	"mosslead/internal/lab/transcript"
 )
 
 func testUpstreams(t *testing.T, most int, entries ...string) *upstreams {
@@ -31,6 +34,51 @@
 		header: http.Header{"X-Request-Id": {"9b1f03aa5c7e2d41"}, "Idempotency-Key": {"k"}}, body: &clientBody{kept: []byte(body), length: int64(len(body))}}
 }
 
+// slowWrites is a connection whose writes return a second after what they carry has gone out.
+type slowWrites struct{ net.Conn }
+
+func (c slowWrites) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(time.Second)
+	return n, err
+}
+
+// Guards against an unsafe request that runs twice: an answer that breaks off says that the request may have run, also
+// where nothing has said yet that it was written.
+func TestAnswerBreaksOffBeforeTheWriteReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, calls := memnet.New(func(memnet.Event) {}), transcript.NewCalls()
+		near, far := n.Host("sidecar", "10.0.0.1", 0), n.Host("s", "10.0.0.11", time.Millisecond)
+		if err := transcript.Serve(t.Context(), far, 8000, calls); err != nil {
+			t.Fatal(err)
+		}
+		u := testUpstreams(t, 4, entry("s", up1, "Ready"))
+		u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := near.Dial(ctx, network, address)
+			return slowWrites{c}, err
+		}
+		go func() {
+			c, err := calls.Next()
+			if err == nil {
+				err = c.Say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			}
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			time.Sleep(time.Millisecond)
+			c.Reset()
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		if rep := u.attempt(ctx, "s", testRequest("POST", "b")); rep.result != balancer.Reset {
+			t.Errorf("result %d, want %d: %v", rep.result, balancer.Reset, rep.err)
+		}
+		n.Close()
+		time.Sleep(time.Minute) // all ends
+	})
+}
+
 // Guards against claims about attempts that the sockets do not bear out: a request that may have run must
 // never be reported as one that did not.
 func TestOutcomes(t *testing.T) {
