--- /dev/null
+++ b/internal/lab/relay/mesh_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// member is a party that sends and listens at an address of its own, and the address at which the others reach it.
+type member struct {
+	udp *net.UDPConn
+	tcp net.Listener
+	at  string
+}
+
+func join(t *testing.T, m *Mesh, name, host string) member {
+	t.Helper()
+	tcp, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := tcp.Addr().(*net.TCPAddr)
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A free port for both kinds, found as this member's was.
+	free, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	if err := m.Add(name, free.Addr().String(), at.String(), 1); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { udp.Close(); tcp.Close() })
+	_ = udp.SetDeadline(time.Now().Add(patience))
+	return member{udp, tcp, free.Addr().String()}
+}
+
+// pairOf is a mesh of two.
+func pairOf(t *testing.T) (*Mesh, member, member) {
+	t.Helper()
+	m := NewMesh()
+	t.Cleanup(m.Close)
+	return m, join(t, m, "a", "127.250.1.1"), join(t, m, "b", "127.250.1.2")
+}
+
+func (from member) say(t *testing.T, to member, text string) {
+	t.Helper()
+	at, err := net.ResolveUDPAddr("udp", to.at)
+	if err == nil {
+		_, err = from.udp.WriteToUDP([]byte(text), at)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (to member) hears(t *testing.T) string {
+	t.Helper()
+	buf := make([]byte, 100)
+	n, _, err := to.udp.ReadFromUDP(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(buf[:n])
+}
+
+func setWay(t *testing.T, m *Mesh, s State) {
+	t.Helper()
+	if err := m.Set("a", "b", s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A one-way cut takes what a sends, as datagrams and over connections that b opened, and nothing of what b sends.
+func TestMeshCutsOneWay(t *testing.T) {
+	m, a, b := pairOf(t)
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: b.udp.LocalAddr().(*net.UDPAddr).IP}, Timeout: patience}
+	c, err := d.Dial("tcp", a.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in, err := a.tcp.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	setWay(t, m, State{SilentForth: true})
+	a.say(t, b, "lost")
+	b.say(t, a, "heard")
+	if got := a.hears(t); got != "heard" {
+		t.Errorf("a heard %q", got)
+	}
+	one := make([]byte, 1)
+	if _, err := c.Write([]byte{7}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(in, one); err != nil {
+		t.Errorf("b's byte to a: %v", err)
+	}
+	if _, err := in.Write([]byte{8}); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := c.Read(one); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a's byte to b: %v, want nothing in time", err)
+	}
+	setWay(t, m, State{})
+	a.say(t, b, "after")
+	if got := b.hears(t); got != "after" {
+		t.Errorf("b heard %q, want what was said after the cut", got)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.ReadFull(c, one); err != nil || one[0] != 8 {
+		t.Errorf("a's byte after the cut: %v", err)
+	}
+	if got := m.Count("a", "b"); got.Lost != 1 || got.Packets != 1 {
+		t.Errorf("%+v, want one lost and one through", got)
+	}
+}
+
+func TestMeshDelaysAndLoses(t *testing.T) {
+	m, a, b := pairOf(t)
+	setWay(t, m, State{Delay: 30 * time.Millisecond})
+	begun := time.Now()
+	a.say(t, b, "late")
+	b.hears(t)
+	if took := time.Since(begun); took < 30*time.Millisecond {
+		t.Errorf("over a link of 30 ms it took %v", took)
+	}
+	setWay(t, m, State{Loss: 0.3})
+	const said = 400
+	for i := range said { // one after another: none is lost for want of room
+		a.say(t, b, "x")
+		for end := time.Now().Add(patience); m.Count("a", "b").Packets+m.Count("a", "b").Lost < i+2; time.Sleep(100 * time.Microsecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%+v after %d datagrams", m.Count("a", "b"), i+2)
+			}
+		}
+	}
+	if lost := m.Count("a", "b").Lost; lost < said/5 || lost > said*2/5 {
+		t.Errorf("%d of %d lost, want about 3 in 10", lost, said)
+	}
+}
+
+// Who is no party gets nothing through.
+func TestMeshKnowsItsParties(t *testing.T) {
+	_, _, b := pairOf(t)
+	c, err := net.DialTimeout("tcp", b.at, patience) // from no party's address
+	if err == nil {
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(patience))
+		_, err = c.Read(make([]byte, 1))
+	}
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a stranger's connection: %v, want it broken", err)
+	}
+}
