--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -133,7 +133,7 @@
 	What                     SaidKind
 	Sidecar, Upstream, Class string
 	Open                     bool
-	For                      time.Duration // a verdict's: no longer
+	For                      time.Duration // a verdict's: no longer; 0: until taken back
 	Members                  int           // present, itself too
 	Why                      string
 }
