--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -43,6 +43,7 @@
 	{"harmed", "share of wishes with an attempt that an upstream failed, broke or never answered"},
 	{"hung", "attempts that were never answered"},
 	{"know95_ms", "from the first sidecar's own evidence against an upstream in a fault until 95 of 100 sidecars knew, the slowest upstream"},
+	{"told95_ms", "the same from the first verdict upon others' evidence on: what the telling takes"},
 	{"hearsay_part", "greatest part of a zone's usable upstreams that a sidecar sent nothing to for 3 s upon what others said"},
 	{"view_ms", "from the end of the last fault until every sidecar counted all as present and believed nothing against an upstream upon others' words"},
 	{"calls", "calls on the list service whose answers were judged"},
--- a/internal/lab/report/sharing.go
+++ b/internal/lab/report/sharing.go
@@ -51,6 +51,9 @@
 				late = knew[need-1] - first
 			}
 			f["know95_ms"] = max(f["know95_ms"], late.Seconds()*1e3)
+			if told := firstVerdict(o.Record, party, b); told > 0 {
+				f["told95_ms"] = max(f["told95_ms"], (first+late-told).Seconds()*1e3)
+			}
 		}
 	}
 	f["hearsay_part"] = hearsayPart(o.Record)
@@ -81,6 +84,16 @@
 	return first, knew
 }
 
+// firstVerdict is when the first sidecar believed others against an upstream during a fault; 0: none did.
+func firstVerdict(rec *record.Record, upstream string, b record.Band) time.Duration {
+	for _, s := range rec.Said {
+		if s.What == record.Verdict && s.Open && s.Upstream == upstream && s.At >= b.From && s.At <= b.To {
+			return s.At
+		}
+	}
+	return 0
+}
+
 // hearsayPart is the greatest part of a zone's usable upstreams that a sidecar left out at once upon what others said: those with
 // a verdict against them, and no own evidence, that got none of so many attempts as would bring each hearsayEach.
 func hearsayPart(rec *record.Record) (most float64) {
