--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -74,9 +74,6 @@
 
 // hearLogs takes from the sidecars' logs what they said of upstreams, once they have ended.
 func (p *play) hearLogs() {
-	if p.mesh == nil {
-		return
-	}
 	for _, s := range p.sidecars {
 		f, err := os.Open(filepath.Join(s.dir, "log"))
 		if err != nil {
@@ -112,7 +109,13 @@
 		ForMs     int64 `json:"for_ms"`
 		Why       string
 	}
-	if json.Unmarshal(line, &l) != nil || l.Component != "peers" {
+	if json.Unmarshal(line, &l) != nil {
+		return record.Said{}, false
+	}
+	if words := strings.Fields(l.Msg); l.Component == "decisions" && len(words) > 2 && words[2] != "for" && (words[0] == "eject" || words[0] == "return") {
+		return record.Said{At: rec.Since(l.Time), What: record.Evidence, Upstream: strings.TrimSuffix(words[1], ":"), Open: words[0] == "eject"}, true
+	}
+	if l.Component != "peers" {
 		return record.Said{}, false
 	}
 	what, heard := saidWords[l.Msg]
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -42,6 +42,7 @@
 	{"news_max_ms", "the same, the longest"},
 	{"harmed", "share of wishes with an attempt that an upstream failed, broke or never answered"},
 	{"hung", "attempts that were never answered"},
+	{"trials_hung", "of them, those sent to an upstream that the sidecar held to be bad already"},
 	{"know95_ms", "from the first sidecar's own evidence against an upstream in a fault until 95 of 100 sidecars knew, the slowest upstream"},
 	{"told95_ms", "the same from the first verdict upon others' evidence on: what the telling takes"},
 	{"hearsay_part", "greatest part of a zone's usable upstreams that a sidecar sent nothing to for 3 s upon what others said"},
--- a/internal/lab/report/sharing.go
+++ b/internal/lab/report/sharing.go
@@ -56,6 +56,10 @@
 			}
 		}
 	}
+	f["trials_hung"] = trialsHung(o.Record)
+	if !slices.ContainsFunc(o.Record.Said, func(s record.Said) bool { return s.What == record.Present }) {
+		return // nobody shares
+	}
 	f["hearsay_part"] = hearsayPart(o.Record)
 	healed := time.Duration(0)
 	for _, b := range o.Record.Bands {
@@ -94,17 +98,20 @@
 	return 0
 }
 
-// hearsayPart is the greatest part of a zone's usable upstreams that a sidecar left out at once upon what others said: those with
-// a verdict against them, and no own evidence, that got none of so many attempts as would bring each hearsayEach.
-func hearsayPart(rec *record.Record) (most float64) {
-	zones := map[string][]string{} // upstreams
-	for party, zone := range rec.Zones {
-		if _, sidecar := rec.Limits[party]; !sidecar {
-			zones[zone] = append(zones[zone], party)
-		}
-	}
-	type span struct{ from, to time.Duration }
-	against, own := map[[2]string][]span{}, map[[2]string][]span{} // by sidecar and upstream
+// spans are times, by sidecar and upstream.
+type spans map[[2]string][][2]time.Duration
+
+func (s spans) during(key [2]string, from, to time.Duration) bool {
+	return slices.ContainsFunc(s[key], func(x [2]time.Duration) bool { return x[0] < to && x[1] > from })
+}
+
+func (s spans) throughout(key [2]string, from, to time.Duration) bool {
+	return slices.ContainsFunc(s[key], func(x [2]time.Duration) bool { return x[0] <= from && x[1] >= to })
+}
+
+// knownBad is when sidecars held upstreams to be bad for all classes: by own evidence, and upon what others said.
+func knownBad(rec *record.Record) (own, against spans) {
+	own, against = spans{}, spans{}
 	for _, s := range rec.Said {
 		in := against
 		if s.What == record.Evidence {
@@ -114,17 +121,42 @@
 			continue
 		}
 		key := [2]string{s.Sidecar, s.Upstream}
-		if last := len(in[key]) - 1; last >= 0 && in[key][last].to > s.At {
-			in[key][last].to = s.At
+		if last := len(in[key]) - 1; last >= 0 {
+			in[key][last][1] = min(in[key][last][1], s.At)
 		}
 		if s.Open {
 			to := rec.Length
 			if s.For > 0 {
 				to = s.At + s.For
 			}
-			in[key] = append(in[key], span{s.At, to})
+			in[key] = append(in[key], [2]time.Duration{s.At, to})
+		}
+	}
+	return own, against
+}
+
+// trialsHung counts attempts that were never answered, at upstreams that their sidecar held to be bad when it sent them.
+func trialsHung(rec *record.Record) (n float64) {
+	own, against := knownBad(rec)
+	for _, a := range rec.Attempts {
+		key := [2]string{a.Sidecar, a.Upstream}
+		if (a.How == record.Out || a.How == record.GivenUp) && (own.throughout(key, a.Begun, a.Begun) || against.throughout(key, a.Begun, a.Begun)) {
+			n++
+		}
+	}
+	return n
+}
+
+// hearsayPart is the greatest part of a zone's usable upstreams that a sidecar left out at once upon what others said: those with
+// a verdict against them, and no own evidence, that got none of so many attempts as would bring each hearsayEach.
+func hearsayPart(rec *record.Record) (most float64) {
+	zones := map[string][]string{} // upstreams
+	for party, zone := range rec.Zones {
+		if _, sidecar := rec.Limits[party]; !sidecar {
+			zones[zone] = append(zones[zone], party)
 		}
 	}
+	own, against := knownBad(rec)
 	sent := map[string][]*record.Attempt{}
 	for _, a := range rec.Attempts {
 		sent[a.Sidecar] = append(sent[a.Sidecar], a)
@@ -146,11 +178,11 @@
 				out, usable := 0, 0
 				for _, u := range ups {
 					key := [2]string{sidecar, u}
-					if slices.ContainsFunc(own[key], func(s span) bool { return s.from < to && s.to > from }) {
+					if own.during(key, from, to) {
 						continue
 					}
 					usable++
-					if got[u] == 0 && slices.ContainsFunc(against[key], func(s span) bool { return s.from <= from && s.to >= to }) {
+					if got[u] == 0 && against.throughout(key, from, to) {
 						out++
 					}
 				}
