--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -13,8 +13,8 @@
 
 const (
 	lastLook   = time.Millisecond       // for a request that is here already when its connection is to end
-	queueLook  = 20 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
-	lingerMost = 200 * time.Millisecond // for the client to close its side
+	queueLook  = 10 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
+	lingerMost = 100 * time.Millisecond // for the client to close its side
 )
 
 // framedConn is a client's connection. It ends in order: never while some of a request was read that has no answer yet,
