--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// clientConns is the listener for clients. It bounds their connections: at the limit it closes the one that
+// clientConns is the listener for clients. It bounds their connections: at the limit it ends the one that
 // has been idle for longest, and accepts no more until there is room. A netutil.LimitListener would only wait.
 type clientConns struct {
 	net.Listener
@@ -22,8 +22,9 @@
 	paused bool                      // another process takes clients
 	last   bool                      // each connection is to end, and no others are to be had once none waits
 	quiet  map[*framedConn]time.Time // between requests, since when; zero: busy
+	going  *framedConn               // was told to make room, and has not yet; nil: none
 
-	lingers atomic.Bool // see framedConn
+	lingers atomic.Bool // the connections' ends wait for clients that may be about to send
 }
 
 func newClientConns(l net.Listener, most int) *clientConns {
@@ -36,7 +37,7 @@
 	for empty := 0; ; {
 		c.mu.Lock()
 		for (c.paused && !c.last || len(c.quiet) >= c.most) && !c.closed {
-			if !c.paused {
+			if !c.paused && c.going == nil {
 				c.endQuietest()
 			}
 			c.room.Wait()
@@ -52,7 +53,7 @@
 		conn, err := c.Listener.Accept()
 		switch {
 		case err == nil:
-			return &framedConn{Conn: conn, accepted: time.Now(), lingers: &c.lingers, ending: last}, nil
+			return &framedConn{Conn: conn, accepted: time.Now(), all: c, ending: last}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
 			return nil, err
 		case last:
@@ -134,16 +135,34 @@
 	}
 }
 
+// endQuietest makes room: the connection that was between requests for longest ends. Where there is none, one gives way that
+// has sent a part of a head for longest.
 func (c *clientConns) endQuietest() {
-	var oldest *framedConn
+	var oldest, half *framedConn
 	for conn, since := range c.quiet {
-		if !since.IsZero() && (oldest == nil || since.Before(c.quiet[oldest])) {
-			oldest = conn
+		to := &oldest
+		switch conn.stage() {
+		case inHand:
+			continue
+		case halfHead:
+			to = &half
+		}
+		if !since.IsZero() && (*to == nil || since.Before(c.quiet[*to])) {
+			*to = conn
 		}
 	}
-	if oldest != nil {
-		oldest.end()
-		c.quiet[oldest] = time.Time{} // gone once the server has seen it
+	switch {
+	case oldest != nil:
+		if oldest.end() {
+			c.going = oldest
+			return
+		}
+		time.AfterFunc(lastLook, c.room.Broadcast) // a request has just come on it
+	case half != nil && !c.last && time.Since(c.quiet[half]) < justOpened: // the rest may be about to come
+		time.AfterFunc(justOpened, c.room.Broadcast)
+	case half != nil && !c.last:
+		half.Close()
+		c.quiet[half] = time.Time{} // gone once the server has seen it
 	}
 }
 
@@ -155,6 +174,16 @@
 	return c.Listener.Close()
 }
 
+// stays says that a request has come on a connection that was told to end.
+func (c *clientConns) stays(conn *framedConn) {
+	c.mu.Lock()
+	if c.going == conn {
+		c.going = nil
+	}
+	c.mu.Unlock()
+	c.room.Broadcast()
+}
+
 // endQuiet ends all connections that have carried no request for that long.
 func (c *clientConns) endQuiet(least time.Duration) {
 	c.mu.Lock()
@@ -175,6 +204,9 @@
 	conn.setActive(s == http.StateActive)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.going == conn && s == http.StateClosed {
+		c.going = nil
+	}
 	switch s {
 	case http.StateNew, http.StateIdle:
 		c.quiet[conn] = time.Now()
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -17,12 +17,21 @@
 	lingerMost = 100 * time.Millisecond // for the client to close its side
 )
 
+// connStage is how far the next request of a connection has come.
+type connStage int
+
+const (
+	between connStage = iota // nothing of it was read
+	halfHead
+	inHand // its head was read whole, at least
+)
+
 // framedConn is a client's connection. It ends in order: never while some of a request was read that has no answer yet,
 // and with its sending first, so that what crosses the end does not make the kernel reset it, and take an answer with it.
 type framedConn struct {
 	net.Conn
 	accepted time.Time
-	lingers  *atomic.Bool // of all connections: the client may be about to send
+	all      *clientConns
 	f        framing
 	gone     atomic.Bool // nothing more can come
 
@@ -30,11 +39,12 @@
 	ending  bool // it is to end between requests
 	active  bool // the library has a request in hand
 	waiting bool // a read is under way that can only bring the next request
+	read    connStage
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
-	c.waiting = !c.active && c.f.between()
+	c.waiting = !c.active && c.f.stage() == between
 	if c.waiting && c.ending {
 		c.look()
 	}
@@ -44,26 +54,41 @@
 	if c.waiting && c.ending && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.atOnce(p)
 	}
-	if n > 0 && c.waiting && c.ending { // a request has come after all
+	stays := n > 0 && c.waiting && c.ending // a request has come after all
+	if stays {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(sendPatience)) // as the library had it; else the next read shows it
 	}
-	c.waiting = false
+	c.f.scan(p[:n])
+	c.waiting, c.read = false, c.f.stage()
 	c.mu.Unlock()
+	if stays {
+		c.all.stays(c)
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gone.Store(true)
 	}
-	c.f.scan(p[:n])
 	return n, err
 }
 
-// end has the connection closed once it is between requests. What has come until then is answered.
-func (c *framedConn) end() {
+// stage tells where the connection is, as far as it was read.
+func (c *framedConn) stage() connStage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active {
+		return inHand
+	}
+	return c.read
+}
+
+// end has the connection closed once it is between requests, and tells whether it is. What has come until then is answered.
+func (c *framedConn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = true
 	if c.waiting {
 		c.look()
 	}
+	return !c.active && c.read == between
 }
 
 // look bounds the read that waits for the next request: the library closes the connection where it brings none.
@@ -119,7 +144,7 @@
 
 // Close lingers where a request may cross it: a socket that is closed with bytes unread is reset.
 func (c *framedConn) Close() error {
-	if c.lingers.Load() && !c.gone.Load() && c.CloseWrite() == nil {
+	if c.all.lingers.Load() && !c.gone.Load() && c.CloseWrite() == nil {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) // fails on a closed connection only
 		_, _ = io.Copy(io.Discard, c.Conn)                     // an end of any kind is as good
 	}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -55,11 +55,17 @@
 	return d
 }
 
-// between tells whether nothing of a request was read that the library has not handed on. The reader asks.
-func (f *framing) between() bool {
+// stage tells what was read of requests that the library has not handed on. The reader asks.
+func (f *framing) stage() connStage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state == atStart && len(f.line) == 0 && len(f.doubts) == 0
+	switch {
+	case len(f.doubts) > 0 || f.state > inHead:
+		return inHand
+	case f.state == inHead || len(f.line) > 0:
+		return halfHead
+	}
+	return between
 }
 
 // first tells whether the request that was asked about last was the connection's first.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -284,12 +284,17 @@
 	}
 }
 
-// Guards against too many descriptors: at the limit a connection between requests gives way to a new one.
+// Guards against too many descriptors: at the limit a connection between requests gives way to a new one, or else one that
+// has sent half a head.
 func TestClientConnectionLimit(t *testing.T) {
 	s := newUpstream(t, says(ok200("")))
 	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
 	c.Limits.Sockets = ownSockets + 2*3
 	r := start(t, c, "127.0.0.1:0")
+	begun := time.Now()
+	for range 3 {
+		dialPeer(t, r.address).send("GET /search")
+	}
 	var clients []*http.Client
 	for range 8 {
 		client := &http.Client{Timeout: patience, Transport: &http.Transport{}}
@@ -302,8 +307,8 @@
 		resp.Body.Close()
 		clients = append(clients, client)
 	}
-	if len(s.requests()) != len(clients) {
-		t.Errorf("%d of %d were served", len(s.requests()), len(clients))
+	if took := time.Since(begun); len(s.requests()) != len(clients) || took > sendPatience {
+		t.Errorf("%d of %d were served in %v", len(s.requests()), len(clients), took)
 	}
 }
 
