registry: who waits for a duty comes back at the lease's end where its holder is silent

Change: a candidate is told the lease's end if that is sooner, still one each 100 ms. The laboratory's links have addresses of their own: after a reset another program had taken a link's port.

--- a/internal/lab/duties/run.go
+++ b/internal/lab/duties/run.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -123,7 +124,11 @@
 	return Result{s.Kind, s.Seed, time.Since(begun).Seconds(), r.faults, v}, nil
 }
 
+// runs counts experiments of this process.
+var runs atomic.Int64
+
 func (r *run) begin() (err error) {
+	number := runs.Add(1) % 256
 	if r.at, r.procs, err = r.all.Quorum(replicas); err != nil {
 		return err
 	}
@@ -138,7 +143,9 @@
 		p := &party{place: i}
 		r.parties = append(r.parties, p)
 		for j, at := range r.at {
-			l, err := relay.New(fmt.Sprint("c", i), fmt.Sprint("r", j), "127.0.0.1:0", at, nil)
+			// An address of its own: a link that resets listens no more, and another program might take a port meanwhile.
+			own := fmt.Sprintf("127.%d.%d.%d:7000", 100+os.Getpid()%128, number, i*replicas+j+1)
+			l, err := relay.New(fmt.Sprint("c", i), fmt.Sprint("r", j), own, at, nil)
 			if err != nil {
 				return err
 			}
--- a/internal/registry/terms/terms.go
+++ b/internal/registry/terms/terms.go
@@ -18,7 +18,7 @@
 // The pace of those who wait: a duty costs the service at most a call each Spacing while it is held, whatever their number.
 const (
 	Spacing   = 100 * time.Millisecond // between two who are told to come back
-	Soonest   = 500 * time.Millisecond // one that was refused comes back after that
+	Soonest   = 500 * time.Millisecond // one that was refused comes back after that, or at the lease's end
 	Latest    = time.Minute            // and at the latest after that
 	HandOnBy  = 100                    // fitness by which one has to be better than the holder for its wish to be told
 	WishLasts = 2 * Soonest            // since it was last refused
@@ -109,7 +109,9 @@
 	if x.wish == c.Holder && x.best >= x.fitness+HandOnBy {
 		return nil, Soonest, false // the holder may hand on to it at any time
 	}
-	x.slot = min(max(now+Soonest, x.slot+Spacing), now+Latest)
+	// A holder that does not renew any more is followed at its lease's end.
+	soonest := max(Spacing, min(Soonest, x.end-now))
+	x.slot = min(max(now+soonest, x.slot+Spacing), now+Latest)
 	return nil, x.slot - now, false
 }
 
@@ -165,7 +167,7 @@
 	b = binary.AppendVarint(b, int64(d.Turn-x.Turn))
 	b = binary.AppendVarint(b, int64(1000*x.fitness))
 	put(x.end)
-	put(x.slot + Spacing - Soonest)
+	put(x.slot)
 	put(t.quiet)
 	if now < max(x.wishedAt+WishLasts, x.keep) {
 		b = binary.AppendVarint(append(b, x.wish...), int64(1000*x.best))
