sidecar: operators see who is present, breakers with who says what, duties, pressure, and what was dropped

Need: sharing was in the log only; its duties stood among the figures in a form of their own. Tests: TestAThirdSidecarIsToldOfABreaker, TestDoorCalls.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -284,3 +284,13 @@
 	slices.SortFunc(all, subject.compare)
 	return all
 }
+
+// Standing are the verdicts that are open, as they were told last.
+func (b *Board) Standing() (open []Verdict) {
+	for _, s := range slices.SortedFunc(maps.Keys(b.told), subject.compare) {
+		if v := b.told[s]; v.Open {
+			open = append(open, v.Verdict)
+		}
+	}
+	return open
+}
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -84,6 +84,8 @@
 			return
 		case <-tick.C:
 			p.look()
+		case answer := <-p.s.asked:
+			answer <- p.board.Standing() // holds one
 		case <-p.s.reports.Wake():
 			for w, ok := p.s.reports.Take(); ok; w, ok = p.s.reports.Take() {
 				p.loopSaid(w)
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -239,3 +239,21 @@
 	slices.Sort(all)
 	return strings.Join(all, "") + fmt.Sprintf("duties_beyond %d\n", d.full)
 }
+
+// count is how many duties are held here, are waited for, and were wished for beyond the bound.
+func (d *duties) count() (held, waits, beyond int64) {
+	if d == nil {
+		return 0, 0, 0
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.of {
+		if _, ok := h.Act(now); ok {
+			held++
+		} else if h.on {
+			waits++
+		}
+	}
+	return held, waits, d.full
+}
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -27,6 +27,7 @@
 	listener net.Listener
 	ready    func() bool
 	figures  func() string
+	peers    func() string
 	ban      func(id string, lifted bool) error
 
 	mu      sync.Mutex
@@ -119,10 +120,13 @@
 	}
 	name, args := words[0], words[1:]
 	switch name {
-	case "READY", "STATS":
+	case "READY", "STATS", "PEERS":
 		if len(args) > 0 {
 			return fmt.Sprintf("NO %s takes nothing more\n", name)
 		}
+		if name == "PEERS" {
+			return d.peers()
+		}
 		if name == "STATS" {
 			return d.figures() + "END\n"
 		}
--- a/internal/sidecar/ops_test.go
+++ b/internal/sidecar/ops_test.go
@@ -49,7 +49,7 @@
 func TestDoorCalls(t *testing.T) {
 	r, _ := withDoor(t, "s", "other")
 	for _, c := range []struct{ line, want string }{
-		{"READY\n", "YES"}, {"READY\r\n", "YES"}, {"READY now\n", "NO READY"}, {"\n", "NO the line is empty"},
+		{"READY\n", "YES"}, {"READY\r\n", "YES"}, {"READY now\n", "NO READY"}, {"PEERS\n", "NO this sidecar shares nothing"}, {"\n", "NO the line is empty"},
 		{"DISABLE\n", "NO DISABLE takes one id"}, {"DISABLE s other\n", "NO DISABLE takes"}, {"DISABLE nobody\n", "NO no upstream"},
 		{"ENABLE nobody\n", "NO no upstream"}, {"REBOOT\n", "NO no such call"}, {"\x00\xff\n", "NO no such call"},
 		{"GET / HTTP/1.1\r\n\r\n", "NO no such call"}, {strings.Repeat("x", 4*doorLine), "NO the line is too long"},
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/breaker"
 	"mosslead/internal/peer"
 	"mosslead/internal/peer/api"
 	"mosslead/internal/ring"
@@ -42,6 +43,7 @@
 	reports  *ring.Ring[string, word]             // from the loop
 	verdicts *ring.Ring[string, balancer.Hearsay] // to the loop
 	duties   *duties                              // nil: no list service is configured, nothing is held
+	asked    chan chan []breaker.Verdict          // by the door, of the thread of breakers
 	parts    sync.WaitGroup
 	ctx      context.Context // of the parts
 	stop     context.CancelFunc
@@ -49,7 +51,7 @@
 
 // share begins to take part. An error says what of the configuration can't be used.
 func share(c *Config, dir *directory, clk clock, version string) (*sharing, error) {
-	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
+	s := &sharing{dir: dir, clock: clk, asked: make(chan chan []breaker.Verdict), reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
 		self: api.Member{Name: c.Name, Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()},
 			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
 	var err error
@@ -135,11 +137,3 @@
 		s.duties.yield()
 	}
 }
-
-// lines are what operators see of it.
-func (s *sharing) lines() string {
-	if s == nil {
-		return ""
-	}
-	return s.duties.lines()
-}
--- a/internal/sidecar/share_test.go
+++ b/internal/sidecar/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"mosslead/balancer"
@@ -43,6 +44,12 @@
 	if h.Upstream != "s-1" || h.Until <= all[2].clock.now() {
 		t.Errorf("told %+v", h)
 	}
+	if view := all[2].view(); !strings.Contains(view, "member n0 makati") || !strings.Contains(view, "breaker s-1") || !strings.Contains(view, "makati/n0 errors 3") {
+		t.Errorf("operators see\n%s", view)
+	}
+	if figures := all[2].lines(); !strings.Contains(figures, "gw.peers_present:3|g\n") {
+		t.Errorf("figures:\n%s", figures)
+	}
 	all[0].report(&balancer.Action{Kind: balancer.Report, Upstream: "s-1"})
 	eventually(t, "its end", func() bool { return told() && h.Until == 0 })
 	if h.Upstream != "s-1" || h.Until != 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -136,6 +136,7 @@
 			now := p.loop.stats.snapshot()
 			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines()
 		}
+		d.peers = p.loop.shared.view
 		d.ban = p.ban
 		go d.run()
 		defer d.close()
