lab: the naive sidecar ends once it has answered; sidecar: none is cut off after SIGTERM

In the sidecar half a head no longer gives way at the limit once the process was told to end: closing it there would have held the lock for as long as the connection lingers.

--- a/internal/lab/standin/naive.go
+++ b/internal/lab/standin/naive.go
@@ -112,7 +112,9 @@
 	if breaks == "reset-unread" {
 		listener = deafListener{listener, &n.ending}
 	}
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		<-ctx.Done()
 		n.ending.Store(true) // from now on each connection ends with its next answer
 		time.Sleep(endAfter)
@@ -126,6 +128,7 @@
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving: %w", err)
 	}
+	<-ended // Serve returns when Shutdown begins
 	return nil
 }
 
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -158,9 +158,10 @@
 			return
 		}
 		time.AfterFunc(lastLook, c.room.Broadcast) // a request has just come on it
-	case half != nil && !c.last && time.Since(c.quiet[half]) < justOpened: // the rest may be about to come
+	case half == nil || c.lingers.Load(): // after SIGTERM none is cut off
+	case time.Since(c.quiet[half]) < justOpened: // the rest may be about to come
 		time.AfterFunc(justOpened, c.room.Broadcast)
-	case half != nil && !c.last:
+	default:
 		half.Close()
 		c.quiet[half] = time.Time{} // gone once the server has seen it
 	}
