lab: one candidate at a time is stopped for ten leases, and faults are in the result with their times

Change: a stop of ten leases waits until the one before is over; Result.Played and longest_at tell what was done when. A runner asks on one goroutine of its own instead of one for each call.

--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -55,16 +55,8 @@
 func (r *Runner) Run(ctx context.Context) {
 	now := func() time.Duration { return time.Since(r.begin) }
 	x := NewCandidate(r.c, now())
-	answers := make(chan Answer, 1)
-	var out struct{ cancel context.CancelFunc }
-	end := func() { // of the last call, if there was one
-		if out.cancel != nil {
-			out.cancel()
-		}
-	}
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	defer end()
+	calls := r.caller()
+	defer calls.close()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	over := ctx.Done()
@@ -74,15 +66,7 @@
 			for _, a := range x.Handle(now(), e) {
 				switch a := a.(type) {
 				case Call:
-					end()
-					calls.Wait() // it was cancelled; its answer has another id
-					select {
-					case <-answers:
-					default:
-					}
-					var called context.Context
-					called, out.cancel = context.WithTimeout(context.WithoutCancel(ctx), a.Patience)
-					calls.Go(func() { answers <- r.call(called, a) })
+					calls.call(context.WithoutCancel(ctx), a)
 				case Hold:
 					r.hold(a.Epoch, r.begin.Add(a.Until))
 					r.says(a)
@@ -100,7 +84,7 @@
 		select {
 		case <-over:
 			events, over = []Event{Stop{}}, nil
-		case a := <-answers:
+		case a := <-calls.answers:
 			events = []Event{a}
 		case <-timer.C:
 			events = []Event{nil}
@@ -124,6 +108,62 @@
 	return events
 }
 
+// caller asks the service on a goroutine of its own, one call at a time: each ends the one before.
+type caller struct {
+	work    chan job
+	answers chan Answer // one that belongs to no call that is out may come yet
+	ended   chan struct{}
+	cancel  context.CancelFunc // of the last call; nil: there was none
+}
+
+type job struct {
+	ctx context.Context
+	Call
+}
+
+func (r *Runner) caller() *caller {
+	c := &caller{work: make(chan job), answers: make(chan Answer, 1), ended: make(chan struct{})}
+	go func() {
+		defer close(c.ended)
+		for j := range c.work {
+			c.answers <- r.call(j.ctx, j.Call)
+		}
+	}()
+	return c
+}
+
+func (c *caller) end() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
+// call ends the call before, and begins one.
+func (c *caller) call(ctx context.Context, x Call) {
+	c.end()
+	ctx, c.cancel = context.WithTimeout(ctx, x.Patience)
+	for {
+		select {
+		case c.work <- job{ctx, x}:
+			return
+		case <-c.answers: // to a call that was ended
+		}
+	}
+}
+
+// close ends what is out, and returns once the goroutine has ended.
+func (c *caller) close() {
+	c.end()
+	close(c.work)
+	for {
+		select {
+		case <-c.answers:
+		case <-c.ended:
+			return
+		}
+	}
+}
+
 func (r *Runner) call(ctx context.Context, c Call) (a Answer) {
 	a.ID = c.ID
 	var err error
--- a/internal/lab/acts/acts.go
+++ b/internal/lab/acts/acts.go
@@ -46,6 +46,7 @@
 	Refused  int           `json:"refused"`  // under an epoch that was over: acts that the fence stopped
 	HandOns  int           `json:"hand_ons"` // changes of the epoch among acts that were taken
 	Longest  time.Duration `json:"longest_gap"`
+	LongAt   time.Duration `json:"longest_at"` // its end
 	Breaches []Breach      `json:"breaches"`
 }
 
@@ -82,7 +83,7 @@
 			v.HandOns++
 		}
 		if gap := rules.gap(taken[i-1].Taken, a.Taken); gap > v.Longest {
-			v.Longest = gap
+			v.Longest, v.LongAt = gap, a.Taken
 			if gap > rules.Gap {
 				breach("gap", a.Taken, "nobody acted for %v, at most %v", gap, rules.Gap)
 			}
--- a/internal/lab/duties/faults.go
+++ b/internal/lab/duties/faults.go
@@ -39,7 +39,11 @@
 	return fmt.Errorf("no experiment is called %q", r.Kind)
 }
 
-func (r *run) count(fault string) { r.faults[fault]++ }
+func (r *run) count(fault string) {
+	last, _ := r.target.holder()
+	r.faults[fault]++
+	r.played = append(r.played, Played{clock(), fault, last.Holder})
+}
 
 // replace ends a holder with a signal and starts another process in its place.
 func (r *run) replace(p *party, s syscall.Signal) error {
@@ -78,6 +82,10 @@
 	case 4:
 		return stop("stopped for two", 2)
 	}
+	if time.Since(r.frozen) < 11*r.Lease { // one at a time: others are to be there to take over
+		return stop("stopped just over", 1.15)
+	}
+	r.frozen = time.Now()
 	r.count("stopped for ten")
 	child := p.child
 	if err := child.Signal(syscall.SIGSTOP); err != nil {
--- a/internal/lab/duties/run.go
+++ b/internal/lab/duties/run.go
@@ -50,9 +50,17 @@
 	Seed    uint64         `json:"seed"`
 	Seconds float64        `json:"seconds"`
 	Faults  map[string]int `json:"faults"`
+	Played  []Played       `json:"played"`
 	acts.Verdict
 }
 
+// Played is a fault that was done.
+type Played struct {
+	At     time.Duration `json:"at"` // on the machine's monotonic clock, as breaches
+	Fault  string        `json:"fault"`
+	Holder string        `json:"holder"`
+}
+
 const (
 	replicas   = 3
 	candidates = 4
@@ -81,6 +89,8 @@
 	later   []func() // what has to be undone
 	excused []acts.Span
 	faults  map[string]int
+	played  []Played
+	frozen  time.Time // when one was last stopped for ten leases
 }
 
 // Run plays an experiment.
@@ -121,7 +131,7 @@
 	}
 	v := acts.Check(all, acts.Rules{Gap: s.Lease + s.Lease/10 + time.Second, Excused: r.excused})
 	v.Breaches = append(v.Breaches, acts.Linearizable(all)...)
-	return Result{s.Kind, s.Seed, time.Since(begun).Seconds(), r.faults, v}, nil
+	return Result{s.Kind, s.Seed, time.Since(begun).Seconds(), r.faults, r.played, v}, nil
 }
 
 // runs counts experiments of this process.
