--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -26,11 +27,14 @@
 	if err != nil {
 		return err
 	}
+	if err := p.addForwards(s); err != nil {
+		return err
+	}
 	s.peers = map[string]*overlay[relay.State]{}
 	for _, o := range p.sidecars {
 		base := p.peerLink(s.zone, o.zone)
-		s.peers[o.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(s.name, o.name, state)) })
-		o.peers[s.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(o.name, s.name, state)) })
+		s.peers[o.name] = p.newPeerLink(s.name, o.name, base)
+		o.peers[s.name] = p.newPeerLink(o.name, s.name, base)
 		s.peers[o.name].apply()
 		o.peers[s.name].apply()
 	}
@@ -47,6 +51,8 @@
 		}
 		c["service"] = strings.Join(at, ",")
 	}
+
+	maps.Copy(c, p.forwardKeys(s))
 	return c
 }
 
