--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -25,6 +25,7 @@
 const (
 	heardMost     = 512                    // records of a kind that wait for their part
 	sweepEvery    = time.Second            // of what has lapsed
+	streamTimeout = 2 * time.Second        // of a connection to another, and of what goes over it
 	leavePatience = 500 * time.Millisecond // for the others to hear that this one leaves
 	rejoinEvery   = 5 * time.Second        // while nobody else is there
 	// Of many that start together some miss the word of others: each is told to few while few are known. So a new process
@@ -61,6 +62,7 @@
 	seeds  []string
 	stop   context.CancelFunc
 	done   chan struct{}
+	asks   sync.WaitGroup
 
 	name string
 
@@ -70,6 +72,7 @@
 	seq     uint64
 	records *store
 	members map[string]api.Member // who is present, this one too
+	lost    map[string]gone       // who is not, and went without a word
 }
 
 // Join begins to take part. It does not wait for the others: it goes on asking the seeds while nobody else is there. An error
@@ -93,6 +96,7 @@
 			return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
 		}
 	}
+	conf.TCPTimeout = streamTimeout
 	conf.Name, conf.BindAddr, conf.BindPort, conf.AdvertisePort = c.Member.Name, host, int(number), int(number)
 	conf.Transport, conf.LogOutput, conf.GossipInterval = c.Transport, io.Discard, gossipEvery
 	conf.Delegate, conf.Events, conf.Conflict = (*delegate)(p), (*events)(p), (*conflict)(p)
@@ -110,6 +114,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	go p.run(ctx)
+	p.asks.Go(func() { p.askLost(ctx) })
 	return p, nil
 }
 
@@ -117,7 +122,7 @@
 func newCarrier(c Config) *Carrier {
 	p := &Carrier{self: c.Member, name: c.Member.Name, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
 		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address || s == c.Advertise }),
-		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
+		members: map[string]api.Member{c.Member.Name: c.Member}, lost: map[string]gone{}, done: make(chan struct{}),
 		budget: rate.NewLimiter(bytesRate, bytesBurst)}
 	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial, api.Ask} {
 		p.heard[kind] = ring.New[api.Key, api.Record](heardMost)
@@ -176,7 +181,9 @@
 func (p *Carrier) Leave() error {
 	p.stop()
 	<-p.done
-	return errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
+	err := errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
+	p.asks.Wait()
+	return err
 }
 
 // Self is this process's name.
--- a/internal/peer/delegates.go
+++ b/internal/peer/delegates.go
@@ -112,6 +112,9 @@
 	defer e.mu.Unlock()
 	if n.Name != e.self.Name {
 		delete(e.members, n.Name)
+		if n.State != memberlist.StateLeft {
+			(*Carrier)(e).lose(n.Name, n.Address())
+		}
 	}
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -11,10 +13,12 @@
 )
 
 // transport is the library's sockets, with streams that leave from the address of this process, as its datagrams do: what
-// stands between the members (a firewall, an address translation, the laboratory's links) then knows who sends.
+// stands between the members (a firewall, an address translation, the laboratory's links) then knows who sends. They end with it.
 type transport struct {
 	*memberlist.NetTransport
 	from net.IP
+	ctx  context.Context
+	end  context.CancelFunc
 }
 
 func newTransport(host string, port int) (*transport, error) {
@@ -22,7 +26,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("sockets: %w", err)
 	}
-	return &transport{t, net.ParseIP(host)}, nil
+	ctx, end := context.WithCancel(context.Background())
+	return &transport{t, net.ParseIP(host), ctx, end}, nil
 }
 
 // DialAddressTimeout opens a stream to a member.
@@ -31,10 +36,36 @@
 	if t.from != nil && !t.from.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: t.from}
 	}
-	return d.Dial("tcp", to.Addr)
+	c, err := d.DialContext(t.ctx, "tcp", to.Addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &stream{Conn: c}
+	s.stop = context.AfterFunc(t.ctx, func() { c.Close() })
+	return s, nil
 }
 
 // DialTimeout opens a stream to an address.
 func (t *transport) DialTimeout(to string, timeout time.Duration) (net.Conn, error) {
 	return t.DialAddressTimeout(memberlist.Address{Addr: to}, timeout)
 }
+
+// Shutdown closes the sockets, and the streams that this process has opened.
+func (t *transport) Shutdown() error {
+	t.end()
+	return t.NetTransport.Shutdown()
+}
+
+// stream is a connection that ends with its transport.
+type stream struct {
+	net.Conn
+	stop func() bool
+}
+
+func (s *stream) Close() error {
+	s.stop()
+	if err := s.Conn.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
