--- a/internal/lab/report/sharing.go
+++ b/internal/lab/report/sharing.go
@@ -67,6 +67,7 @@
 	}
 	if healed > 0 && healed < o.Begin+o.Plan.Spec.Length {
 		f["view_ms"] = oneView(o, healed).Seconds() * 1e3
+		f["believed_ms"] = believed(o, healed).Seconds() * 1e3
 	}
 }
 
@@ -195,8 +196,7 @@
 	return most
 }
 
-// oneView is how long after t it took until every sidecar counted all as present and none believed others' words against an
-// upstream any more; never: until the end.
+// oneView is how long after t it took until every sidecar counted all as present; never: until the end.
 func oneView(o *lab.Outcome, t time.Duration) time.Duration {
 	end := o.Begin + o.Plan.Spec.Length
 	present, whole := map[string]int{}, map[string]time.Duration{}
@@ -215,6 +215,12 @@
 		}
 		last = max(last, whole[sidecar])
 	}
+	return last - t
+}
+
+// believed is how long after t the last sidecar still believed others' words against an upstream.
+func believed(o *lab.Outcome, t time.Duration) time.Duration {
+	end, last := o.Begin+o.Plan.Spec.Length, t
 	open := map[[3]string]time.Duration{} // by sidecar, upstream and class: until when
 	for _, s := range o.Record.Said {
 		if s.What != record.Verdict || s.At > end {
