--- a/internal/lab/duties/run.go
+++ b/internal/lab/duties/run.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,9 +50,17 @@
 	Seed    uint64         `json:"seed"`
 	Seconds float64        `json:"seconds"`
 	Faults  map[string]int `json:"faults"`
+	Played  []Played       `json:"played"`
 	acts.Verdict
 }
 
+// Played is a fault that was done.
+type Played struct {
+	At     time.Duration `json:"at"` // on the machine's monotonic clock, as breaches
+	Fault  string        `json:"fault"`
+	Holder string        `json:"holder"`
+}
+
 const (
 	replicas   = 3
 	candidates = 4
@@ -80,6 +89,8 @@
 	later   []func() // what has to be undone
 	excused []acts.Span
 	faults  map[string]int
+	played  []Played
+	frozen  time.Time // when one was last stopped for ten leases
 }
 
 // Run plays an experiment.
@@ -120,10 +131,14 @@
 	}
 	v := acts.Check(all, acts.Rules{Gap: s.Lease + s.Lease/10 + time.Second, Excused: r.excused})
 	v.Breaches = append(v.Breaches, acts.Linearizable(all)...)
-	return Result{s.Kind, s.Seed, time.Since(begun).Seconds(), r.faults, v}, nil
+	return Result{s.Kind, s.Seed, time.Since(begun).Seconds(), r.faults, r.played, v}, nil
 }
 
+// runs counts experiments of this process.
+var runs atomic.Int64
+
 func (r *run) begin() (err error) {
+	number := runs.Add(1) % 256
 	if r.at, r.procs, err = r.all.Quorum(replicas); err != nil {
 		return err
 	}
@@ -138,7 +153,9 @@
 		p := &party{place: i}
 		r.parties = append(r.parties, p)
 		for j, at := range r.at {
-			l, err := relay.New(fmt.Sprint("c", i), fmt.Sprint("r", j), "127.0.0.1:0", at, nil)
+			// An address of its own: a link that resets listens no more, and another program might take a port meanwhile.
+			own := fmt.Sprintf("127.%d.%d.%d:7000", 100+os.Getpid()%128, number, i*replicas+j+1)
+			l, err := relay.New(fmt.Sprint("c", i), fmt.Sprint("r", j), own, at, nil)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -5,9 +5,11 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"mosslead/internal/lab/record"
@@ -25,11 +27,14 @@
 	if err != nil {
 		return err
 	}
+	if err := p.addForwards(s); err != nil {
+		return err
+	}
 	s.peers = map[string]*overlay[relay.State]{}
 	for _, o := range p.sidecars {
 		base := p.peerLink(s.zone, o.zone)
-		s.peers[o.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(s.name, o.name, state)) })
-		o.peers[s.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(o.name, s.name, state)) })
+		s.peers[o.name] = p.newPeerLink(s.name, o.name, base)
+		o.peers[s.name] = p.newPeerLink(o.name, s.name, base)
 		s.peers[o.name].apply()
 		o.peers[s.name].apply()
 	}
@@ -38,7 +43,17 @@
 
 // peers words what a sidecar is told of the others. Each knows its own address, and the others by their links.
 func (p *play) peers(s *sidecar) map[string]any {
-	return map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": p.seeds(), "zone": s.zone}
+	c := map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": p.seeds(), "zone": s.zone}
+	if p.service != nil {
+		var at []string
+		for _, r := range p.service.replicas {
+			at = append(at, p.block.replica(r.number, replicaAPIPort))
+		}
+		c["service"] = strings.Join(at, ",")
+	}
+
+	maps.Copy(c, p.forwardKeys(s))
+	return c
 }
 
 // seeds are the addresses of those that the others join by: one of each zone.
@@ -65,9 +80,6 @@
 
 // hearLogs takes from the sidecars' logs what they said of upstreams, once they have ended.
 func (p *play) hearLogs() {
-	if p.mesh == nil {
-		return
-	}
 	for _, s := range p.sidecars {
 		f, err := os.Open(filepath.Join(s.dir, "log"))
 		if err != nil {
@@ -103,7 +115,13 @@
 		ForMs     int64 `json:"for_ms"`
 		Why       string
 	}
-	if json.Unmarshal(line, &l) != nil || l.Component != "peers" {
+	if json.Unmarshal(line, &l) != nil {
+		return record.Said{}, false
+	}
+	if words := strings.Fields(l.Msg); l.Component == "decisions" && len(words) > 2 && words[2] != "for" && (words[0] == "eject" || words[0] == "return") {
+		return record.Said{At: rec.Since(l.Time), What: record.Evidence, Upstream: strings.TrimSuffix(words[1], ":"), Open: words[0] == "eject"}, true
+	}
+	if l.Component != "peers" {
 		return record.Said{}, false
 	}
 	what, heard := saidWords[l.Msg]
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -28,6 +28,11 @@
 	{"worst_2s", "least share of the worth earned in any 2 s"},
 	{"worst_class", "least share of the worth earned in any class"},
 	{"worst_tenant", "least share of the worth earned for any tenant"},
+	{"worst_sidecar", "least share of the worth earned for the clients of any sidecar"},
+	{"worst_zone", "the same of any zone's sidecars"},
+	{"forwarded", "share of tries that a sidecar forwarded to another"},
+	{"forwarded_begun", "of them, those that the other one began"},
+	{"forwarded_served", "of them, those that were served, there or at home"},
 	{"attempts", "attempts for each try of a client"},
 	{"turned_away", "share of attempts that upstreams turned away"},
 	{"cross", "share of attempts that crossed zones"},
@@ -42,9 +47,12 @@
 	{"news_max_ms", "the same, the longest"},
 	{"harmed", "share of wishes with an attempt that an upstream failed, broke or never answered"},
 	{"hung", "attempts that were never answered"},
+	{"trials_hung", "of them, those sent to an upstream that the sidecar held to be bad already"},
 	{"know95_ms", "from the first sidecar's own evidence against an upstream in a fault until 95 of 100 sidecars knew, the slowest upstream"},
-	{"hearsay_part", "greatest part of a zone's upstreams that a sidecar believed to be bad upon what others said"},
-	{"view_ms", "from the end of the last fault until every sidecar counted all as present and believed nothing against an upstream upon others' words"},
+	{"told95_ms", "the same from the first verdict upon others' evidence on: what the telling takes"},
+	{"hearsay_part", "greatest part of a zone's usable upstreams that a sidecar sent nothing to for 3 s upon what others said"},
+	{"view_ms", "from the end of the last fault until every sidecar counted all as present"},
+	{"believed_ms", "from there until the last sidecar stopped believing others' words against an upstream"},
 	{"calls", "calls on the list service whose answers were judged"},
 	{"calls_unknown", "of them, those without an answer"},
 	{"watched", "messages of watches that were judged"},
@@ -82,6 +90,8 @@
 	f.outcomes(some)
 	f.attempts(o.Record, some)
 	f.harm(some)
+	f.shares(o.Record, some)
+	f.forwards(o.Record, some)
 	f["worst_2s"] = worst(some, from, to)
 	if whole {
 		f.restarts(o, all)
--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -25,6 +25,7 @@
 const (
 	heardMost     = 512                    // records of a kind that wait for their part
 	sweepEvery    = time.Second            // of what has lapsed
+	streamTimeout = 2 * time.Second        // of a connection to another, and of what goes over it
 	leavePatience = 500 * time.Millisecond // for the others to hear that this one leaves
 	rejoinEvery   = 5 * time.Second        // while nobody else is there
 	// Of many that start together some miss the word of others: each is told to few while few are known. So a new process
@@ -61,6 +62,7 @@
 	seeds  []string
 	stop   context.CancelFunc
 	done   chan struct{}
+	asks   sync.WaitGroup
 
 	name string
 
@@ -70,6 +72,7 @@
 	seq     uint64
 	records *store
 	members map[string]api.Member // who is present, this one too
+	lost    map[string]gone       // who is not, and went without a word
 }
 
 // Join begins to take part. It does not wait for the others: it goes on asking the seeds while nobody else is there. An error
@@ -93,6 +96,7 @@
 			return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
 		}
 	}
+	conf.TCPTimeout = streamTimeout
 	conf.Name, conf.BindAddr, conf.BindPort, conf.AdvertisePort = c.Member.Name, host, int(number), int(number)
 	conf.Transport, conf.LogOutput, conf.GossipInterval = c.Transport, io.Discard, gossipEvery
 	conf.Delegate, conf.Events, conf.Conflict = (*delegate)(p), (*events)(p), (*conflict)(p)
@@ -110,6 +114,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	go p.run(ctx)
+	p.asks.Go(func() { p.askLost(ctx) })
 	return p, nil
 }
 
@@ -117,7 +122,7 @@
 func newCarrier(c Config) *Carrier {
 	p := &Carrier{self: c.Member, name: c.Member.Name, heard: map[api.Kind]*ring.Ring[api.Key, api.Record]{}, start: time.Now(), records: newStore(api.OwnerMost),
 		seeds:   slices.DeleteFunc(slices.Clone(c.Seeds), func(s string) bool { return s == c.Address || s == c.Advertise }),
-		members: map[string]api.Member{c.Member.Name: c.Member}, done: make(chan struct{}),
+		members: map[string]api.Member{c.Member.Name: c.Member}, lost: map[string]gone{}, done: make(chan struct{}),
 		budget: rate.NewLimiter(bytesRate, bytesBurst)}
 	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial, api.Ask} {
 		p.heard[kind] = ring.New[api.Key, api.Record](heardMost)
@@ -142,11 +147,7 @@
 		case <-sweep.C:
 			p.mu.Lock()
 			p.records.sweep(p.now())
-			again := p.again()
 			p.mu.Unlock()
-			for _, key := range again {
-				p.pass(key)
-			}
 		case <-ctx.Done():
 			return
 		}
@@ -171,27 +172,6 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
-// again, with mu held, renews what this process stands by and half of whose time is over: a record may have missed some, and one
-// whose owner has died lapses. What is soon made old by the next one is not said again.
-func (p *Carrier) again() (keys []api.Key) {
-	now := p.now()
-	for key, h := range p.records.owners[p.self.Name] {
-		if h.Over || !lasting(key.Kind) || h.until-now > h.TTL/2 {
-			continue
-		}
-		p.seq++
-		r := h.Record
-		r.Seq = p.seq
-		if p.records.merge(now, r) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-// lasting tells the kinds that their owner stands by until it takes them back.
-func lasting(k api.Kind) bool { return k == api.Breaker || k == api.Incident }
-
 func (p *Carrier) now() time.Duration { return time.Since(p.start) }
 
 // Address is where this process takes part.
@@ -201,7 +181,9 @@
 func (p *Carrier) Leave() error {
 	p.stop()
 	<-p.done
-	return errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
+	err := errors.Join(p.list.Leave(leavePatience), p.list.Shutdown())
+	p.asks.Wait()
+	return err
 }
 
 // Self is this process's name.
@@ -252,8 +234,8 @@
 // Heard holds what others say of a kind, as it comes. One part takes it; what no part takes is bounded like the rest.
 func (p *Carrier) Heard(kind api.Kind) *ring.Ring[api.Key, api.Record] { return p.heard[kind] }
 
-// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl. A breaker or an incident is
-// said again while this process lives, until over takes it back; that is told on for ttl, which has to be the same.
+// Say tells the others word, of a kind and under a name of this process's own, to be believed for ttl: some may miss it, so what lasts
+// has to be said again within that time. over takes it back; it is told on for ttl, which has to be that of what it takes back.
 func (p *Carrier) Say(kind api.Kind, name string, word any, ttl time.Duration, over bool) error {
 	r, err := p.word(kind, name, word, ttl, over)
 	if err != nil {
--- a/internal/registry/terms/terms.go
+++ b/internal/registry/terms/terms.go
@@ -18,7 +18,7 @@
 // The pace of those who wait: a duty costs the service at most a call each Spacing while it is held, whatever their number.
 const (
 	Spacing   = 100 * time.Millisecond // between two who are told to come back
-	Soonest   = 500 * time.Millisecond // one that was refused comes back after that
+	Soonest   = 500 * time.Millisecond // one that was refused comes back after that, or at the lease's end
 	Latest    = time.Minute            // and at the latest after that
 	HandOnBy  = 100                    // fitness by which one has to be better than the holder for its wish to be told
 	WishLasts = 2 * Soonest            // since it was last refused
@@ -56,7 +56,7 @@
 func (t *Terms) Turned(now time.Duration, d list.Duty) {
 	x := t.at(d.Name)
 	if d.Holder == "" {
-		if x.Epoch != 0 && now < x.wishedAt+WishLasts && x.wish != "" {
+		if x.Epoch != 0 && x.better(now) {
 			x.keep = now + Reserved
 		}
 		x.Term = list.Term{}
@@ -106,10 +106,12 @@
 	if now >= x.wishedAt+WishLasts || c.Fitness > x.best || x.wish == c.Holder {
 		x.wish, x.best, x.wishedAt = c.Holder, c.Fitness, now
 	}
-	if x.wish == c.Holder && x.best >= x.fitness+HandOnBy {
+	if x.wish == c.Holder && x.better(now) {
 		return nil, Soonest, false // the holder may hand on to it at any time
 	}
-	x.slot = min(max(now+Soonest, x.slot+Spacing), now+Latest)
+	// A holder that does not renew any more is followed at its lease's end.
+	soonest := max(Spacing, min(Soonest, x.end-now))
+	x.slot = min(max(now+soonest, x.slot+Spacing), now+Latest)
 	return nil, x.slot - now, false
 }
 
@@ -117,12 +119,17 @@
 func (t *Terms) Renewed(now time.Duration, c api.Claim) (better float64) {
 	x := t.at(c.Name)
 	x.fitness = c.Fitness
-	if x.wish != "" && now < x.wishedAt+WishLasts && x.best >= c.Fitness+HandOnBy {
+	if x.better(now) {
 		return x.best
 	}
 	return 0
 }
 
+// better tells whether one who waits is well above the holder.
+func (x *term) better(now time.Duration) bool {
+	return x.wish != "" && now < x.wishedAt+WishLasts && x.best >= x.fitness+HandOnBy
+}
+
 // Idle are terms that have been over for long, in the order of names, and forgets what is known of duties that nobody
 // holds or asks for.
 func (t *Terms) Idle(now time.Duration) (idle []list.Term) {
@@ -165,7 +172,7 @@
 	b = binary.AppendVarint(b, int64(d.Turn-x.Turn))
 	b = binary.AppendVarint(b, int64(1000*x.fitness))
 	put(x.end)
-	put(x.slot + Spacing - Soonest)
+	put(x.slot)
 	put(t.quiet)
 	if now < max(x.wishedAt+WishLasts, x.keep) {
 		b = binary.AppendVarint(append(b, x.wish...), int64(1000*x.best))
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/breaker"
 	"mosslead/internal/peer"
 	"mosslead/internal/peer/api"
 	"mosslead/internal/ring"
@@ -28,7 +29,8 @@
 	Seeds     []string `json:"seeds"`
 	Zone      string   `json:"zone"` // absent: that of the settings
 	Service   string   `json:"service"`
-	Forward   string   `json:"forward"`
+	Forward   string   `json:"forward"`           // host:port that takes forwarded requests; absent: nothing is forwarded
+	ForwardAs string   `json:"forward_advertise"` // at which the others reach it; absent: forward
 }
 
 // sharing is what a sidecar does with others: a thread for each part, each owner of its state, joined to the loop by rings.
@@ -42,6 +44,7 @@
 	reports  *ring.Ring[string, word]             // from the loop
 	verdicts *ring.Ring[string, balancer.Hearsay] // to the loop
 	duties   *duties                              // nil: no list service is configured, nothing is held
+	asked    chan chan []breaker.Verdict          // by the door, of the thread of breakers
 	parts    sync.WaitGroup
 	ctx      context.Context // of the parts
 	stop     context.CancelFunc
@@ -49,9 +52,9 @@
 
 // share begins to take part. An error says what of the configuration can't be used.
 func share(c *Config, dir *directory, clk clock, version string) (*sharing, error) {
-	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
+	s := &sharing{dir: dir, clock: clk, asked: make(chan chan []breaker.Verdict), reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
 		self: api.Member{Name: c.Name, Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()},
-			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
+			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: cmp.Or(c.Peers.ForwardAs, c.Peers.Forward)}}
 	var err error
 	if c.Peers.Forward != "" {
 		if s.forwards, err = newForwards(c, clk); err != nil {
@@ -73,7 +76,11 @@
 	if s.duties != nil {
 		s.parts.Go(func() { s.duties.run(s.ctx) })
 	}
-	s.parts.Go(func() { s.runBreakers(s.ctx) })
+	var held trialDuties // not a nil *duties, which would be one that is never held
+	if s.duties != nil {
+		held = s.duties
+	}
+	s.parts.Go(func() { newBreakers(s, held).run(s.ctx) })
 	return s, nil
 }
 
@@ -131,11 +138,3 @@
 		s.duties.yield()
 	}
 }
-
-// lines are what operators see of it.
-func (s *sharing) lines() string {
-	if s == nil {
-		return ""
-	}
-	return s.duties.lines()
-}
