lab: work that sidecars forward goes over links, and steps of one site's load

A forwarded request is seen on its way, by the link between the two sidecars, and at upstreams by the link that brought the attempt; no sidecar's own count is asked. The verdicts two-hops, two-carriers and forward-budget judge by that. What goes to peers leaves from the address at which this sidecar takes forwarded work (forward_advertise: what others are told), so that links, like anything that stands between sidecars, know who sends. Not taken: a header with the sender's name, which the sender could get wrong.

--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -19,6 +19,8 @@
 	agentPort           = 8500
 	peerPort            = 7946 // where a sidecar takes part among the others
 	peerLinkPort        = 7947 // and where the others reach it
+	forwardPort         = 7948 // where a sidecar takes what others forward
+	forwardLinkPort     = 7949 // and where the others reach it
 	upstreamPort        = 9000
 	windowPorts         = 8600 // and up, one for each replica
 	replicaAPIPort      = 7600
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -129,6 +129,7 @@
 	At    Duration `toml:"at"`
 	For   Duration `toml:"for"`
 	Times float64  `toml:"times"`
+	Zone  string   `toml:"zone"` // of the sidecars whose clients ask more; absent: all
 }
 
 // Class is a kind of request.
@@ -194,6 +195,7 @@
 	Breaks   string `toml:"breaks"`   // the rule that a naive sidecar breaks
 	State    bool   `toml:"state"`    // sidecars have a directory that outlives them
 	Share    bool   `toml:"share"`    // sidecars share what they know with each other
+	Forward  bool   `toml:"forward"`  // and forward work to each other; goes with share
 	Known    string `toml:"known"`    // the list in the configuration of a restarted sidecar: "latest" (absent) or "none"
 	Registry int    `toml:"registry"` // replicas of the list service that sidecars ask; absent: the stand-in for discovery
 	// ServiceRevision is what the first replica is built from; absent: this program, as the others.
@@ -357,6 +359,11 @@
 	if (e.Load.Rate > 0) == (e.Load.Share > 0) {
 		return errors.New("load: one of rate and share is wanted, above 0")
 	}
+	for i, s := range e.Load.Steps {
+		if s.Zone != "" && !slices.Contains(e.Fleet.Zones, s.Zone) {
+			return fmt.Errorf("load.step %d: zone: there is no zone %q", i+1, s.Zone)
+		}
+	}
 	names := map[string]bool{}
 	for _, v := range e.Variants {
 		if v.Name == "" || names[v.Name] {
@@ -366,6 +373,9 @@
 		if v.Breaks != "" && v.Program != "naive" {
 			return fmt.Errorf("variant %s: breaks goes with program = \"naive\"", v.Name)
 		}
+		if v.Forward && !v.Share {
+			return fmt.Errorf("variant %s: forward goes with share", v.Name)
+		}
 		if v.Registry < 0 || v.Registry > 7 {
 			return fmt.Errorf("variant %s: registry: %d is not from 0 to 7 replicas", v.Name, v.Registry)
 		}
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -40,6 +40,9 @@
 type Step struct {
 	At, For time.Duration
 	Times   float64
+	Of      []int // the sidecars whose clients ask more; empty: all
+
+	all float64 // times the whole rate, see weighed
 }
 
 // Spec is the traffic of a play.
@@ -95,15 +98,60 @@
 // Draw draws the arrivals for so many sidecars. The same seed and spec give the same plan.
 func Draw(spec Spec, sidecars int, seed uint64) Plan {
 	when := rand.New(rand.NewPCG(seed, arrivalStream))
-	who := newChoice(streams(sidecars, spec.StreamCV, seed))
+	weights := streams(sidecars, spec.StreamCV, seed)
+	who := newChoice(weights)
+	spec = spec.weighed(weights)
 	d := newDrawer(spec, rand.New(rand.NewPCG(seed, detailStream)), rand.New(rand.NewPCG(seed, idStream)))
 	p := Plan{Spec: spec}
 	for _, at := range arrivals(spec, when) {
-		p.Arrivals = append(p.Arrivals, d.draw(at, who.draw(d.what)))
+		from := who
+		if w := spec.leaning(weights, at); w != nil {
+			from = newChoice(w)
+		}
+		p.Arrivals = append(p.Arrivals, d.draw(at, from.draw(d.what)))
 	}
 	return p
 }
 
+// weighed puts into each step that is of some sidecars' clients how many times the rate of all becomes.
+func (s Spec) weighed(weights []float64) Spec {
+	s.Steps = slices.Clone(s.Steps)
+	all := 0.0
+	for _, w := range weights {
+		all += w
+	}
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		step.all = step.Times
+		if len(step.Of) > 0 {
+			step.all = 1
+			for _, n := range step.Of {
+				step.all += (step.Times - 1) * weights[n] / all
+			}
+		}
+	}
+	return s
+}
+
+// leaning are the clients' weights at a time at which some sidecars' ask more; nil: they are as ever.
+func (s Spec) leaning(weights []float64, at time.Duration) (w []float64) {
+	for _, step := range s.Steps {
+		if len(step.Of) == 0 || !step.on(at) {
+			continue
+		}
+		if w == nil {
+			w = slices.Clone(weights)
+		}
+		for _, n := range step.Of {
+			w[n] *= step.Times
+		}
+	}
+	return w
+}
+
+// on tells whether the step is under way.
+func (s Step) on(at time.Duration) bool { return at >= s.At && at < s.At+s.For }
+
 // drawer draws what arrivals are like.
 type drawer struct {
 	spec                   Spec
@@ -142,7 +190,7 @@
 func arrivals(spec Spec, rng *rand.Rand) (at []time.Duration) {
 	most := spec.Rate * (1 + spec.Swing)
 	for _, s := range spec.Steps {
-		most *= max(1, s.Times)
+		most *= max(1, s.all)
 	}
 	if most <= 0 {
 		return nil
@@ -164,8 +212,8 @@
 			rate *= 1 - spec.Swing
 		}
 		for _, s := range spec.Steps {
-			if t >= s.At && t < s.At+s.For {
-				rate *= s.Times
+			if s.on(t) {
+				rate *= s.all
 			}
 		}
 		if rng.Float64()*most < rate {
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,11 +26,14 @@
 	if err != nil {
 		return err
 	}
+	if err := p.addForwards(s); err != nil {
+		return err
+	}
 	s.peers = map[string]*overlay[relay.State]{}
 	for _, o := range p.sidecars {
 		base := p.peerLink(s.zone, o.zone)
-		s.peers[o.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(s.name, o.name, state)) })
-		o.peers[s.name] = newOverlay(base, func(state relay.State) { p.note(p.mesh.Set(o.name, s.name, state)) })
+		s.peers[o.name] = p.newPeerLink(s.name, o.name, base)
+		o.peers[s.name] = p.newPeerLink(o.name, s.name, base)
 		s.peers[o.name].apply()
 		o.peers[s.name].apply()
 	}
@@ -38,7 +42,9 @@
 
 // peers words what a sidecar is told of the others. Each knows its own address, and the others by their links.
 func (p *play) peers(s *sidecar) map[string]any {
-	return map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": p.seeds(), "zone": s.zone}
+	c := map[string]any{"address": p.block.sidecar(s.number, peerPort), "advertise": p.block.sidecar(s.number, peerLinkPort), "seeds": p.seeds(), "zone": s.zone}
+	maps.Copy(c, p.forwardKeys(s))
+	return c
 }
 
 // seeds are the addresses of those that the others join by: one of each zone.
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -54,6 +54,7 @@
 	discovery *standin.Discovery
 	service   *service    // nil: sidecars ask the stand-in
 	mesh      *relay.Mesh // between sidecars; nil: they share nothing
+	forwards  *relay.Mesh // for what they forward; nil: they forward nothing
 	clients   *load.Clients
 	spec      load.Spec  // of their traffic
 	mu        sync.Mutex // guards what follows, and each sidecar's links
@@ -93,6 +94,9 @@
 	if v.Share {
 		p.mesh = relay.NewMesh()
 	}
+	if v.Forward {
+		p.forwards = p.newForwards()
+	}
 	defer func() { // whatever happened: nothing of the play is left
 		stop()
 		p.close()
@@ -222,7 +226,7 @@
 	s := load.Spec{Length: e.Length.Duration, Rate: l.Rate, Bursty: l.Shape == "bursty", Swing: l.Swing, StreamCV: l.StreamCV,
 		Keys: l.Keys, KeyZipf: l.KeyZipf, TryShare: l.TryShare, Retries: l.Retries, Backoff: l.Backoff.Duration, Impatient: l.Impatient}
 	for _, step := range l.Steps {
-		s.Steps = append(s.Steps, load.Step{At: step.At.Duration, For: step.For.Duration, Times: step.Times})
+		s.Steps = append(s.Steps, load.Step{At: step.At.Duration, For: step.For.Duration, Times: step.Times, Of: inZone(e, step.Zone)})
 	}
 	work, shares := 0.0, 0.0
 	for _, c := range e.Classes {
@@ -305,6 +309,9 @@
 	if p.mesh != nil {
 		p.mesh.Close()
 	}
+	if p.forwards != nil {
+		p.forwards.Close()
+	}
 	for _, u := range p.upstreams {
 		u.Close()
 	}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -85,7 +85,7 @@
 // Attempt is one request as an upstream received it.
 type Attempt struct {
 	Request  string // its id
-	Sidecar  string // whose link brought it
+	Sidecar  string // whose link brought it: the one that the client asked, or a peer that this one forwarded it to
 	Upstream string
 	First    time.Duration // its first byte
 	Begun    time.Duration // its last byte
@@ -109,6 +109,12 @@
 	return over
 }
 
+// Hop is a request that one sidecar sent to another, as it was seen on the way.
+type Hop struct {
+	At                time.Duration
+	Request, From, To string
+}
+
 // Told is news of one upstream that reached a sidecar, or a ban that it confirmed.
 type Told struct {
 	At                time.Duration
@@ -222,6 +228,7 @@
 	Requests []*Request
 	Attempts []*Attempt
 	Cuts     []Cut
+	Hops     []Hop
 	Told     []Told
 	Listed   []Listed
 	Said     []Said
@@ -275,6 +282,9 @@
 // Cut takes in a connection's end under a request.
 func (r *Record) Cut(c Cut) { r.mu.Lock(); r.Cuts = append(r.Cuts, c); r.mu.Unlock() }
 
+// Hop takes in a forwarded request.
+func (r *Record) Hop(h Hop) { r.mu.Lock(); r.Hops = append(r.Hops, h); r.mu.Unlock() }
+
 // Tell takes in news.
 func (r *Record) Tell(t Told) { r.mu.Lock(); r.Told = append(r.Told, t); r.mu.Unlock() }
 
--- a/internal/lab/relay/mesh.go
+++ b/internal/lab/relay/mesh.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	hubs  map[string]*hub // by party
 	party map[string]string
 	ways  map[[2]string]*way // from and to
+	heard func(from, to string, r *http.Request)
 }
 
 // hub is where all others reach one party: one socket for datagrams and one listener, whatever the number of the others.
@@ -82,7 +84,7 @@
 				to = m.hubs[other].target.String()
 			}
 			m.ways[of] = &way{rng: rand.New(rand.NewPCG(seed, uint64(len(m.ways)))),
-				link: &Link{From: of[0], To: of[1], target: to, onEnd: func(string) {}, changed: make(chan struct{}), conns: map[*pair]bool{}}}
+				link: &Link{From: of[0], To: of[1], target: to, heard: m.hear(of[0], of[1]), onEnd: func(string) {}, changed: make(chan struct{}), conns: map[*pair]bool{}}}
 		}
 	}
 	m.hubs[name], m.party[h.target.IP.String()] = h, name
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -45,6 +46,8 @@
 type Link struct {
 	From, To string
 	target   string
+	onBegin  func(dialled string) // a connection to the target is open; nothing has gone over it yet. nil: nobody wants to know
+	heard    func(*http.Request)  // of what the initiator sends; nil: nobody wants to know
 	onEnd    func(dialled string) // the initiator ended its sending, or the connection, seen even on a silent link
 
 	mu       sync.Mutex
@@ -267,6 +270,9 @@
 		p.abort()
 		return
 	}
+	if l.onBegin != nil {
+		l.onBegin(out.LocalAddr().String())
+	}
 	var ways sync.WaitGroup
 	ways.Add(2)
 	go func() { defer ways.Done(); l.pass(p, true) }()
@@ -290,14 +296,20 @@
 		from, to = p.out, p.in
 	}
 	pieces := make(chan piece, heldPieces)
+	var tee *tap
+	if forth && l.heard != nil {
+		tee = newTap(l.heard)
+	}
 	go func() { // ends with from, which the writer closes by its own end
 		defer close(pieces)
+		defer tee.close()
 		buf := make([]byte, pieceBytes)
 		for {
 			n, err := from.Read(buf)
 			if err != nil && forth {
 				l.onEnd(p.out.LocalAddr().String())
 			}
+			tee.write(buf[:n])
 			pieces <- piece{append([]byte(nil), buf[:n]...), time.Now(), err}
 			if err != nil {
 				return
--- a/internal/lab/report/figures.go
+++ b/internal/lab/report/figures.go
@@ -28,6 +28,11 @@
 	{"worst_2s", "least share of the worth earned in any 2 s"},
 	{"worst_class", "least share of the worth earned in any class"},
 	{"worst_tenant", "least share of the worth earned for any tenant"},
+	{"worst_sidecar", "least share of the worth earned for the clients of any sidecar"},
+	{"worst_zone", "the same of any zone's sidecars"},
+	{"forwarded", "share of tries that a sidecar forwarded to another"},
+	{"forwarded_begun", "of them, those that the other one began"},
+	{"forwarded_served", "of them, those that were served, there or at home"},
 	{"attempts", "attempts for each try of a client"},
 	{"turned_away", "share of attempts that upstreams turned away"},
 	{"cross", "share of attempts that crossed zones"},
@@ -82,6 +87,8 @@
 	f.outcomes(some)
 	f.attempts(o.Record, some)
 	f.harm(some)
+	f.shares(o.Record, some)
+	f.forwards(o.Record, some)
 	f["worst_2s"] = worst(some, from, to)
 	if whole {
 		f.restarts(o, all)
--- a/internal/lab/standin/upstream.go
+++ b/internal/lab/standin/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -48,9 +49,10 @@
 	trouble  Trouble
 	waiting  map[string]chan model.Done // by job
 	jobs     int
-	failable int              // jobs of the class that fails
-	conns    map[string]*conn // by the address of the other end
-	listener net.Listener     // nil: the process is down
+	failable int               // jobs of the class that fails
+	conns    map[string]*conn  // by the address of the other end
+	from     map[string]string // the sidecars whose links opened them, by the same
+	listener net.Listener      // nil: the process is down
 	cold     *record.ColdStart
 	down     chan struct{} // closed when the process dies
 	done     sync.WaitGroup
@@ -68,7 +70,7 @@
 // NewUpstream is an upstream that is to listen at an address; Start brings it up. onFall is called, on a goroutine of
 // its own, when it is pushed over.
 func NewUpstream(name, listen string, spec model.Spec, rec *record.Record, onFall func()) *Upstream {
-	return &Upstream{Name: name, Spec: spec, rec: rec, listen: listen, onFall: onFall, conns: map[string]*conn{}}
+	return &Upstream{Name: name, Spec: spec, rec: rec, listen: listen, onFall: onFall, conns: map[string]*conn{}, from: map[string]string{}}
 }
 
 // Start begins a process: a cold one, or one that has run for long.
@@ -175,6 +177,13 @@
 	return u.m.Little()
 }
 
+// Began takes note of whose link opened a connection, before anything goes over it.
+func (u *Upstream) Began(address, sidecar string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.from[address] = sidecar
+}
+
 // Ended takes note that the other side of a connection has ended it, or its sending.
 func (u *Upstream) Ended(address string) {
 	now := u.rec.Now()
@@ -282,6 +291,7 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		delete(u.conns, c.RemoteAddr().String())
+		delete(u.from, c.RemoteAddr().String())
 		if c.accepted && u.down == down && u.listener != nil {
 			u.advance()
 			u.m.Connected(-1)
@@ -311,7 +321,7 @@
 		u.end(a, record.Unknown, 400)
 		return say(c, 400, false, "no client sent this\n")
 	}
-	a.Sidecar, a.Work = q.Sidecar, q.Work
+	a.Sidecar, a.Work = cmp.Or(u.sender(c), q.Sidecar), q.Work
 	done, offer, fails := u.offer(c, a, q)
 	if offer != model.Taken {
 		u.end(a, record.TurnedAway, 503)
@@ -340,6 +350,13 @@
 	}
 }
 
+// sender is the sidecar whose link brought a connection; empty: it came without one.
+func (u *Upstream) sender(c *conn) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.from[c.RemoteAddr().String()]
+}
+
 // end notes an attempt's end, at which it is no longer out: before the answer's first byte, so that what the sidecar
 // does upon that answer never seems to come before it.
 func (u *Upstream) end(a *record.Attempt, how record.How, status int) {
--- a/internal/lab/upstreams.go
+++ b/internal/lab/upstreams.go
@@ -102,6 +102,7 @@
 	if err != nil {
 		return err
 	}
+	l.OnBegin(func(dialled string) { u.Began(dialled, s.name) })
 	o := newOverlay(base, func(state relay.State) { p.note(l.Set(state)) })
 	o.apply()
 	s.links[u.Name] = &link{l, o}
--- a/internal/lab/verdict/verdict.go
+++ b/internal/lab/verdict/verdict.go
@@ -14,17 +14,19 @@
 
 // Rules are the figures of the rules.
 type Rules struct {
-	DrainGrace  time.Duration // from the news on
-	Slack       time.Duration // more on every limit: real sockets
-	MaxAttempts int
-	TermGrace   time.Duration // what comes later than this after SIGTERM and SIGKILL finds is lost; what comes before is not
-	Crossing    time.Duration // a close later than this after a request was sent did not cross it
+	DrainGrace   time.Duration // from the news on
+	Slack        time.Duration // more on every limit: real sockets
+	MaxAttempts  int
+	TermGrace    time.Duration // what comes later than this after SIGTERM and SIGKILL finds is lost; what comes before is not
+	ForwardPart  float64       // of the requests that a sidecar takes, so many may be forwarded,
+	ForwardBurst float64       // and so many at once
+	Crossing     time.Duration // a close later than this after a request was sent did not cross it
 }
 
 // Standard are the rules of the protocol page.
 func Standard() Rules {
 	return Rules{DrainGrace: 3 * time.Second, Slack: 50 * time.Millisecond, MaxAttempts: 6, TermGrace: 700 * time.Millisecond,
-		Crossing: 50 * time.Millisecond}
+		Crossing: 50 * time.Millisecond, ForwardPart: 0.2, ForwardBurst: 20}
 }
 
 // Violation is one breach, with what shows it.
@@ -56,6 +58,9 @@
 	{"drain", "work went to a draining or gone upstream after the grace", func(a *account) []Violation { return late(a, record.List, "drain") }},
 	{"ban", "work went to a banned upstream after the grace", func(a *account) []Violation { return late(a, record.Operator, "ban") }},
 	{"cold", "a cold upstream was sent more than its budget", cold},
+	{"two-hops", "a request was forwarded again, or by who did not take it", twoHops},
+	{"two-carriers", "attempts of one request came from two sidecars", twoCarriers},
+	{"forward-budget", "a sidecar forwarded more than its budget", forwardBudget},
 	{"attempts", "more attempts were made than a request may have", attempts},
 	{"limits", "a process held more descriptors or memory than it may", limits},
 	{"crash", "a process ended by itself", func(a *account) []Violation { return append(crash(a), reported("crash")(a)...) }},
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -169,6 +169,14 @@
 			return fmt.Errorf("forward: %w", err)
 		}
 	}
+	if p.ForwardAs != "" {
+		if p.Forward == "" {
+			return errors.New("forward_advertise: goes with forward")
+		}
+		if err := checkAddress(p.ForwardAs); err != nil {
+			return fmt.Errorf("forward_advertise: %w", err)
+		}
+	}
 	if p.Service != "" {
 		for one := range strings.SplitSeq(p.Service, ",") {
 			if err := checkAddress(one); err != nil {
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -50,6 +50,7 @@
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
 	f := &forwards{out: newUpstreams(c, clk, forwardOut), in: in, decide: spill.NewDecider(c.Peers.site(c), c.Seed), price: c.Settings.PriceCrossZone}
+	f.out.dial = c.dial.from(c.Peers.Forward)
 	f.ctx, f.abort = context.WithCancel(context.Background())
 	return f, nil
 }
--- a/internal/sidecar/share.go
+++ b/internal/sidecar/share.go
@@ -28,7 +28,8 @@
 	Seeds     []string `json:"seeds"`
 	Zone      string   `json:"zone"` // absent: that of the settings
 	Service   string   `json:"service"`
-	Forward   string   `json:"forward"`
+	Forward   string   `json:"forward"`           // host:port that takes forwarded requests; absent: nothing is forwarded
+	ForwardAs string   `json:"forward_advertise"` // at which the others reach it; absent: forward
 }
 
 // sharing is what a sidecar does with others: a thread for each part, each owner of its state, joined to the loop by rings.
@@ -51,7 +52,7 @@
 func share(c *Config, dir *directory, clk clock, version string) (*sharing, error) {
 	s := &sharing{dir: dir, clock: clk, reports: ring.New[string, word](reportsMost), verdicts: ring.New[string, balancer.Hearsay](verdictMost),
 		self: api.Member{Name: c.Name, Incarnation: api.Incarnation{StartedMs: time.Now().UnixMilli(), ID: rand.Uint64()},
-			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: c.Peers.Forward}}
+			Site: c.Peers.site(c), Version: version, Schema: api.Schema, Forward: cmp.Or(c.Peers.ForwardAs, c.Peers.Forward)}}
 	var err error
 	if c.Peers.Forward != "" {
 		if s.forwards, err = newForwards(c, clk); err != nil {
