sidecar: a request that is with a peer is in hand, and a peer that did not serve is left alone until it is heard anew

The loop tells a second request of an id only from those that it has itself: one of an id that was with a peer began at home, two attempts at once. Ids of what is in hand here or with a peer are now kept where forwarding is configured. A peer that refused or broke off was chosen again by what it had said before; it now counts as full until it says anything. Both tests fail without the change.

--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -40,7 +40,8 @@
 	mu     sync.Mutex
 	decide *spill.Decider
 	gauge  spill.Gauge
-	price  float64 // of a crossing, as a share of a request's worth
+	inHand map[string]bool // ids, here or with a peer
+	price  float64         // of a crossing, as a share of a request's worth
 }
 
 // newForwards listens for peers, where they are to send.
@@ -49,7 +50,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
-	f := &forwards{out: newUpstreams(c, clk, forwardOut), in: in, decide: spill.NewDecider(c.Peers.site(c), c.Seed), price: c.Settings.PriceCrossZone}
+	f := &forwards{out: newUpstreams(c, clk, forwardOut), in: in, decide: spill.NewDecider(c.Peers.site(c), c.Seed), price: c.Settings.PriceCrossZone,
+		inHand: map[string]bool{}}
 	f.out.dial = c.dial.from(c.Peers.Forward)
 	f.ctx, f.abort = context.WithCancel(context.Background())
 	return f, nil
@@ -105,9 +107,10 @@
 	if choice != spill.Forward {
 		return a, false
 	}
+	client := ctx
 	defer func() {
 		f.mu.Lock()
-		f.decide.Over(to)
+		f.decide.Over(to, done && a.kind == served || client.Err() != nil) // a client that left says nothing of the peer
 		f.mu.Unlock()
 	}()
 	f.sent.Add(1)
@@ -129,6 +132,30 @@
 	return answer{kind: failed, reply: reply{use: rep.use, err: rep.err, result: rep.result}}, true
 }
 
+// claim takes a request in hand, by its id; false: one of that id is in hand, here or with a peer. The loop tells only of those
+// that it has.
+func (f *forwards) claim(id string) bool {
+	if f == nil {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.inHand[id] {
+		return false
+	}
+	f.inHand[id] = true
+	return true
+}
+
+// release ends what claim began.
+func (f *forwards) release(id string) {
+	if f != nil {
+		f.mu.Lock()
+		delete(f.inHand, id)
+		f.mu.Unlock()
+	}
+}
+
 // roster says which peers there are.
 func (f *forwards) roster(members []api.Member, self string) {
 	list := &listing{Index: new(int64), Snapshot: true}
--- a/internal/sidecar/forward_test.go
+++ b/internal/sidecar/forward_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mosslead/balancer"
 	"mosslead/internal/peer/api"
 	"mosslead/internal/spill"
 )
@@ -105,6 +106,47 @@
 	}
 }
 
+// A second request of an id that is with a peer is told so, and begins nowhere; one that comes after its end is another.
+func TestAnIDThatIsWithAPeerIsInHand(t *testing.T) {
+	held := make(chan struct{})
+	peer := newUpstream(t, func(c net.Conn, g got) bool { <-held; return says(ok200("peer"))(c, g) })
+	f, clk := pressedBeside(t, peer.address)
+	s := &server{clock: clk, bad: newLines(badLines), stats: newStats(), budget: f.out.budget, forwards: f, post: func(any) bool {
+		t.Error("begun at home")
+		return false
+	}}
+	s.classes.Store(&map[string]balancer.Class{"confirm": {Effect: balancer.Unsafe, Deadline: patience}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := newClientConns(l, 4)
+	srv := &http.Server{Handler: s, ConnState: conns.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}}
+	go func() { _ = srv.Serve(conns) }() // until Close
+	t.Cleanup(func() { srv.Close() })
+	r := &running{address: l.Addr().String(), client: &http.Client{Timeout: patience, Transport: &http.Transport{}}}
+	t.Cleanup(r.client.CloseIdleConnections)
+	same := func() *http.Request {
+		req := request(t, r.address, "confirm", "x")
+		req.Header.Set("X-Request-ID", "the same")
+		return req
+	}
+	first := r.later(same())
+	eventually(t, "it is with the peer", func() bool { return len(peer.requests()) == 1 })
+	if resp, body := r.do(t, same()); resp.StatusCode != http.StatusConflict {
+		t.Errorf("the second: %d %s", resp.StatusCode, body)
+	}
+	close(held)
+	if got := <-first; got != "200 peer" {
+		t.Errorf("the first: %s", got)
+	}
+	if resp, _ := r.do(t, same()); resp.StatusCode != 200 || len(peer.requests()) != 2 {
+		t.Errorf("afterwards: %d, the peer got it %d times", resp.StatusCode, len(peer.requests()))
+	}
+}
+
 // freeAddress is an address that nobody listened at a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -121,7 +121,12 @@
 	} else {
 		begin()
 	}
-	if a, done := s.forwards.try(r.Context(), s.clock.now(), req); done {
+	a, done := answer{kind: duplicate}, true
+	if s.forwards.claim(req.id) {
+		defer s.forwards.release(req.id)
+		a, done = s.forwards.try(r.Context(), s.clock.now(), req)
+	}
+	if done {
 		defer a.reply.drop()
 		if how = a.kind; r.Context().Err() != nil {
 			how = left
@@ -132,6 +137,10 @@
 				return []slog.Attr{slog.String("request", cut(req.id)), slog.String("class", req.class), slog.Any("forwarded", a.reply.err)}
 			})
 		}
+		if req.body.open() {
+			s.early(w, req, a)
+			return
+		}
 		if err := s.finish(w, a); err != nil {
 			how = failed
 			panic(http.ErrAbortHandler)
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -170,10 +170,16 @@
 	return names
 }
 
-// Over ends a forwarded request.
-func (d *Decider) Over(name string) {
-	if p := d.peers[name]; p != nil && p.out > 0 {
-		p.out--
+// Over ends a forwarded request. A peer that did not serve it, since it refused or broke off, counts as full until it is heard
+// anew: it knows better than what was heard of it before, or is not there any more.
+func (d *Decider) Over(name string, served bool) {
+	p := d.peers[name]
+	if p == nil {
+		return
+	}
+	p.out = max(0, p.out-1)
+	if !served {
+		p.pressure = 1
 	}
 }
 
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// A peer that refused or broke off gets nothing until it is heard anew.
+func TestAPeerThatDidNotServeIsLeftAlone(t *testing.T) {
+	d, g := NewDecider("a", 1), pressed(api.Pressure{Site: 1})
+	fleet(d, 0, map[string]float64{"b1": 0.1})
+	for _, served := range []bool{true, false} {
+		if choice, _ := d.Choose(0, g, Request{Left: second}); choice != Forward {
+			t.Fatal("kept")
+		}
+		d.Over("b1", served)
+	}
+	if choice, _ := d.Choose(0, g, Request{Left: second}); choice == Forward {
+		t.Error("sent again to one that had just refused")
+	}
+	d.Heard(second, "b1", 0.1)
+	if choice, _ := d.Choose(second, g, Request{Left: second}); choice != Forward {
+		t.Error("left alone for good")
+	}
+}
+
 // However long the trouble lasts, no more than the stated part is forwarded, and what is out at a peer weighs.
 func TestForwardingHasABudgetAndSpreads(t *testing.T) {
 	d, g := NewDecider("a", 1), pressed(api.Pressure{Site: 1})
