--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -184,8 +185,14 @@
 	f.in.Close()
 }
 
-// figures words what was forwarded, for operators.
+// figures words the pressure and what was forwarded, for operators.
 func (f *forwards) figures() []slog.Attr {
-	return []slog.Attr{slog.Int64("forwarded", f.sent.Load()), slog.Int64("came_home", f.home.Load()),
+	f.mu.Lock()
+	at, hot := f.gauge.Now(), f.gauge.Hot()
+	f.mu.Unlock()
+	part := func(name string, x float64) slog.Attr { return slog.Float64(name, math.Round(x*100)/100) }
+	return []slog.Attr{slog.Group("pressure", slog.Bool("hot", hot), part("cpu", at.CPU), part("sockets", at.Sockets), part("heap", at.Heap),
+		part("in_hand", at.InHand), part("site", at.Site)),
+		slog.Int64("forwarded", f.sent.Load()), slog.Int64("came_home", f.home.Load()),
 		slog.Int64("taken_from_peers", f.taken.Load()), slog.Int64("refused_to_peers", f.turned.Load())}
 }
