--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -6,6 +6,7 @@
 	"math"
 	"runtime/debug"
 	"runtime/metrics"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,7 @@
 	heard := s.carrier.Heard(api.Load)
 	asked := s.carrier.Heard(api.Ask)
 	var due time.Time
+	var before []api.Member
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,7 +78,10 @@
 			if s.carrier.Fenced() {
 				present = nil
 			}
-			s.forwards.roster(present, s.self.Name)
+			if !slices.Equal(present, before) {
+				s.forwards.roster(present, s.self.Name)
+				before = present
+			}
 			s.forwards.mu.Lock()
 			s.forwards.gauge.Add(s.clock.now(), p.sample(late))
 			hot := s.forwards.gauge.Hot()
