--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -51,7 +51,6 @@
 		}
 		c["service"] = strings.Join(at, ",")
 	}
-
 	maps.Copy(c, p.forwardKeys(s))
 	return c
 }
