--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -111,6 +111,7 @@
 		Class     string
 		Open      bool
 		Members   int
+		Count     int
 		ForMs     int64 `json:"for_ms"`
 		Why       string
 	}
@@ -127,6 +128,6 @@
 	if !heard {
 		return record.Said{}, false
 	}
-	return record.Said{At: rec.Since(l.Time), What: what, Upstream: l.Upstream, Class: l.Class, Open: l.Open, Members: l.Members,
+	return record.Said{At: rec.Since(l.Time), What: what, Upstream: l.Upstream, Class: l.Class, Open: l.Open, Members: l.Members, Suspected: l.Msg == "report" && l.Count == 1,
 		For: time.Duration(l.ForMs) * time.Millisecond, Why: l.Why}, true
 }
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -139,6 +139,7 @@
 	What                     SaidKind
 	Sidecar, Upstream, Class string
 	Open                     bool
+	Suspected                bool          // own evidence of one failure only: no breaker yet
 	For                      time.Duration // a verdict's: no longer; 0: until taken back
 	Members                  int           // present, itself too
 	Why                      string
--- a/internal/lab/report/sharing.go
+++ b/internal/lab/report/sharing.go
@@ -76,7 +76,7 @@
 func knowing(rec *record.Record, upstream string, b record.Band) (first time.Duration, knew []time.Duration) {
 	known := map[string]bool{}
 	for _, s := range rec.Said { // in time
-		if s.Upstream != upstream || !s.Open || s.At < b.From || s.At > b.To || s.What == record.Present || first == 0 && s.What != record.Evidence || known[s.Sidecar] {
+		if s.Upstream != upstream || !s.Open || s.At < b.From || s.At > b.To || s.What == record.Present || first == 0 && s.What != record.Evidence || s.Suspected || known[s.Sidecar] {
 			continue
 		}
 		if first == 0 {
@@ -118,7 +118,7 @@
 		if s.What == record.Evidence {
 			in = own
 		}
-		if s.What == record.Present || s.Class != "" {
+		if s.What == record.Present || s.Suspected || s.Class != "" {
 			continue
 		}
 		key := [2]string{s.Sidecar, s.Upstream}
--- a/internal/lab/report/sharing_test.go
+++ b/internal/lab/report/sharing_test.go
@@ -32,6 +32,8 @@
 func TestKnowing(t *testing.T) {
 	o := shared()
 	say(o, time.Second, record.Evidence, 3, "u0", true) // before the fault
+	say(o, 5500*time.Millisecond, record.Evidence, 9, "u0", true)
+	o.Record.Said[1].Suspected = true // no breaker yet
 	say(o, 6*time.Second, record.Evidence, 0, "u0", true)
 	for i := 1; i < 18; i++ {
 		say(o, 6500*time.Millisecond, record.Verdict, i, "u0", true)
--- a/internal/sidecar/breakers.go
+++ b/internal/sidecar/breakers.go
@@ -165,7 +165,7 @@
 	key := r.Upstream + " " + r.Class
 	r.Round = p.board.Round(r.Upstream)
 	note(slog.LevelInfo, ofPeers, "report", slog.String("upstream", r.Upstream), slog.String("class", r.Class),
-		slog.Bool("open", r.State != api.Closed), slog.Int("evidence", int(r.Evidence)))
+		slog.Bool("open", r.State != api.Closed), slog.Int("evidence", int(r.Evidence)), slog.Int("count", r.Count))
 	switch {
 	case r.State != api.Closed && r.Doubt == 0:
 		p.own[key] = r
