--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -174,18 +174,22 @@
 	p.rec.Change(func() { paused.End = p.rec.Now() })
 }
 
-// starve leaves a sidecar's process a tenth of each 10 ms.
+// starve leaves a sidecar's process a tenth of the time: 1 ms in 10. Where this process itself wakes late, and so feeds the other
+// for longer, the next stop is longer by as much.
 func (p *play) starve(s *sidecar, for_ time.Duration) {
 	starved := &record.Life{Party: s.name, Paused: true, Start: p.rec.Now()}
 	p.rec.Life(starved)
 	defer p.rec.Change(func() { starved.End = p.rec.Now() })
+	stop := starvedFor
 	for until := starved.Start + for_; p.rec.Now() < until; {
 		p.signal(s, syscall.SIGSTOP)
-		fed := p.sleep(starvedFor)
+		going := p.sleep(stop)
+		from := p.rec.Now()
 		p.signal(s, syscall.SIGCONT)
-		if !fed || !p.sleep(fedFor) {
+		if !going || !p.sleep(fedFor) {
 			return
 		}
+		stop = (p.rec.Now() - from) * starvedFor / fedFor
 	}
 }
 
