--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -217,3 +217,22 @@
 		t.Errorf("%d requests, the first %v", len(rec.Requests), rec.Requests[0].End)
 	}
 }
+
+// A step of some sidecars' clients leaves what the others ask as it was.
+func TestAStepOfOneSite(t *testing.T) {
+	spec := testSpec()
+	spec.StreamCV, spec.Steps = 0, []Step{{At: 40 * time.Second, For: 40 * time.Second, Times: 3, Of: []int{1}}}
+	before, in := make([]float64, 4), make([]float64, 4)
+	for _, a := range Draw(spec, 4, 1).Arrivals {
+		if a.At < 40*time.Second {
+			before[a.Sidecar]++
+		} else {
+			in[a.Sidecar]++
+		}
+	}
+	for i, want := range []float64{1, 3, 1, 1} {
+		if got := in[i] / before[i]; math.Abs(got-want) > 0.1*want {
+			t.Errorf("sidecar %d: %.2f times as many, want %v", i, got, want)
+		}
+	}
+}
