--- a/internal/duty/transcript_test.go
+++ b/internal/duty/transcript_test.go
@@ -141,7 +141,7 @@
 		t.Run(a.name, func(t *testing.T) {
 			text := ""
 			synctest.Test(t, func(t *testing.T) {
-				p := &play{T: t, service: memory.New()}
+				p := &play{T: t, service: memory.New(nil)}
 				p.target.Record = &p.record
 				p.record.Begin()
 				a.script(p)
