sidecar: a test of SIGTERM takes its addresses in turn and tells what the process said

Cause: TestTermInTheFirstMoments failed once in five whole runs (a reset before the first answer), and not in 18 runs of its own beside the same work; eight tests side by side asked for a free port each, which two can get. Whether that was it is not shown.

--- a/cmd/orchiddrift/term_test.go
+++ b/cmd/orchiddrift/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -19,11 +20,14 @@
 func TestTermInTheFirstMoments(t *testing.T) {
 	for _, after := range []time.Duration{0, time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
 		20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond} {
+		address := freeAddress(t) // one after another: side by side two could get the same
 		t.Run(after.String(), func(t *testing.T) {
 			t.Parallel()
-			address, path := freeAddress(t), filepath.Join(t.TempDir(), "config.json")
+			path := filepath.Join(t.TempDir(), "config.json")
 			writeConfig(t, path, address, "127.0.0.1:1", settings)
 			cmd := exec.Command(os.Args[0])
+			var said bytes.Buffer
+			cmd.Stderr = &said
 			cmd.Env = append(os.Environ(), "ORCHIDDRIFT_MAIN=1", "GW_CONFIG="+path)
 			if err := cmd.Start(); err != nil {
 				t.Fatal(err)
@@ -42,7 +46,7 @@
 				_, _ = io.WriteString(conn, "GET /search/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 1\r\nX-Timeout: 100m\r\n\r\n")
 				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				if err != nil {
-					t.Fatalf("after %d answers: %v", answers, err)
+					t.Fatalf("after %d answers: %v; it ended with %v and said %s", answers, err, cmd.Wait(), said.Bytes())
 				}
 				resp.Body.Close()
 				conn.Close()
