sidecar: candidates for duties say their pressure; two functions that nobody called go

Cause: a duty is handed to a better holder by its site and its pressure, and the pressure was never told: duties.press had no caller. Change: the thread of the pressure tells it with each sample. Carrier.Site and Decider.Present are taken out, unused since breakers have the roster. The tests of duties, forwarding and the carrier pass.

--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -214,13 +214,6 @@
 	return all
 }
 
-// Site is where a member stands; empty: it is not there.
-func (p *Carrier) Site(name string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.members[name].Site
-}
-
 // Dropped counts records that the parts did not take in time, and those left out for an owner's bound.
 func (p *Carrier) Dropped() (late, over uint64) {
 	p.mu.Lock()
--- a/internal/sidecar/pressure.go
+++ b/internal/sidecar/pressure.go
@@ -83,9 +83,10 @@
 				before = present
 			}
 			s.forwards.mu.Lock()
-			s.forwards.gauge.Add(s.clock.now(), p.sample(late))
+			pressed := s.forwards.gauge.Add(s.clock.now(), p.sample(late))
 			hot := s.forwards.gauge.Hot()
 			s.forwards.mu.Unlock()
+			s.duties.press(pressed.Total)
 			if hot {
 				s.ask()
 			}
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -196,6 +196,3 @@
 
 // served is the share of requests that are answered within their aim at a pressure: all up to the knee, none where it is full.
 func served(pressure float64) float64 { return 1 - max(0, pressure-knee)/(1-knee) }
-
-// Present counts the peers that take forwarded work.
-func (d *Decider) Present() int { return len(d.order) }
