peer: one queue of records; an advertised address is read before sockets are opened

The queue that told fewer was for digests, which nobody says since pressure is asked for: it never held anything. An advertise address that can't be read left the carrier's two sockets open. Otherwise as before; ./internal/peer with -race, lab/spread and the sidecar's tests of sharing pass.

--- a/internal/peer/carrier.go
+++ b/internal/peer/carrier.go
@@ -54,8 +54,7 @@
 // Carrier is one process among the members. Safe for concurrent use.
 type Carrier struct {
 	list   *memberlist.Memberlist
-	soon   *memberlist.TransmitLimitedQueue // what must be known soon
-	later  *memberlist.TransmitLimitedQueue // what the next one makes old: told to fewer
+	queue  *memberlist.TransmitLimitedQueue // records on their way
 	budget *rate.Limiter
 	heard  map[api.Kind]*ring.Ring[api.Key, api.Record] // fixed
 	start  time.Time
@@ -91,22 +90,23 @@
 	}
 	p := newCarrier(c)
 	conf := memberlist.DefaultLANConfig()
+	conf.AdvertisePort = int(number)
+	if c.Advertise != "" {
+		at, err := net.ResolveTCPAddr("tcp", c.Advertise)
+		if err != nil {
+			return nil, fmt.Errorf("advertise: %w", err)
+		}
+		conf.AdvertiseAddr, conf.AdvertisePort = at.IP.String(), at.Port
+	}
 	if c.Transport == nil {
 		if c.Transport, err = newTransport(host, int(number)); err != nil {
 			return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
 		}
 	}
 	conf.TCPTimeout = streamTimeout
-	conf.Name, conf.BindAddr, conf.BindPort, conf.AdvertisePort = c.Member.Name, host, int(number), int(number)
+	conf.Name, conf.BindAddr, conf.BindPort = c.Member.Name, host, int(number)
 	conf.Transport, conf.LogOutput, conf.GossipInterval = c.Transport, io.Discard, gossipEvery
 	conf.Delegate, conf.Events, conf.Conflict = (*delegate)(p), (*events)(p), (*conflict)(p)
-	if c.Advertise != "" {
-		at, err := net.ResolveTCPAddr("tcp", c.Advertise)
-		if err != nil {
-			return nil, fmt.Errorf("advertise: %w", err)
-		}
-		conf.AdvertiseAddr, conf.AdvertisePort = at.IP.String(), at.Port
-	}
 	if p.list, err = memberlist.Create(conf); err != nil {
 		_ = c.Transport.Shutdown() // what is wrong is said by err
 		return nil, fmt.Errorf("taking part at %s: %w", c.Address, err)
@@ -127,8 +127,7 @@
 	for _, kind := range []api.Kind{api.Breaker, api.Load, api.Digest, api.Incident, api.Trial, api.Ask} {
 		p.heard[kind] = ring.New[api.Key, api.Record](heardMost)
 	}
-	p.soon = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
-	p.later = &memberlist.TransmitLimitedQueue{RetransmitMult: 1, NumNodes: p.Present}
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: p.Present}
 	return p
 }
 
@@ -327,11 +326,7 @@
 
 // pass queues the record of a key for the others.
 func (p *Carrier) pass(key api.Key) {
-	queue := p.soon
-	if key.Kind == api.Digest {
-		queue = p.later
-	}
-	queue.QueueBroadcast(&broadcast{key: key, p: p})
+	p.queue.QueueBroadcast(&broadcast{key: key, p: p})
 }
 
 // aged is the record of a key as it is to be sent now, aged by the time that it has lain here; nil: it has lapsed.
--- a/internal/peer/delegates.go
+++ b/internal/peer/delegates.go
@@ -59,15 +59,11 @@
 	if limit <= 0 {
 		return nil
 	}
-	all := d.soon.GetBroadcasts(overhead, limit)
+	all := d.queue.GetBroadcasts(overhead, limit)
 	used := 0
 	for _, text := range all {
 		used += overhead + len(text)
 	}
-	for _, text := range d.later.GetBroadcasts(overhead, limit-used) {
-		used += overhead + len(text)
-		all = append(all, text)
-	}
 	d.budget.AllowN(now, used)
 	kept := all[:0]
 	for _, text := range all {
