sidecar: each address that tests of the program take has a host of its own

Cause: freeAddress let a port go that another test, process or connection could get before the sidecar listened: it then ended with 1, or another's answered and was reset (TestTermInTheFirstMoments, TestStateInAnUpgradeKilledAtAnyMoment, once each in whole runs; one of four copies side by side).

--- a/cmd/orchiddrift/main_test.go
+++ b/cmd/orchiddrift/main_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,10 +31,15 @@
 const settings = `{"Discovery":"ask","TickMs":5,"Classes":[{"Name":"search","Semantics":"retryable",
 	"AimMs":1000,"DeadlineMs":2000}]}`
 
+// hosts counts the hosts that tests took.
+var hosts atomic.Int64
+
 // freeAddress is one on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// A host of its own: at a shared one another test, or a client's end of a connection, may get the port meanwhile.
+	n, pid := hosts.Add(1), os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, pid/250%250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
