sidecar: an attempt's first byte asks whether its client left or its repeat's window is over

Cause: between the decision and the first byte written, only the directory was asked. A connection that came up late (up to ConnectTimeout) sent its request although the client had closed meanwhile, always so where attempts can't be cancelled, and a keyed repeat decided on in its window went out after it. The library's own reader tells of a client that closes through one byte: behind pipelined bytes it reads no more, and nothing of a large body while no attempt does, so such a client never counted as gone. Ruled out: the loop's queue (the context had not ended either).

Change: upstreamConn.Write asks mayBegin: time of the attempt, time for a repeat (Send.At, from the module: the earliest attempt that may have run, its class's window less two ticks), client (its context, and a poll for the peer's end, which shows behind unread bytes), directory. What is stopped there never ran; its connection, if just made, is kept for others. The handler looks every 50 ms at a client that nobody reads from. Networks in memory tell of an end as the kernel does.

Seen to fail: without the look at the client TestNothingIsSentForAClientThatLeft fails in all ten cases, without the time for a repeat TestNoRepeatBeginsAfterItsWindow (too late), without the handler's look TestLeavingIsSeenBehindWhat- NobodyReads (a byte, another request behind).

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -208,7 +208,7 @@
 
 // What a sidecar can be asked to do.
 const (
-	Send      ActionKind = iota // start the request's next attempt at Upstream, ending after Timeout
+	Send      ActionKind = iota // start the request's next attempt at Upstream, ending after Timeout; from At on, unless 0, it may not begin
 	Cancel                      // stop waiting for attempt number Attempt
 	Refuse                      // final answer: not done, trying again is harmless; RetryIn is advice
 	Fail                        // final answer: no promise
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -404,9 +404,19 @@
 
 // stuck: an attempt may have run, and nothing may follow it any more.
 func (b *Balancer) stuck(r *request) bool {
-	return r.class.Effect != Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return a.mayRun && (r.class.Effect == Unsafe || b.now-a.sent > r.class.Window-2*b.set.Tick)
-	})
+	until := b.repeatsUntil(r)
+	return until != 0 && (r.class.Effect == Unsafe || b.now >= until)
+}
+
+// repeatsUntil is when no further attempt of a request may begin, since one may have run that is not safe to
+// repeat; 0: none has. Connections come up late: what was decided on in time may begin too late.
+func (b *Balancer) repeatsUntil(r *request) time.Duration {
+	for _, a := range r.attempts { // the earliest comes first
+		if a.mayRun && r.class.Effect != Safe {
+			return max(a.sent+r.class.Window-2*b.set.Tick, 1)
+		}
+	}
+	return 0
 }
 
 // mayRefuse: a refusal tells the client that trying again is harmless.
@@ -419,6 +429,7 @@
 
 // send starts the next attempt. Its caller asked mayTry, through pick.
 func (b *Balancer) send(r *request, u *upstream) {
+	until := b.repeatsUntil(r)
 	a := &attempt{r: r, n: len(r.attempts), u: u, zone: u.zone, cell: u.cell, sent: b.now}
 	a.out, a.mayRun = true, true
 	if a.n == 0 {
@@ -436,7 +447,7 @@
 	u.out = append(u.out, a)
 	u.tokens -= r.cost
 	delete(b.owed, u.id)
-	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: b.allowance(r, u)})
+	b.act(Action{Kind: Send, ID: r.id, Upstream: u.id, Timeout: b.allowance(r, u), At: until})
 	if !r.open {
 		b.watch(r)
 	}
--- a/internal/lab/memnet/conn.go
+++ b/internal/lab/memnet/conn.go
@@ -64,6 +64,25 @@
 	time.AfterFunc(after+e.way, e.net.wake)
 }
 
+// Pending tells what has arrived, without reading it: bytes, and the other side's end, which may stand behind bytes that
+// nobody has read.
+func (e *end) Pending() (bytes, end bool) {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	if e.closed {
+		return false, true
+	}
+	if e.host.dark || e.peer.host.dark {
+		return false, false
+	}
+	for _, s := range e.in {
+		if past(s.due) {
+			bytes, end = bytes || s.err == nil, end || s.err != nil
+		}
+	}
+	return bytes && !end, end
+}
+
 func (e *end) Read(p []byte) (int, error) {
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -231,7 +231,7 @@
 			return u.budget.left
 		}
 		before := left()
-		rep := u.attempt(t.Context(), "s", testRequest("GET", ""))
+		rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0)
 		if held := before - left(); held < int64(min(size, 1)) || held > keepMost {
 			t.Errorf("an answer of %d: %d held", size, held)
 		}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -53,7 +53,7 @@
 		conn, err := c.Listener.Accept()
 		switch {
 		case err == nil:
-			return &framedConn{Conn: conn, accepted: time.Now(), all: c, ending: last}, nil
+			return &framedConn{Conn: conn, accepted: time.Now(), all: c, ending: last, ahead: make(chan struct{}, 1)}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
 			return nil, err
 		case last:
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -33,7 +33,8 @@
 	accepted time.Time
 	all      *clientConns
 	f        framing
-	gone     atomic.Bool // nothing more can come
+	gone     atomic.Bool   // nothing more can come
+	ahead    chan struct{} // holds one: something was read behind the request in hand, and the library reads no further
 
 	mu      sync.Mutex
 	ending  bool // it is to end between requests
@@ -59,6 +60,12 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(sendPatience)) // as the library had it; else the next read shows it
 	}
 	c.f.scan(p[:n])
+	if n > 0 && c.active && c.f.beyond() {
+		select {
+		case c.ahead <- struct{}{}:
+		default:
+		}
+	}
 	c.waiting, c.read = false, c.f.stage()
 	c.mu.Unlock()
 	if stays {
@@ -70,6 +77,15 @@
 	return n, err
 }
 
+// left tells whether the client has closed the connection, or its sending.
+func (c *framedConn) left() bool {
+	if c.gone.Load() {
+		return true
+	}
+	_, end := pending(c.Conn)
+	return end
+}
+
 // stage tells where the connection is, as far as it was read.
 func (c *framedConn) stage() connStage {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/crossings_test.go
@@ -0,0 +1,161 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mosslead/balancer"
+)
+
+// gate holds connections to one address until they are let through, as those that come up late.
+type gate struct {
+	address string
+	dials   chan struct{} // one for each that is asked for
+	opens   chan struct{} // one lets one through
+	holds   atomic.Bool
+}
+
+func newGate(c *Config, address string) *gate {
+	g := &gate{address: address, dials: make(chan struct{}, 16), opens: make(chan struct{}, 16)}
+	g.holds.Store(true)
+	c.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		if to == g.address && g.holds.Load() {
+			g.dials <- struct{}{}
+			select {
+			case <-g.opens:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, to)
+	}
+	return g
+}
+
+// wait waits for an event that another party brings about.
+func wait(t *testing.T, what string, event <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-event:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain: %s", what)
+	}
+}
+
+// Guards against work for nobody: a client leaves while the connection for its request is coming up, in whatever way, and where
+// attempts can't be cancelled, too. Nothing is sent for it, and the connection, which has cost a handshake, is there for the next.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	for name, leave := range map[string]func(*rawClient){
+		"closes":             func(p *rawClient) { p.Close() },
+		"ends its sending":   func(p *rawClient) { _ = p.Conn.(*net.TCPConn).CloseWrite() },
+		"resets":             func(p *rawClient) { _ = p.Conn.(*net.TCPConn).SetLinger(0); p.Close() },
+		"closes behind half": func(p *rawClient) { p.send("GET /sea"); p.Close() },
+		"closes behind another": func(p *rawClient) {
+			p.send(text("search"))
+			p.Close()
+		},
+	} {
+		for _, class := range []string{"search", "confirm"} {
+			t.Run(name+" "+class, func(t *testing.T) {
+				s := newUpstream(t, says(ok200("")))
+				c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+				c.Settings.Cancelling = false
+				g := newGate(c, s.address)
+				r := start(t, c, "127.0.0.1:0")
+				p := dialRaw(t, r.address)
+				p.send(text(class))
+				wait(t, "an attempt is made", g.dials)
+				leave(p)
+				g.holds.Store(false)
+				g.opens <- struct{}{}
+				eventually(t, "the connection is up", func() bool { return s.opened.Load() == 1 })
+				next := request(t, r.address, "confirm", "next")
+				if resp, _ := r.do(t, next); resp.StatusCode != 200 {
+					t.Errorf("the next one: %s", resp.Status)
+				}
+				if got := s.requests(); len(got) != 1 || got[0].body != "next" {
+					t.Errorf("the upstream got %d requests, first %+v", len(got), got[0])
+				}
+			})
+		}
+	}
+}
+
+// Guards against a client whose leaving nobody sees: the library reads one byte behind a request and no more, and nothing of a
+// large body while no attempt does. It counts as gone all the same, while its request waits or its attempt is out.
+func TestLeavingIsSeenBehindWhatNobodyReads(t *testing.T) {
+	for name, c := range map[string]struct{ first, more string }{
+		"a byte behind":           {text("search"), "G"},
+		"another request behind":  {text("search"), text("search")},
+		"a body that is not read": {"POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 00000000000000d7\r\nContent-Length: 300000\r\n\r\n", strings.Repeat("x", 200<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newUpstream(t, silent)
+			conf := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+			conf.Ops = "127.0.0.1:0"
+			g := newGate(conf, s.address) // never comes up
+			r := start(t, conf, "127.0.0.1:0")
+			p := dialRaw(t, r.address)
+			p.send(c.first)
+			if strings.HasPrefix(c.first, "POST") {
+				p.send(c.more)
+			}
+			wait(t, "an attempt is made", g.dials)
+			if !strings.HasPrefix(c.first, "POST") {
+				p.send(c.more)
+			}
+			p.Close()
+			eventually(t, "the request is over", func() bool { return strings.Contains(r.call(t, "STATS\n"), "gw.concurrent:0|g") })
+			if n := s.opened.Load(); n != 0 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
+// Guards against a repeat after its time: a request that may have run may be sent again within its window, and the connection
+// for that comes up only after it.
+func TestNoRepeatBeginsAfterItsWindow(t *testing.T) {
+	for name, late := range map[string]bool{"in time": false, "too late": true} {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			s := newUpstream(t, func(c net.Conn, _ got) bool {
+				if n.Add(1) == 1 {
+					return false // it may have run
+				}
+				_, err := io.WriteString(c, ok200("again"))
+				return err == nil
+			})
+			c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+			const window = time.Second
+			for i := range c.Settings.Classes {
+				if c.Settings.Classes[i].Effect == balancer.Keyed {
+					c.Settings.Classes[i].Window = window
+				}
+			}
+			g := newGate(c, s.address)
+			r := start(t, c, "127.0.0.1:0")
+			end := r.later(request(t, r.address, "record", ""))
+			wait(t, "the first attempt", g.dials)
+			g.opens <- struct{}{}
+			wait(t, "the second attempt", g.dials)
+			want, sent := "200 again", 2
+			if late {
+				want, sent = "502 failed\n", 1
+				time.Sleep(window) // the window is over now, whenever it began
+			}
+			g.opens <- struct{}{}
+			if got := <-end; got != want {
+				t.Errorf("answered %q, want %q", got, want)
+			}
+			if got := s.requests(); len(got) != sent {
+				t.Errorf("sent %d times, want %d", len(got), sent)
+			}
+		})
+	}
+}
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -121,7 +121,7 @@
 	hop := *r
 	hop.header = r.header.Clone()
 	hop.header.Set(spill.HeaderHop, "1")
-	rep := f.out.attempt(ctx, to, &hop)
+	rep := f.out.attempt(ctx, to, &hop, 0)
 	switch rep.result {
 	case balancer.OK:
 		return answer{kind: served, reply: rep}, true
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -68,6 +68,13 @@
 	return between
 }
 
+// beyond tells whether something was read behind the request that the library has handed on. The reader asks.
+func (f *framing) beyond() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.doubts) > 0 || f.state == inHead || f.state == atStart && len(f.line) > 0
+}
+
 // first tells whether the request that was asked about last was the connection's first.
 func (f *framing) first() bool {
 	f.mu.Lock()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,7 @@
 type loop struct {
 	clock   clock
 	b       *balancer.Balancer
-	send    func(ctx context.Context, upstream string, r *clientRequest) reply
+	send    func(ctx context.Context, upstream string, r *clientRequest, before time.Duration) reply
 	ask     func()
 	shared  *sharing    // nil: nothing is shared
 	pulse   pulse       // of the loop, where somebody wants it
@@ -256,10 +257,7 @@
 		l.whole(e)
 	case gone:
 		if f := l.flights[e.request.id]; f != nil && f.request == e.request && !f.done {
-			f.done = true
-			l.bad.note("client gone", func() []slog.Attr { return f.attrs(l.clock.now()) })
-			l.handle(balancer.Gone{ID: e.request.id})
-			l.forget(e.request.id)
+			l.left(f)
 		}
 		select { // an answer that its handler did not wait for
 		case a := <-e.request.answer:
@@ -283,6 +281,14 @@
 	}
 }
 
+// left ends a request whose client has gone.
+func (l *loop) left(f *flight) {
+	f.done = true
+	l.bad.note("client gone", func() []slog.Attr { return f.attrs(l.clock.now()) })
+	l.handle(balancer.Gone{ID: f.request.id})
+	l.forget(f.request.id)
+}
+
 // ended reports an attempt's one outcome; the first that was served is the final answer.
 func (l *loop) ended(e ended) {
 	f, id := e.flight, e.flight.request.id
@@ -295,6 +301,10 @@
 	if e.reply.result == balancer.OK && !l.finish(id, answer{kind: served, reply: e.reply}) {
 		e.reply.drop()
 	}
+	if errors.Is(e.reply.err, errLeft) && !f.done { // seen before the client's own reader told of it
+		l.left(f)
+		f.request.answer <- answer{kind: left}
+	}
 	l.handle(balancer.Outcome{ID: id, Attempt: e.attempt, Result: e.reply.result,
 		Elapsed: e.at - a.sent, Finished: f.done, Spent: f.request.body.used()})
 	l.forget(id)
@@ -379,11 +389,11 @@
 		end(cause)
 		stop()
 	}
-	n, upstream := len(f.attempts), a.Upstream
+	n, upstream, before := len(f.attempts), a.Upstream, a.At
 	f.attempts = append(f.attempts, flightAttempt{upstream: upstream, sent: now, cancel: cancel, end: end, ctx: ctx})
 	f.out++
 	go func() {
-		rep := l.send(ctx, upstream, f.request)
+		rep := l.send(ctx, upstream, f.request, before)
 		l.post(ended{f, n, l.clock.now(), rep})
 	}()
 }
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -9,7 +9,7 @@
 )
 
 // testLoop is a loop whose attempts end as send says.
-func testLoop(t *testing.T, send func(context.Context, string, *clientRequest) reply) *loop {
+func testLoop(t *testing.T, send func(context.Context, string, *clientRequest, time.Duration) reply) *loop {
 	t.Helper()
 	c := testConfig(t, "127.0.0.1:1")
 	b, err := balancer.New(c.Settings.Settings, c.Seed)
@@ -32,7 +32,7 @@
 // Guards against sends to what a list in the queue already forbids: news of the list goes first.
 func TestListsGoBeforeRequests(t *testing.T) {
 	sent := make(chan string, 8)
-	l := testLoop(t, func(_ context.Context, upstream string, _ *clientRequest) reply {
+	l := testLoop(t, func(_ context.Context, upstream string, _ *clientRequest, _ time.Duration) reply {
 		sent <- upstream
 		return reply{result: balancer.OK}
 	})
@@ -52,7 +52,7 @@
 // Guards against two answers: a second copy's answer, or one after the request was failed, goes nowhere; each
 // attempt is still reported to the module, which then forgets the request.
 func TestOneFinalAnswer(t *testing.T) {
-	l := testLoop(t, func(ctx context.Context, _ string, _ *clientRequest) reply {
+	l := testLoop(t, func(ctx context.Context, _ string, _ *clientRequest, _ time.Duration) reply {
 		<-ctx.Done()
 		return reply{result: balancer.OK, body: []byte("late")}
 	})
@@ -81,7 +81,7 @@
 // Guards against an attempt that outlasts its client: it ends when the client stops waiting, at the latest.
 func TestAttemptEndsWithItsRequest(t *testing.T) {
 	deadlines := make(chan time.Duration, 1)
-	l := testLoop(t, func(ctx context.Context, _ string, _ *clientRequest) reply {
+	l := testLoop(t, func(ctx context.Context, _ string, _ *clientRequest, _ time.Duration) reply {
 		d, _ := ctx.Deadline()
 		deadlines <- time.Until(d)
 		return reply{result: balancer.Timeout}
@@ -103,7 +103,7 @@
 // the one before still waits is closed.
 func TestNextAttemptAbandonsTheOneBefore(t *testing.T) {
 	abandoned, n := make(chan bool, 1), 0
-	l := testLoop(t, func(context.Context, string, *clientRequest) reply {
+	l := testLoop(t, func(context.Context, string, *clientRequest, time.Duration) reply {
 		if n++; n == 1 {
 			return reply{result: balancer.Timeout, abandon: func() { abandoned <- true }}
 		}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -32,6 +32,7 @@
 	timeout              time.Duration // what the client states, or its class does
 	opened               bool          // the body was not whole when the request was taken
 	hop                  bool          // a peer has forwarded it
+	left                 func() bool   // has the client gone? nil: there is none
 
 	answer chan answer // holds the final answer
 	broke  chan error  // holds what broke the body off
@@ -47,7 +48,8 @@
 
 	headerNotProcessed = "X-Not-Processed"
 
-	writePatience = 5 * time.Second // for a client to take its answer
+	writePatience = 5 * time.Second       // for a client to take its answer
+	leftLook      = 50 * time.Millisecond // how often a client that nobody reads from is looked at: it has gone within 0.1 s
 )
 
 // hopByHop headers belong to one connection and do not go on. httputil keeps its list to its proxy, whose transport may send
@@ -147,46 +149,75 @@
 		}
 		return
 	}
+	req.left = func() bool { return r.Context().Err() != nil || conn.left() }
 	if !s.post(arrival{req}) {
 		how = failed
 		s.say(w, http.StatusInternalServerError, "stopped")
 		return
 	}
-	select {
-	case a := <-req.answer:
-		how = a.kind
-		defer a.reply.drop()
-		if req.hop && a.kind == refused && !a.tried { // the peer may go on with it
-			w.Header().Set(headerNotProcessed, "1")
+	ahead, looks := conn.ahead, (<-chan time.Time)(nil)
+	for {
+		if looks == nil && req.body.open() { // nobody reads on while no attempt does
+			ahead = nil
+			defer s.look(&looks).Stop()
 		}
-		if req.body.open() {
-			s.early(w, req, a)
+		select {
+		case <-ahead: // the library reads no further
+			ahead = nil
+			defer s.look(&looks).Stop()
+		case <-looks:
+			if conn.left() {
+				s.post(gone{req})
+				panic(http.ErrAbortHandler)
+			}
+		case a := <-req.answer:
+			how = a.kind
+			defer a.reply.drop()
+			if how == left {
+				panic(http.ErrAbortHandler)
+			}
+			if req.hop && a.kind == refused && !a.tried { // the peer may go on with it
+				w.Header().Set(headerNotProcessed, "1")
+			}
+			if req.body.open() {
+				s.early(w, req, a)
+				return
+			}
+			if err := s.finish(w, a); err != nil {
+				how = failed                // by the upstream, or by a client that does not take its answer
+				panic(http.ErrAbortHandler) // the client can tell that the answer is not whole
+			}
+			return
+		case err := <-req.broke:
+			s.post(gone{req})
+			if !tooSlow(err) && !errors.Is(err, errBodyLarge) {
+				panic(http.ErrAbortHandler)
+			}
+			how = failed
+			bad := &rejection{http.StatusRequestTimeout, "the body did not come in time"}
+			if !tooSlow(err) {
+				bad = &rejection{http.StatusRequestEntityTooLarge, tooLarge}
+			}
+			s.reject(w, r, bad)
+			return
+		case <-r.Context().Done():
+			s.post(gone{req})
+			panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
+		case <-s.stop:
+			how = failed
+			s.say(w, http.StatusInternalServerError, "stopped")
 			return
 		}
-		if err := s.finish(w, a); err != nil {
-			how = failed                // by the upstream, or by a client that does not take its answer
-			panic(http.ErrAbortHandler) // the client can tell that the answer is not whole
-		}
-	case err := <-req.broke:
-		s.post(gone{req})
-		if !tooSlow(err) && !errors.Is(err, errBodyLarge) {
-			panic(http.ErrAbortHandler)
-		}
-		how = failed
-		bad := &rejection{http.StatusRequestTimeout, "the body did not come in time"}
-		if !tooSlow(err) {
-			bad = &rejection{http.StatusRequestEntityTooLarge, tooLarge}
-		}
-		s.reject(w, r, bad)
-	case <-r.Context().Done():
-		s.post(gone{req})
-		panic(http.ErrAbortHandler) // no answer: returning would send an empty 200
-	case <-s.stop:
-		how = failed
-		s.say(w, http.StatusInternalServerError, "stopped")
 	}
 }
 
+// look begins to look now and then whether a client has left that nobody reads from.
+func (s *server) look(at *<-chan time.Time) *time.Ticker {
+	t := time.NewTicker(leftLook)
+	*at = t.C
+	return t
+}
+
 // reject answers a malformed request, and ends its connection.
 func (s *server) reject(w http.ResponseWriter, r *http.Request, bad *rejection) {
 	s.bad.note("turned away", func() []slog.Attr {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -82,7 +82,7 @@
 	closed bool      // under the pool's lock
 
 	patience time.Duration // for a write
-	allowed  func() bool   // may the request that comes next still be written?
+	allowed  func() error  // why the request that comes next may not be written any more; nil: it may
 	begun    atomic.Bool   // its first byte was
 	stopped  atomic.Bool   // it was not allowed
 	encoded  atomic.Bool   // the whole request was, as far as the library knows
@@ -94,15 +94,20 @@
 
 var (
 	errNotAllowed = errors.New("the upstream drains or is gone")
+	errLeft       = errors.New("the client has gone")
+	errTooLate    = errors.New("no other attempt may begin any more")
 	errSaturated  = errors.New("all upstream connections that the limits allow are busy")
 )
 
-// Write looks again whether the upstream still wants requests. Guards against sends to an upstream that
-// discovery reported draining between the decision and the write, while a connection was made, say.
+// Write looks once more whether the request may still go. Guards against attempts that begin although, between the decision
+// and the write, the upstream drained, the client left, the time for a repeat ran out: while the
+// connection was made, say.
 func (c *upstreamConn) Write(p []byte) (int, error) {
-	if !c.begun.Swap(true) && !c.allowed() {
-		c.stopped.Store(true)
-		return 0, errNotAllowed
+	if !c.begun.Swap(true) {
+		if err := c.allowed(); err != nil {
+			c.stopped.Store(true)
+			return 0, err
+		}
 	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.patience)) // can't fail on an open connection
 	n, err := c.Conn.Write(p)
@@ -126,8 +131,9 @@
 	abandon func() // closes the connection, which still waits for the answer; nil: it does not
 }
 
-// attempt sends a request to an upstream once, and waits for its end or that of ctx.
-func (u *upstreams) attempt(ctx context.Context, name string, r *clientRequest) reply {
+// attempt sends a request to an upstream once, and waits for its end or that of ctx. From the clock time before on, where that
+// is above 0, it does not begin.
+func (u *upstreams) attempt(ctx context.Context, name string, r *clientRequest, before time.Duration) reply {
 	at, ok := u.dir.place(name)
 	if !ok {
 		return reply{result: balancer.Moot}
@@ -144,6 +150,10 @@
 			}
 			return reply{result: balancer.ConnectFailed, err: err}
 		}
+		if err := u.mayBegin(ctx, c, r, before); err != nil { // it took its time; others can use it
+			u.put(c)
+			return reply{result: balancer.Moot, err: err}
+		}
 	}
 	c.uses++
 	use := connUse{nth: c.uses}
@@ -154,7 +164,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	settled, left := make(chan reply), make(chan struct{})
 	go func() {
-		rep, reusable := u.exchange(ctx, life, c, r)
+		rep, reusable := u.exchange(ctx, life, c, r, before)
 		finish := func(reusable bool) {
 			end()
 			if reusable {
@@ -199,6 +209,21 @@
 	return rep
 }
 
+// mayBegin tells why an attempt may not begin, or no more; nil: it may.
+func (u *upstreams) mayBegin(ctx context.Context, c *upstreamConn, r *clientRequest, before time.Duration) error {
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case before > 0 && u.dir.clock.now() >= before:
+		return errTooLate
+	case r.gone():
+		return errLeft
+	case !u.dir.ready(c.name, c.at):
+		return errNotAllowed
+	}
+	return nil
+}
+
 // timedOut tells whether what ended ctx is that its time is up; that of a request whose body comes slowly is set late,
 // see loop.whole.
 func timedOut(ctx context.Context) bool {
@@ -230,8 +255,8 @@
 }
 
 // exchange sends r for an attempt that waits until ctx ends, and reads its answer until life does.
-func (u *upstreams) exchange(ctx, life context.Context, c *upstreamConn, r *clientRequest) (rep reply, reusable bool) {
-	c.allowed = func() bool { return u.dir.ready(c.name, c.at) }
+func (u *upstreams) exchange(ctx, life context.Context, c *upstreamConn, r *clientRequest, before time.Duration) (rep reply, reusable bool) {
+	c.allowed = func() error { return u.mayBegin(ctx, c, r, before) }
 	c.begun.Store(false)
 	c.encoded.Store(false)
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
@@ -452,6 +477,9 @@
 	u.open--
 }
 
+// gone tells whether r's client has left, as far as can be seen now.
+func (r *clientRequest) gone() bool { return r.left != nil && r.left() }
+
 // outgoing is the request as an upstream gets it.
 func (r *clientRequest) outgoing(ctx context.Context, address string) *http.Request {
 	// Opaque keeps path and query byte for byte.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -71,7 +71,7 @@
 		}()
 		ctx, cancel := context.WithTimeout(t.Context(), patience)
 		defer cancel()
-		if rep := u.attempt(ctx, "s", testRequest("POST", "b")); rep.result != balancer.Reset {
+		if rep := u.attempt(ctx, "s", testRequest("POST", "b"), 0); rep.result != balancer.Reset {
 			t.Errorf("result %d, want %d: %v", rep.result, balancer.Reset, rep.err)
 		}
 		n.Close()
@@ -126,7 +126,7 @@
 			u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			if rep := u.attempt(ctx, "s", testRequest("POST", "b")); rep.result != c.want {
+			if rep := u.attempt(ctx, "s", testRequest("POST", "b"), 0); rep.result != c.want {
 				t.Errorf("result %d, want %d", rep.result, c.want)
 			}
 			if n := len(s.requests()); n != 1 {
@@ -136,7 +136,7 @@
 	}
 	t.Run("connection refused", func(t *testing.T) {
 		u := testUpstreams(t, 4, entry("s", refused.Addr().String(), "Ready"))
-		if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); rep.result != balancer.ConnectFailed {
+		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != balancer.ConnectFailed {
 			t.Errorf("result %d", rep.result)
 		}
 	})
@@ -153,7 +153,7 @@
 			ctx, cancel = context.WithTimeout(context.Background(), 200*time.Millisecond)
 		}
 		end := make(chan reply, 1)
-		go func() { end <- u.attempt(ctx, "s", testRequest("GET", "")) }()
+		go func() { end <- u.attempt(ctx, "s", testRequest("GET", ""), 0) }()
 		eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
 		if want == balancer.Cancelled {
 			cancel()
@@ -203,7 +203,7 @@
 			defer cancel(nil)
 			ctx, expire := newDeadline(ctx)
 			end := make(chan reply, 1)
-			go func() { end <- u.attempt(ctx, "s", testRequest("POST", "first")) }()
+			go func() { end <- u.attempt(ctx, "s", testRequest("POST", "first"), 0) }()
 			eventually(t, "request at the upstream", func() bool { return len(s.requests()) == 1 })
 			c.end(cancel, expire)
 			rep := <-end
@@ -217,7 +217,7 @@
 				return len(u.idle) == 1 && len(u.late) == 0
 			})
 			rep.abandon() // comes too late to harm
-			next := u.attempt(t.Context(), "s", testRequest("POST", "second"))
+			next := u.attempt(t.Context(), "s", testRequest("POST", "second"), 0)
 			if next.result != balancer.OK || string(next.body) != "for second" || next.use.nth != 2 {
 				t.Errorf("then: result %d, %q, use %d", next.result, next.body, next.use.nth)
 			}
@@ -270,12 +270,12 @@
 		t.Helper()
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
-		if rep := u.attempt(ctx, "a", testRequest("GET", "")); rep.result != balancer.Timeout {
+		if rep := u.attempt(ctx, "a", testRequest("GET", ""), 0); rep.result != balancer.Timeout {
 			t.Fatalf("result %d", rep.result)
 		}
 	}
 	late()
-	if rep := u.attempt(t.Context(), "b", testRequest("GET", "")); rep.result != balancer.OK {
+	if rep := u.attempt(t.Context(), "b", testRequest("GET", ""), 0); rep.result != balancer.OK {
 		t.Errorf("result %d at the limit", rep.result)
 	}
 	eventually(t, "it gave way", func() bool { return a.closed.Load() == 1 })
@@ -305,7 +305,7 @@
 	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil { // the write will fail
 		t.Fatal(err)
 	}
-	rep, reusable := u.exchange(t.Context(), t.Context(), c, testRequest("POST", "b"))
+	rep, reusable := u.exchange(t.Context(), t.Context(), c, testRequest("POST", "b"), 0)
 	u.discard(c)
 	if rep.result != balancer.ConnectFailed || reusable {
 		t.Errorf("result %d, reusable %v", rep.result, reusable)
@@ -322,11 +322,11 @@
 			t.Fatal(err)
 		}
 		u.dir.apply(parsed(t, list(2, false, entry("s", s.address, status))))
-		if rep, _ := u.exchange(t.Context(), t.Context(), c, testRequest("GET", "")); rep.result != balancer.Moot {
+		if rep, _ := u.exchange(t.Context(), t.Context(), c, testRequest("GET", ""), 0); rep.result != balancer.Moot {
 			t.Errorf("%s: result %d", status, rep.result)
 		}
 		u.discard(c)
-		if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); rep.result != balancer.Moot {
+		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != balancer.Moot {
 			t.Errorf("%s: later result %d", status, rep.result)
 		}
 		if n := len(s.requests()); n != 0 {
@@ -342,7 +342,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	body := "\x00binary\r\n" + strings.Repeat("y", 60<<10)
-	u.attempt(ctx, "s", testRequest("POST", body))
+	u.attempt(ctx, "s", testRequest("POST", body), 0)
 	g := s.requests()[0]
 	if g.method != "POST" || g.target != "/search/a%2Fb?x=%20y&z" || g.body != body {
 		t.Errorf("got %s %s and %d bytes", g.method, g.target, len(g.body))
@@ -370,7 +370,7 @@
 	u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
 	send := func(want balancer.Result) {
 		t.Helper()
-		if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); rep.result != want {
+		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != want {
 			t.Fatalf("result %d, want %d", rep.result, want)
 		}
 	}
@@ -431,7 +431,7 @@
 	})
 	u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
 	for _, want := range []balancer.Result{balancer.OK, balancer.Reset} {
-		if rep := u.attempt(t.Context(), "s", testRequest("GET", "")); rep.result != want {
+		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != want {
 			t.Errorf("result %d, want %d", rep.result, want)
 		}
 	}
@@ -445,14 +445,14 @@
 func TestConnectionLimit(t *testing.T) {
 	a, b := newUpstream(t, says(ok200(""))), newUpstream(t, silent)
 	u := testUpstreams(t, 1, entry("a", a.address, "Ready"), entry("b", b.address, "Ready"))
-	if rep := u.attempt(t.Context(), "a", testRequest("GET", "")); rep.result != balancer.OK {
+	if rep := u.attempt(t.Context(), "a", testRequest("GET", ""), 0); rep.result != balancer.OK {
 		t.Fatalf("result %d", rep.result)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	end := make(chan reply, 1)
-	go func() { end <- u.attempt(ctx, "b", testRequest("GET", "")) }()
+	go func() { end <- u.attempt(ctx, "b", testRequest("GET", ""), 0) }()
 	eventually(t, "the idle connection gave way", func() bool { return a.closed.Load() == 1 && len(b.requests()) == 1 })
-	if rep := u.attempt(t.Context(), "a", testRequest("GET", "")); rep.result != balancer.Moot {
+	if rep := u.attempt(t.Context(), "a", testRequest("GET", ""), 0); rep.result != balancer.Moot {
 		t.Errorf("result %d over the limit", rep.result)
 	}
 	cancel()
