sidecar: a connection rests 10 ms before it is used again, and is looked at before

Cause: an upstream may answer twice, the second time some milliseconds after the first. The pool gives out the connection used last, so the next request was often on it by then, and the library takes what comes for that request's answer: the client is served with what was made for another. Where bytes or an end had come already, but the library's reader had not run yet, the connection was used too, and an unsafe request lost to an end that was there.

Change: take leaves a connection that has rested for less than 10 ms, and drops one on which a poll sees bytes or an end, or whose reader has something left over; the latter is asked once more at the first byte. What a second answer later than that does can't be told from an answer: nothing in it names its request.

Seen to fail: with no rest TestASecondAnswerIsNobodys, without the look TestASpentConnectionIsNotUsed in all four cases. Tests that used a connection twice at once wait for its rest; the transcript client-gone asks 20 ms later.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -159,3 +160,59 @@
 		})
 	}
 }
+
+// Guards against an answer that was made for another request: an upstream answers twice, the second time some milliseconds
+// later, when the next request may be on its way already.
+func TestASecondAnswerIsNobodys(t *testing.T) {
+	next := make(chan struct{})
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		_, err := io.WriteString(c, ok200("for "+g.body))
+		if g.body == "1" {
+			select {
+			case <-next: // the next one has been sent, on this connection or another
+			case <-time.After(patience):
+			}
+			_, err = io.WriteString(c, ok200("for 1"))
+		}
+		return err == nil
+	})
+	u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+	if rep := u.attempt(t.Context(), "s", testRequest("POST", "1"), 0); rep.result != balancer.OK {
+		t.Fatalf("the first one: %d", rep.result)
+	}
+	time.AfterFunc(4*time.Millisecond, func() { close(next) })
+	if rep := u.attempt(t.Context(), "s", testRequest("POST", "2"), 0); string(rep.body) != "for 2" {
+		t.Errorf("the next one got %d %q", rep.result, rep.body)
+	}
+}
+
+// Guards against the library taking what came on a resting connection for the next request's answer, before it has looked
+// itself, and against an unsafe request that is lost to a connection which the upstream has closed: neither is used.
+func TestASpentConnectionIsNotUsed(t *testing.T) {
+	for name, spend := range map[string]func(net.Conn){
+		"another answer": func(c net.Conn) { _, _ = io.WriteString(c, ok200("stale")) },
+		"half a line":    func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 2") },
+		"its end":        func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() },
+		"a reset":        func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan net.Conn, 8)
+			s := newUpstream(t, func(c net.Conn, g got) bool {
+				conns <- c
+				_, err := io.WriteString(c, ok200("for "+g.body))
+				return err == nil
+			})
+			u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
+			for i := range 20 { // the library may look before or after; each time it has to be right
+				u.awaitRest(t)
+				body := strconv.Itoa(i)
+				rep := u.attempt(t.Context(), "s", testRequest("POST", body), 0)
+				if string(rep.body) != "for "+body {
+					t.Fatalf("%d: %d %q", i, rep.result, rep.body)
+				}
+				u.awaitRest(t)
+				spend(<-conns)
+			}
+		})
+	}
+}
--- a/internal/sidecar/transcript_test.go
+++ b/internal/sidecar/transcript_test.go
@@ -159,7 +159,8 @@
 		held := x.next(x.calls)
 		x.must(c.Close())
 		time.Sleep(20 * time.Millisecond)
-		x.must(held.Say(ok200("for nobody"))) // the next request comes on the connection that waited for it
+		x.must(held.Say(ok200("for nobody"))) // the next request comes on the connection that waited for it, once that has rested
+		time.Sleep(20 * time.Millisecond)
 		c = x.asks(s, aConfirm)
 		x.must(x.next(x.calls).Say(ok200("ok")))
 		x.gets(c, 200)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -24,6 +24,7 @@
 	maxHeader = 16 << 10
 	idleLast  = 500 * time.Millisecond // for the last requests that clients bring to a process that is replaced
 	idlePart  = 0.6                    // idle connections are retired after this part of the time after which upstreams close them
+	restLeast = 10 * time.Millisecond  // before a connection is used again: a second answer may follow the first by some milliseconds
 )
 
 // upstreams carries out attempts, over connections that carry one request at a time.
@@ -87,6 +88,7 @@
 	stopped  atomic.Bool   // it was not allowed
 	encoded  atomic.Bool   // the whole request was, as far as the library knows
 	writeErr atomic.Bool   // a write failed, so its last byte was not written
+	resting  atomic.Bool   // the library waits for bytes, and has none left over from what it read before
 }
 
 // errAnswered ends an attempt whose request has its final answer: no other attempt will follow.
@@ -96,11 +98,12 @@
 	errNotAllowed = errors.New("the upstream drains or is gone")
 	errLeft       = errors.New("the client has gone")
 	errTooLate    = errors.New("no other attempt may begin any more")
+	errSpent      = errors.New("the connection brought what no request on it asked for, or its end")
 	errSaturated  = errors.New("all upstream connections that the limits allow are busy")
 )
 
 // Write looks once more whether the request may still go. Guards against attempts that begin although, between the decision
-// and the write, the upstream drained, the client left, the time for a repeat ran out: while the
+// and the write, the upstream drained, the client left, the time for a repeat ran out or the connection ended: while the
 // connection was made, say.
 func (c *upstreamConn) Write(p []byte) (int, error) {
 	if !c.begun.Swap(true) {
@@ -117,6 +120,21 @@
 	return n, err
 }
 
+// Read notes when the library has taken in all that came, and waits for more.
+func (c *upstreamConn) Read(p []byte) (int, error) {
+	c.resting.Store(true)
+	n, err := c.Conn.Read(p)
+	c.resting.Store(false)
+	return n, err
+}
+
+// spent tells whether a connection that was used before can't be used again: its other side has ended it, or sent more than
+// the answers to what it was asked, which the library would take for the next one. Asked with no request on it.
+func (c *upstreamConn) spent() bool {
+	bytes, end := pending(c.Conn)
+	return bytes || end || !c.resting.Load()
+}
+
 // reply is how an attempt ended; the rest belongs to an answer.
 type reply struct {
 	result balancer.Result
@@ -220,6 +238,8 @@
 		return errLeft
 	case !u.dir.ready(c.name, c.at):
 		return errNotAllowed
+	case c.uses > 1 && !c.resting.Load():
+		return errSpent
 	}
 	return nil
 }
@@ -371,17 +391,18 @@
 	return nil, fmt.Errorf("connecting to %s: %w", name, err)
 }
 
-// take returns the upstream's connection that was used last, or nil. One that the upstream closed is dropped.
+// take returns the upstream's connection that was used last, or nil. One that the upstream closed, or on which it said more
+// than it was asked, is dropped; one that has not rested yet is left.
 func (u *upstreams) take(name string, at place) *upstreamConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := len(u.idle) - 1; i >= 0; i-- {
 		c := u.idle[i]
-		if c.name != name {
+		if c.name != name || c.uses > 0 && time.Since(c.since) < restLeast {
 			continue
 		}
 		u.idle = slices.Delete(u.idle, i, i+1)
-		if c.retire.Stop() && c.http.Err() == nil && c.at == at {
+		if c.retire.Stop() && c.http.Err() == nil && c.at == at && (c.uses == 0 || !c.spent()) {
 			return c
 		}
 		u.closeLocked(c)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,16 @@
 	return u
 }
 
+// awaitRest waits until each connection that is kept may be used again.
+func (u *upstreams) awaitRest(t *testing.T) {
+	t.Helper()
+	eventually(t, "the connections have rested", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return !slices.ContainsFunc(u.idle, func(c *upstreamConn) bool { return time.Since(c.since) < restLeast })
+	})
+}
+
 func testRequest(method, body string) *clientRequest {
 	return &clientRequest{id: "1", method: method, target: "/search/a%2Fb?x=%20y&z", host: "service.internal",
 		header: http.Header{"X-Request-Id": {"9b1f03aa5c7e2d41"}, "Idempotency-Key": {"k"}}, body: &clientBody{kept: []byte(body), length: int64(len(body))}}
@@ -214,7 +225,7 @@
 			eventually(t, "the connection is idle", func() bool {
 				u.mu.Lock()
 				defer u.mu.Unlock()
-				return len(u.idle) == 1 && len(u.late) == 0
+				return len(u.idle) == 1 && len(u.late) == 0 && time.Since(u.idle[0].since) >= restLeast
 			})
 			rep.abandon() // comes too late to harm
 			next := u.attempt(t.Context(), "s", testRequest("POST", "second"), 0)
@@ -370,6 +381,7 @@
 	u := testUpstreams(t, 4, entry("s", s.address, "Ready"))
 	send := func(want balancer.Result) {
 		t.Helper()
+		u.awaitRest(t)
 		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != want {
 			t.Fatalf("result %d, want %d", rep.result, want)
 		}
@@ -434,6 +446,7 @@
 		if rep := u.attempt(t.Context(), "s", testRequest("GET", ""), 0); rep.result != want {
 			t.Errorf("result %d, want %d", rep.result, want)
 		}
+		u.awaitRest(t)
 	}
 	if got := s.requests(); len(got) != 2 || got[1].conn != 1 {
 		t.Errorf("%d requests, the last on connection %d", len(got), got[len(got)-1].conn)
