lab: names of its own for zones, kinds, classes and tenants; no behaviour change

The laboratory's default fleet and the burden command had those of the one in service.

Figures, shares and orders are as they were.

go test ./internal/lab/experiment ./internal/lab/burden passes.

--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -155,7 +155,7 @@
 }
 
 func registration(i int) api.Registration {
-	return api.Registration{Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: "makati", Type: "std-4", Weight: 1}
+	return api.Registration{Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: "south", Type: "cores-4", Weight: 1}
 }
 
 // open has watchers follow from a version on; the moment of each line but empty ones goes to heard.
--- a/internal/lab/experiment/defaults.go
+++ b/internal/lab/experiment/defaults.go
@@ -17,7 +17,7 @@
 	f.Sidecars, f.Upstreams = cmp.Or(f.Sidecars, 4), cmp.Or(f.Upstreams, 12)
 	f.CellSize, f.Cores, f.MemoryMB, f.Sockets = cmp.Or(f.CellSize, 4), cmp.Or(f.Cores, 1), cmp.Or(f.MemoryMB, 64), cmp.Or(f.Sockets, 512)
 	if len(f.Zones) == 0 {
-		f.Zones = []string{"makati", "cebu", "davao", "iloilo"}
+		f.Zones = []string{"south", "centre", "east", "north"}
 	}
 	span := func(d *Duration, or time.Duration) { d.Duration = cmp.Or(d.Duration, or) }
 	span(&e.Net.Same, 200*time.Microsecond)
@@ -43,22 +43,22 @@
 	l.Connections = cmp.Or(l.Connections, f.Sockets/3)
 	span(&l.Backoff, 100*time.Millisecond)
 	if len(e.Kinds) == 0 {
-		e.Kinds = []Kind{{Name: "std-4", Share: 0.44, Cores: 4, Speed: Range{0.85, 1.1}}, {Name: "small-3", Share: 0.56, Cores: 3, Speed: Range{0.64, 0.86}}}
+		e.Kinds = []Kind{{Name: "cores-4", Share: 0.44, Cores: 4, Speed: Range{0.85, 1.1}}, {Name: "cores-3", Share: 0.56, Cores: 3, Speed: Range{0.64, 0.86}}}
 	}
 	for i := range e.Kinds {
 		e.Kinds[i].fill(e.Rules)
 	}
 	if len(e.Classes) == 0 {
 		e.Classes = []Class{
-			{Name: "plan-read", Share: 0.81, Work: Duration{50 * time.Millisecond}, CV: 1.6, Worth: 2, LateWorth: 0.25,
+			{Name: "read", Share: 0.81, Work: Duration{50 * time.Millisecond}, CV: 1.6, Worth: 2, LateWorth: 0.25,
 				Aim: Duration{300 * time.Millisecond}, Deadline: Duration{1600 * time.Millisecond}},
-			{Name: "charge-ship", Share: 0.19, Work: Duration{40 * time.Millisecond}, CV: 1.8, Dist: "pareto", Worth: 3, LateWorth: 0.5,
+			{Name: "order", Share: 0.19, Work: Duration{40 * time.Millisecond}, CV: 1.8, Dist: "pareto", Worth: 3, LateWorth: 0.5,
 				Aim: Duration{300 * time.Millisecond}, Deadline: Duration{1200 * time.Millisecond}, Unsafe: true},
 		}
 	}
 	if len(e.Tenants) == 0 {
-		e.Tenants = []Tenant{{Name: "bukid-beans", Share: 0.43}, {Name: "kapeng-lipa", Share: 0.28},
-			{Name: "sagada-roast", Share: 0.17}, {Name: "mindanao-brew", Share: 0.12}}
+		e.Tenants = []Tenant{{Name: "tenant-1", Share: 0.43}, {Name: "tenant-2", Share: 0.28},
+			{Name: "tenant-3", Share: 0.17}, {Name: "tenant-4", Share: 0.12}}
 	}
 	if len(e.Variants) == 0 {
 		e.Variants = []Variant{{Name: "today"}}
