--- /dev/null
+++ b/known_red_test.go
@@ -0,0 +1,78 @@
+package mosslead_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The script runs on a module of two packages, each with a test that fails on demand. Whatever the file of known failures
+// says, only they are passed over.
+func TestKnownRedTestsAreRunPrintedAndPassedOver(t *testing.T) {
+	script, err := filepath.Abs("known-red.sh")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const (
+		bad    = "package p\n\nimport \"testing\"\n\nfunc TestA(t *testing.T) { t.Error(\"as known\") }\n\nfunc TestAB(t *testing.T) {}\n"
+		good   = "package p\n\nimport \"testing\"\n\nfunc TestA(t *testing.T) {}\n\nfunc TestAB(t *testing.T) {}\n"
+		worse  = "package p\n\nimport \"testing\"\n\nfunc TestA(t *testing.T) { t.Error(\"as known\") }\n\nfunc TestAB(t *testing.T) { t.Error(\"news\") }\n"
+		skips  = "package p\n\nimport \"testing\"\n\nfunc TestA(t *testing.T) { t.Skip() }\n"
+		exits  = "package p\n\nimport (\n\t\"os\"\n\t\"testing\"\n)\n\nfunc TestA(t *testing.T) { os.Exit(3) }\n"
+		broken = "package p\n\nfunc TestA(t *testing.T) {}\n"
+		line   = "tiny/p TestA: a cause: more of it (issue 25)\n"
+	)
+	for name, c := range map[string]struct {
+		p, q, known string // the two packages' tests; "-" stands for no file
+		pass        bool
+		says        string
+	}{
+		"no file, all pass":          {good, good, "-", true, "ok  \ttiny/q"},
+		"no file, one fails":         {bad, good, "-", false, "as known"},
+		"an empty file":              {good, good, "", true, "ok  \ttiny/q"},
+		"an empty file, one fails":   {bad, good, "", false, "as known"},
+		"a known one":                {bad, good, line, true, "known red: " + line},
+		"a line without its end":     {bad, good, strings.TrimSpace(line), true, "known red: " + line},
+		"two known ones":             {worse, good, line + "tiny/p TestAB: too (issue 7)\n", true, "known red: tiny/p TestAB: too (issue 7)"},
+		"no other package":           {bad, "-", line, true, "known red: "},
+		"another of its package":     {worse, good, line, false, "--- FAIL: TestAB"},
+		"the like-named of another":  {bad, bad, line, false, "FAIL\ttiny/q"},
+		"a known one passes":         {good, good, line, false, "TestA does not fail: its line has to go"},
+		"a known one is skipped":     {skips, good, line, false, "TestA does not fail: its line has to go"},
+		"a known one ends the run":   {exits, good, line, false, "TestA does not fail by itself"},
+		"a known one does not build": {broken, good, line, false, "TestA does not fail by itself"},
+		"a known one is not there":   {good, good, strings.Replace(line, "TestA", "TestB", 1), false, "TestB does not fail"},
+		"no such package":            {bad, good, strings.Replace(line, "/p", "/r", 1), false, "no package tiny/r"},
+		"four lines":                 {bad, good, strings.Repeat(line, 4), false, "over three lines"},
+		"no issue":                   {bad, good, "tiny/p TestA: a cause\n", false, "not of the form"},
+		"no cause":                   {bad, good, "tiny/p TestA: (issue 25)\n", false, "not of the form"},
+		"a part of a test":           {bad, good, strings.Replace(line, "TestA", "TestA/b", 1), false, "not of the form"},
+		"a blank line":               {bad, good, line + "\n", false, "not of the form"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			for path, text := range map[string]string{"go.mod": "module tiny\n\ngo 1.26.0\n", "p/p_test.go": c.p, "q/q_test.go": c.q, "KNOWN-RED.txt": c.known} {
+				path = filepath.Join(dir, path)
+				if text == "-" {
+					continue
+				}
+				if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+					t.Fatal(err)
+				}
+				if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			cmd := exec.CommandContext(t.Context(), "sh", script)
+			cmd.Dir = dir
+			cmd.Env = append(os.Environ(), "GOFLAGS=", "GOWORK=off")
+			out, err := cmd.CombinedOutput()
+			if (err == nil) != c.pass || !strings.Contains(string(out), strings.TrimSpace(c.says)) {
+				t.Errorf("ended with %v; wanted a pass: %v, and %q in\n%s", err, c.pass, c.says, out)
+			}
+		})
+	}
+}
