balancer: a late attempt is not given up where none may follow it

Where no second copies are allowed, a late attempt is cancelled so that another takes its place. Nothing asked whether another may: under a site with one attempt a request, with the last of several, or with a keyed class whose window for repeats is over, the cancel ended the request for certain (for a keyed class within a zone as failed), though its answer could still come in time. lateAttempt now asks what mayTry will ask of every upstream.

TestLateAttemptIsKeptWhereNoneMayFollow failed on the last attempt and on the window that is over (1 cancelled, want 0).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -461,9 +461,9 @@
 }
 
 // lateAttempt answers a request whose attempt is late: a second copy beside it, or where that is ruled out
-// another attempt in its place, if the upstream has not been heard since. Guards against pauses and hung
-// upstreams. A late request is mostly a costly one, and so is its copy: it takes an upstream that leaves two
-// of ours unanswered, or copies that paid of late. Budget and pressure stop it in overload.
+// another attempt in its place, if one may follow and the upstream has not been heard since. Guards against
+// pauses and hung upstreams. A late request is mostly a costly one, and so is its copy: it takes an upstream
+// that leaves two of ours unanswered, or copies that paid of late. Budget and pressure stop it in overload.
 func (b *Balancer) lateAttempt(r *request) {
 	if r.out == 0 || b.now < r.lateAt || b.retries < 1 || b.pressure() > copyPressure {
 		return
@@ -479,7 +479,8 @@
 		}
 		return
 	}
-	if b.set.Cancelling && last.u.heard < last.sent && b.now+seconds(b.mid.v*r.cost) < r.end {
+	follows := b.set.Cancelling && !b.used(r) && !b.stuck(r)
+	if follows && last.u.heard < last.sent && b.now+seconds(b.mid.v*r.cost) < r.end {
 		b.cancelRest(r, -1)
 	}
 }
--- /dev/null
+++ b/balancer/settings_test.go
@@ -0,0 +1,45 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an attempt that is given up for another that may not follow: the last one that the settings allow, and one
+// whose repeats upstreams drop no longer.
+func TestLateAttemptIsKeptWhereNoneMayFollow(t *testing.T) {
+	for name, c := range map[string]struct {
+		most   int
+		window time.Duration
+		cancel int
+	}{
+		"another may follow": {2, time.Second, 1},
+		"the last one":       {1, time.Second, 0},
+		"the window is over": {2, 300 * ms, 0},
+	} {
+		s := testSettings()
+		s.MaxAttempts, s.SecondCopies = c.most, false
+		s.Classes[0].Effect, s.Classes[0].Window, s.Classes[0].LateShare = Keyed, c.window, 1
+		r := newRig(t, s)
+		r.fleet(3)
+		for _, id := range []string{"1", "2", "3"} { // served, so that the budget holds an attempt
+			r.request(id, "c", time.Second)
+			r.now += 10 * ms
+			r.result(id, 0, OK, 10*ms)
+		}
+		r.now += 10 * ms
+		r.request("late", "c", time.Second)
+		r.b.retries = 1
+		r.b.late.v, r.b.mid.v = 0, 0.5/r.b.reqs["late"].cost // late once half a second is left
+		r.b.watch(r.b.reqs["late"])
+		r.pass(400 * ms)
+		r.b.mid.v /= 5 // answers come sooner now
+		acts := r.pass(300 * ms)
+		if n := len(kinds(acts, Cancel)); n != c.cancel {
+			t.Errorf("%s: %d cancelled, want %d", name, n, c.cancel)
+		}
+		if n := len(finals(acts)); n > 0 {
+			t.Errorf("%s: ended with time left", name)
+		}
+	}
+}
