balancer: an aim ends with the deadline; groups and windows are asked of keyed classes alone

Deadlines may be shorter than the aims that a site states. A request's own aim was cut to its deadline, but the mean of aims, by which attempts count as lost, lists are widened and memories fade, was reckoned from the stated one. check now cuts it once.

KeyScope and DedupWindowMs say something of keyed classes alone. A word or a figure there that is of no use refused the start also where the class is safe or unsafe; no decision reads it.

--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -58,6 +58,7 @@
 		if field := c.unusable(); field != "" {
 			return fmt.Errorf("setting Classes: %s: %s is not usable", c.Name, field)
 		}
+		c.Aim = min(c.Aim, c.Deadline) // nothing is late before its time is over
 	}
 	return nil
 }
@@ -74,7 +75,7 @@
 		return "Deadline"
 	case c.Effect < Safe || c.Effect > Unsafe:
 		return "Effect"
-	case c.Group < GroupAll || c.Group > GroupCell:
+	case c.Effect == Keyed && (c.Group < GroupAll || c.Group > GroupCell): // of others no group is asked
 		return "Group"
 	case !(c.Worth >= 0) || math.IsInf(c.Worth, 0):
 		return "Worth"
@@ -82,7 +83,7 @@
 		return "LateShare"
 	case !(c.AimStretch >= 0) || math.IsInf(c.AimStretch, 0):
 		return "AimStretch"
-	case c.Window < 0:
+	case c.Effect == Keyed && c.Window < 0:
 		return "Window"
 	}
 	return ""
--- a/balancer/settings_test.go
+++ b/balancer/settings_test.go
@@ -43,3 +43,20 @@
 		}
 	}
 }
+
+// Guards against a start that is refused for a word that nothing asks for, and against times that are reckoned from an aim
+// which no request has: it ends with the deadline.
+func TestSettingsOfAnotherCustomer(t *testing.T) {
+	s := testSettings()
+	s.Classes = []Class{
+		{Name: "safe", Aim: 750 * ms, Deadline: 500 * ms, Group: -1, Window: -1},
+		{Name: "unsafe", Aim: 100 * ms, Deadline: 500 * ms, Effect: Unsafe, Group: 9, Window: -1},
+	}
+	r := newRig(t, s)
+	if aim := r.b.classes["safe"].Aim; aim != 500*ms || r.b.meanAim != 0.3 {
+		t.Errorf("aim %v, mean %v; want 500ms, 0.3", aim, r.b.meanAim)
+	}
+	if s.Classes[0].Aim != 750*ms {
+		t.Error("the caller's settings changed")
+	}
+}
