sidecar: whole numbers may have a fraction of 0, and no time in the settings is too long

A configuration in which sockets, SendCap or Balancers were written as 256.0, 1.0, 30.0 refused the start: the library reads no such number into an integer. They are read as numbers now; half an attempt is still none, and fewer than none is turned down. A time beyond 292 years (one way to write never) overflowed, to a shorter one or to 0, which means absent: ConnIdleMs 1e300 made idle connections last 10 s. Times end at 142 years, so that their sum with a clock time fits, too.

TestConfigOfAnotherCustomer failed before: "cannot unmarshal number 30.0 into Go struct field env.Balancers of type int", with that mended "256.0 into ... limits.sockets"; TestLongTimes: 1e300 ms read as 0s.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -36,9 +37,9 @@
 
 // Limits is what the platform allows the process.
 type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB float64 `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
+	Cores    float64
+	MemoryMB float64
+	Sockets  int
 }
 
 const (
@@ -80,9 +81,13 @@
 		Name, Listen, Discovery, Seed string
 		Ops, State                    string
 		Peers                         *Peers
-		Limits                        *Limits
-		Known                         json.RawMessage
-		Settings                      json.RawMessage
+		Limits                        *struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64 // some write whole numbers with a fraction of 0
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, located(text, text, err)
@@ -108,7 +113,7 @@
 	if file.Limits == nil {
 		return nil, errors.New("limits: missing")
 	}
-	c.Limits = *file.Limits
+	c.Limits = Limits{file.Limits.Cores, file.Limits.MemoryMB, int(max(-1, min(file.Limits.Sockets, math.MaxInt32)))}
 	switch {
 	case !(c.Limits.Cores > 0):
 		return nil, fmt.Errorf("limits: cores: %v is not above 0", c.Limits.Cores)
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mosslead/balancer"
 )
 
 // Guards against a sidecar that starts with what it can't use, and finds out under traffic.
@@ -53,3 +55,53 @@
 		}
 	}
 }
+
+const otherSettings = `{"Balancers":30.0,"Zone":"","Discovery":"push","TickMs":5.0,"WorthBy":"request","Tiers":["t"],
+ "FamilyInfo":{"WarmKeys":true},"Classes":[
+  {"Name":"slow","Semantics":"retryable","KeyScope":"none","DedupWindowMs":-1,"AimMs":750.0,"DeadlineMs":500.0,"Importance":2,"LateShare":0.25,"Stream":false},
+  {"Name":"paid","Semantics":"dedup","KeyScope":"cell","DedupWindowMs":300.5,"AimMs":250.0,"AimStretch":2,"DeadlineMs":6000.0,"Importance":3,"LateShare":0,"Stream":false}],
+ "Limits":{"Cancelling":false,"ConnIdleMs":1e300,"ConnectTimeoutMs":200.0,"MaxRetryAfterMs":0,"Probes":false,"RetryAfter":true,
+  "SecondCopies":false,"SendCap":1.0},
+ "OverShareWorth":0.4,"Prices":{"CrossZone":0.15,"Waste":0.2},"Rules":{"ColdFrom":0.3,"FallMs":1000.0,"FallMultiple":4.0,"WarmUpMs":8800.0},
+ "Tenants":[{"Name":"only","Fraction":1.0,"QuotaRps":97.0}]}`
+
+func otherConfig(settings string) (*Config, error) {
+	return parseConfig(fmt.Appendf(nil, `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c",
+		"limits":{"cores":0.05,"memory_mb":32.0,"sockets":256.0},"known":%s,"settings":%s}`, list(41, true), settings))
+}
+
+// Guards against a start that is refused for a customer whose settings look otherwise: whole numbers with a fraction, no
+// zones, an aim beyond the deadline, limits at the low end, words of a group where no group is asked.
+func TestConfigOfAnotherCustomer(t *testing.T) {
+	c, err := otherConfig(otherSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Limits != (Limits{0.05, 32, 256}) || s.Balancers != 30 || s.MaxAttempts != 1 || s.Cancelling || s.SecondCopies || s.MustSubscribe ||
+		s.MaxRetryAfter != 0 || s.ConnIdle < 24*365*time.Hour || s.ConnectTimeout != 200*time.Millisecond || s.WorthByWork || s.Zone != "" {
+		t.Errorf("read as %+v, %+v", c.Limits, s)
+	}
+	if k := s.Classes[1]; k.Effect != balancer.Keyed || k.Group != balancer.GroupCell || k.Window != 300500*time.Microsecond || k.Deadline != 6*time.Second {
+		t.Errorf("keyed class read as %+v", k)
+	}
+	for name, change := range map[string][2]string{
+		"half an attempt":      {`"SendCap":1.0`, `"SendCap":0.5`},
+		"fewer than none":      {`"Balancers":30.0`, `"Balancers":-1e300`},
+		"a keyed class's word": {`"KeyScope":"cell"`, `"KeyScope":"none"`},
+		"its window":           {`"DedupWindowMs":300.5`, `"DedupWindowMs":-1`},
+		"an endless number":    {`"AimMs":250.0`, `"AimMs":1e999`},
+		"a share above 1":      {`"Fraction":1.0`, `"Fraction":1.5`},
+		"a name twice":         {`"Name":"paid"`, `"Name":"slow"`},
+		"classes as an object": {`"Classes":[`, `"Classes":{"a":[`},
+		"null classes":         {`"Classes":[`, `"Classes":null,"Others":[`},
+	} {
+		text := strings.Replace(otherSettings, change[0], change[1], 1)
+		if text == otherSettings {
+			t.Fatalf("%s: nothing changed", name)
+		}
+		if _, err := otherConfig(text); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"mosslead/balancer"
@@ -25,30 +26,34 @@
 
 // env is the part of the start-up parameters that is used.
 type env struct {
-	Balancers int
-	Classes   []struct {
-		Name, Semantics, KeyScope                 string
-		AimMs, AimStretch, DeadlineMs, Importance float64
-		LateShare, DedupWindowMs                  float64
-		Stream                                    bool
-	}
+	Balancers float64
+	Classes   []class
 	Discovery string
 	Limits    struct {
 		Cancelling, Probes, RetryAfter, SecondCopies bool
 		ConnectTimeoutMs, MaxRetryAfterMs            float64
 		ConnIdleMs                                   float64
-		SendCap                                      int
+		SendCap                                      float64
 	}
 	OverShareWorth float64
 	Prices         struct{ CrossZone float64 }
 	Rules          struct{ ColdFrom, WarmUpMs, FallMs, FallMultiple float64 }
-	Tenants        []struct {
-		Name     string
-		Fraction float64
-	}
-	TickMs  float64
-	WorthBy string
-	Zone    string
+	Tenants        []tenant
+	TickMs         float64
+	WorthBy        string
+	Zone           string
+}
+
+type class struct {
+	Name, Semantics, KeyScope                 string
+	AimMs, AimStretch, DeadlineMs, Importance float64
+	LateShare, DedupWindowMs                  float64
+	Stream                                    bool
+}
+
+type tenant struct {
+	Name     string
+	Fraction float64
 }
 
 // unknownWord is an effect or group that the module will turn down, naming the field.
@@ -56,11 +61,11 @@
 
 func (e *env) settings() balancer.Settings {
 	s := balancer.Settings{
-		Balancers:      e.Balancers,
+		Balancers:      count(e.Balancers),
 		Zone:           e.Zone,
 		MustSubscribe:  e.Discovery == "ask",
 		Tick:           duration(e.TickMs),
-		MaxAttempts:    e.Limits.SendCap,
+		MaxAttempts:    count(e.Limits.SendCap),
 		SecondCopies:   e.Limits.SecondCopies,
 		Cancelling:     e.Limits.Cancelling,
 		Probes:         e.Limits.Probes,
@@ -86,6 +91,9 @@
 	return s
 }
 
+// count takes a whole number that may be written with a fraction of 0. One too large for its type stands for many.
+func count(x float64) int { return int(min(max(x, -1), math.MaxInt32)) }
+
 func effect(word string) balancer.Effect {
 	switch word {
 	case "retryable":
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -282,9 +282,10 @@
 	return uint64(i)
 }
 
-// The simulator counts microseconds.
+// duration is what the simulator counts in microseconds. It ends at some 142 years: what is further away is never, and a sum with a clock time still fits its type.
 func duration(ms float64) time.Duration {
-	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+	const most = 1 << 52
+	return time.Duration(math.Round(min(max(ms*1000, -most), most))) * time.Microsecond
 }
 
 func millis(d time.Duration) float64 {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -154,3 +154,18 @@
 		}
 	}
 }
+
+// Guards against times that come out negative, or as none, because they are too long for their type.
+func TestLongTimes(t *testing.T) {
+	for ms, want := range map[float64]time.Duration{0: 0, 0.0005: time.Microsecond, 1.5: 1500 * time.Microsecond, -1: -time.Millisecond,
+		1.7e12: 1700000000 * time.Second} {
+		if d := duration(ms); d != want {
+			t.Errorf("%v ms read as %v, want %v", ms, d, want)
+		}
+	}
+	for _, ms := range []float64{1e14, 1e17, 1e300} {
+		if d := duration(ms); d < 100*365*24*time.Hour || d+d < d || duration(-ms) != -d {
+			t.Errorf("%v ms read as %v, the like before zero as %v", ms, d, duration(-ms))
+		}
+	}
+}
