sidecar: a reload may lack what nothing reads, and may have no tenants

A file read anew at SIGHUP is turned down if it lacks a key that the one in use had, since that reads like a limit never set. Refused, the sidecar stays at an address of discovery that closes. What is read is told by the struct that reads it.

TestReloadMayLackWhatNothingReads failed before on each: "lacks known", and with that free "lacks settings.FamilyInfo", "lacks settings.Prices.Waste", "lacks settings.Tenants.Fraction" and "lacks settings.Classes.AimStretch". A limit, a price, a share or one class's aim that is gone is turned down as before.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"mosslead/balancer"
@@ -211,7 +212,7 @@
 }
 
 // keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
-// of them hold. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
+// of them hold; of a list without any its path and a dot, for they lack nothing. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
 // is absent from one that is 0, but for pointers in each field.
 func keysOf(text []byte) (map[string]bool, error) {
 	var file map[string]any
@@ -238,6 +239,9 @@
 					counts[key]++
 				}
 			}
+			if len(v) == 0 {
+				into[path] = true
+			}
 			for key, n := range counts {
 				if n == len(v) {
 					into[key] = true
@@ -250,16 +254,37 @@
 }
 
 // follows tells why a file that was read anew can't take the place of the one in use: a key that is gone reads like a
-// limit or a price that was never set.
+// limit or a price that was never set. A key that nothing reads, or that may be absent, can go.
 func (c *Config) follows(old *Config) error {
 	for _, key := range slices.Sorted(maps.Keys(old.keys)) {
-		if !c.keys[key] {
+		free := key == "known" || key == "settings.Classes.AimStretch" || strings.HasSuffix(key, ".") ||
+			strings.HasPrefix(key, "settings.") && !usedKeys()[key]
+		if !free && !c.holds(key) {
 			return fmt.Errorf("lacks %s", key)
 		}
 	}
 	return nil
 }
 
+// holds tells whether the file holds a key, or an empty list in whose objects it would be.
+func (c *Config) holds(key string) bool {
+	for i, x := range key {
+		if x == '.' && c.keys[key[:i+1]] {
+			return true
+		}
+	}
+	return c.keys[key]
+}
+
+// usedKeys are the settings' keys that are read.
+var usedKeys = sync.OnceValue(func() map[string]bool {
+	keys, err := keysOf(fmt.Appendf(nil, `{"settings":%s}`, wire.Keys()))
+	if err != nil {
+		panic(err) // the module's own text
+	}
+	return keys
+})
+
 // addressesOf takes a key's value apart: only discovery may be at several addresses, as replicas of a list service are.
 func addressesOf(key, value string) []string {
 	if key != "discovery" {
--- a/internal/wire/env.go
+++ b/internal/wire/env.go
@@ -56,6 +56,17 @@
 	Fraction float64
 }
 
+// Keys are those of the start-up parameters that are used, as an object that holds them all.
+func Keys() []byte {
+	var e env
+	e.Classes, e.Tenants = append(e.Classes, class{}), append(e.Tenants, tenant{})
+	text, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // plain fields alone
+	}
+	return text
+}
+
 // unknownWord is an effect or group that the module will turn down, naming the field.
 const unknownWord = -1
 
