--- a/balancer/property_test.go
+++ b/balancer/property_test.go
@@ -109,12 +109,14 @@
 	s.MaxAttempts = 1 + g.IntN(5)
 	s.PriceCrossZone = []float64{0, 0.01, 0.2}[g.IntN(3)]
 	s.FallMultiple = float64(g.IntN(4))
+	s.Zone = []string{"a", "a", ""}[g.IntN(3)]
+	s.WorthByWork, s.OverShareWorth = g.IntN(2) == 0, float64(g.IntN(2))/2
 	s.Tenants = []Tenant{{Name: "t", Fraction: 0.5}, {Name: "v", Fraction: 0.5}}[:g.IntN(3)]
 	s.Classes = nil
 	for e := Safe; e <= Unsafe; e++ {
 		for group := GroupAll; group <= GroupCell; group++ {
 			aim := time.Duration(50+g.IntN(400)) * ms
-			s.Classes = append(s.Classes, Class{Name: fmt.Sprint(e, group), Aim: aim, Deadline: aim * 2, Effect: e,
+			s.Classes = append(s.Classes, Class{Name: fmt.Sprint(e, group), Aim: aim, Deadline: aim * time.Duration(1+g.IntN(4)) / 2, Effect: e,
 				Group: group, Window: time.Duration(20+g.IntN(800)) * ms, LateShare: float64(g.IntN(2)) / 2,
 				Worth: float64(1 + g.IntN(9)), AimStretch: float64(g.IntN(2)), Stream: g.IntN(4) == 0})
 		}
