sidecar: a test serves under the settings of another customer

All loopback tests ran under one set of settings. This one has the least of each: one attempt, no second copies, nothing to be cancelled, no zone and no tenants, 256 descriptors and 32 MB, a keyed class within a cell, an aim beyond the deadline. Requests are served, those that fail or hang are answered in time and refused only where the effect allows it.

The program was right.

--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -144,3 +147,54 @@
 		t.Errorf("tenants that come: %v, %v", err, old.follows(none))
 	}
 }
+
+// Guards against a sidecar that reads such settings and can't serve under them: one attempt, none to be cancelled, no zone and
+// no tenant, the fewest descriptors and the least memory. What hangs is answered in time, and as the class's effect demands.
+func TestAnotherCustomerIsServed(t *testing.T) {
+	limit := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(limit) })
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		switch {
+		case strings.HasSuffix(g.target, "hang"):
+			return silent(c, g)
+		case strings.HasSuffix(g.target, "error"):
+			return says("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")(c, g)
+		}
+		return says(ok200("done"))(c, g)
+	})
+	settings := strings.NewReplacer(`{"Name":"only","Fraction":1.0,"QuotaRps":97.0}`, ``, `"AimMs":250.0`, `"AimMs":5000.0`,
+		`"AimMs":750.0`, `"AimMs":7500.0`, `"DeadlineMs":500.0`, `"DeadlineMs":5000.0`).Replace(otherSettings) // a slow machine has time
+	c, err := parseConfig(fmt.Appendf(nil, `{"name":"n3","listen":"127.0.0.4:9000","discovery":%q,"seed":"8c",
+		"limits":{"cores":0.05,"memory_mb":32.0,"sockets":256.0},"known":%s,"settings":%s}`,
+		quiet(t).address, `{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"`+s.address+`","status":"Ready"}]}`, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := start(t, c, "127.0.0.1:0")
+	ask := func(method, class, path string) *http.Request {
+		req := request(t, r.address, class, "")
+		req.Method, req.URL.Path = method, "/"+class+"/"+path
+		req.Header.Set("X-Timeout", "1000m")
+		req.Header.Set("X-Tenant-Id", "nobody")
+		req.Header.Set("Idempotency-Key", "k")
+		return req
+	}
+	for class, method := range map[string]string{"slow": http.MethodGet, "paid": http.MethodPost} {
+		for range 3 {
+			if resp, body := r.do(t, ask(method, class, "x")); resp.StatusCode != 200 || body != "done" {
+				t.Fatalf("%s: %s %q", class, resp.Status, body)
+			}
+		}
+		for _, fault := range []string{"error", "hang"} {
+			began := time.Now()
+			resp, _ := r.do(t, ask(method, class, fault))
+			refused := resp.StatusCode == 429 || resp.StatusCode == 503
+			if took := time.Since(began); took > 4*time.Second || resp.StatusCode < 400 || refused != (class == "slow") {
+				t.Errorf("%s, %s: %s after %v", class, fault, resp.Status, took)
+			}
+		}
+	}
+	if n := len(s.requests()); n != 10 {
+		t.Errorf("%d requests reached the upstream, want 10: one attempt each", n)
+	}
+}
