--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
+
+	"mosslead/balancer"
 )
 
 // Guards against a sidecar that starts with what it can't use, and finds out under traffic.
@@ -53,3 +58,143 @@
 		}
 	}
 }
+
+const otherSettings = `{"Balancers":30.0,"Zone":"","Discovery":"push","TickMs":5.0,"WorthBy":"request","Tiers":["t"],
+ "FamilyInfo":{"WarmKeys":true},"Classes":[
+  {"Name":"slow","Semantics":"retryable","KeyScope":"none","DedupWindowMs":-1,"AimMs":750.0,"AimStretch":0,"DeadlineMs":500.0,"Importance":2,"LateShare":0.25,"Stream":false},
+  {"Name":"paid","Semantics":"dedup","KeyScope":"cell","DedupWindowMs":300.5,"AimMs":250.0,"AimStretch":2,"DeadlineMs":6000.0,"Importance":3,"LateShare":0,"Stream":false}],
+ "Limits":{"Cancelling":false,"ConnIdleMs":1e300,"ConnectTimeoutMs":200.0,"MaxRetryAfterMs":0,"Probes":false,"RetryAfter":true,
+  "SecondCopies":false,"SendCap":1.0},
+ "OverShareWorth":0.4,"Prices":{"CrossZone":0.15,"Waste":0.2},"Rules":{"ColdFrom":0.3,"FallMs":1000.0,"FallMultiple":4.0,"WarmUpMs":8800.0},
+ "Tenants":[{"Name":"only","Fraction":1.0,"QuotaRps":97.0}]}`
+
+func otherConfig(settings string) (*Config, error) {
+	return parseConfig(fmt.Appendf(nil, `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c",
+		"limits":{"cores":0.05,"memory_mb":32.0,"sockets":256.0},"known":%s,"settings":%s}`, list(41, true), settings))
+}
+
+// Guards against a start that is refused for a customer whose settings look otherwise: whole numbers with a fraction, no
+// zones, an aim beyond the deadline, limits at the low end, words of a group where no group is asked.
+func TestConfigOfAnotherCustomer(t *testing.T) {
+	c, err := otherConfig(otherSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Limits != (Limits{0.05, 32, 256}) || s.Balancers != 30 || s.MaxAttempts != 1 || s.Cancelling || s.SecondCopies || s.MustSubscribe ||
+		s.MaxRetryAfter != 0 || s.ConnIdle < 24*365*time.Hour || s.ConnectTimeout != 200*time.Millisecond || s.WorthByWork || s.Zone != "" {
+		t.Errorf("read as %+v, %+v", c.Limits, s)
+	}
+	if k := s.Classes[1]; k.Effect != balancer.Keyed || k.Group != balancer.GroupCell || k.Window != 300500*time.Microsecond || k.Deadline != 6*time.Second {
+		t.Errorf("keyed class read as %+v", k)
+	}
+	for name, change := range map[string][2]string{
+		"half an attempt":      {`"SendCap":1.0`, `"SendCap":0.5`},
+		"fewer than none":      {`"Balancers":30.0`, `"Balancers":-1e300`},
+		"a keyed class's word": {`"KeyScope":"cell"`, `"KeyScope":"none"`},
+		"its window":           {`"DedupWindowMs":300.5`, `"DedupWindowMs":-1`},
+		"an endless number":    {`"AimMs":250.0`, `"AimMs":1e999`},
+		"a share above 1":      {`"Fraction":1.0`, `"Fraction":1.5`},
+		"a name twice":         {`"Name":"paid"`, `"Name":"slow"`},
+		"classes as an object": {`"Classes":[`, `"Classes":{"a":[`},
+		"null classes":         {`"Classes":[`, `"Classes":null,"Others":[`},
+	} {
+		text := strings.Replace(otherSettings, change[0], change[1], 1)
+		if text == otherSettings {
+			t.Fatalf("%s: nothing changed", name)
+		}
+		if _, err := otherConfig(text); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// Guards against a reload that is refused for what is no limit and no price: the list of the start, keys that nothing
+// reads or that may be absent, and those of tenants where there are none any more.
+func TestReloadMayLackWhatNothingReads(t *testing.T) {
+	old, err := otherConfig(otherSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		change [2]string
+		lacks  string
+	}{
+		"the same":           {},
+		"a key never read":   {[2]string{`"FamilyInfo":{"WarmKeys":true},`, ``}, ""},
+		"a price never read": {[2]string{`,"Waste":0.2`, ``}, ""},
+		"a stretch":          {[2]string{`"AimStretch":2,`, ``}, ""},
+		"no tenants":         {[2]string{`{"Name":"only","Fraction":1.0,"QuotaRps":97.0}`, ``}, ""},
+		"a tenant's share":   {[2]string{`"Fraction":1.0,`, ``}, "settings.Tenants.Fraction"},
+		"tenants at all":     {[2]string{`"Tenants"`, `"Tenant"`}, "settings.Tenants"},
+		"a price":            {[2]string{`"CrossZone":0.15,`, ``}, "settings.Prices.CrossZone"},
+		"a limit":            {[2]string{`"RetryAfter":true,`, ``}, "settings.Limits.RetryAfter"},
+		"one class's aim":    {[2]string{`"AimMs":250.0,`, ``}, "settings.Classes.AimMs"},
+	} {
+		fresh, err := otherConfig(strings.Replace(otherSettings, c.change[0], c.change[1], 1))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		delete(fresh.keys, "known")
+		switch err := fresh.follows(old); {
+		case c.lacks == "" && err != nil:
+			t.Errorf("%s: refused: %v", name, err)
+		case c.lacks != "" && (err == nil || err.Error() != "lacks "+c.lacks):
+			t.Errorf("%s: error %v, want lacks %s", name, err, c.lacks)
+		}
+	}
+	if none, err := otherConfig(strings.Replace(otherSettings, `{"Name":"only","Fraction":1.0,"QuotaRps":97.0}`, ``, 1)); err != nil || old.follows(none) != nil {
+		t.Errorf("tenants that come: %v, %v", err, old.follows(none))
+	}
+}
+
+// Guards against a sidecar that reads such settings and can't serve under them: one attempt, none to be cancelled, no zone and
+// no tenant, the fewest descriptors and the least memory. What hangs is answered in time, and as the class's effect demands.
+func TestAnotherCustomerIsServed(t *testing.T) {
+	limit := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(limit) })
+	s := newUpstream(t, func(c net.Conn, g got) bool {
+		switch {
+		case strings.HasSuffix(g.target, "hang"):
+			return silent(c, g)
+		case strings.HasSuffix(g.target, "error"):
+			return says("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")(c, g)
+		}
+		return says(ok200("done"))(c, g)
+	})
+	settings := strings.NewReplacer(`{"Name":"only","Fraction":1.0,"QuotaRps":97.0}`, ``, `"AimMs":250.0`, `"AimMs":5000.0`,
+		`"AimMs":750.0`, `"AimMs":7500.0`, `"DeadlineMs":500.0`, `"DeadlineMs":5000.0`).Replace(otherSettings) // a slow machine has time
+	c, err := parseConfig(fmt.Appendf(nil, `{"name":"n3","listen":"127.0.0.4:9000","discovery":%q,"seed":"8c",
+		"limits":{"cores":0.05,"memory_mb":32.0,"sockets":256.0},"known":%s,"settings":%s}`,
+		quiet(t).address, `{"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"`+s.address+`","status":"Ready"}]}`, settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := start(t, c, "127.0.0.1:0")
+	ask := func(method, class, path string) *http.Request {
+		req := request(t, r.address, class, "")
+		req.Method, req.URL.Path = method, "/"+class+"/"+path
+		req.Header.Set("X-Timeout", "1000m")
+		req.Header.Set("X-Tenant-Id", "nobody")
+		req.Header.Set("Idempotency-Key", "k")
+		return req
+	}
+	for class, method := range map[string]string{"slow": http.MethodGet, "paid": http.MethodPost} {
+		for range 3 {
+			if resp, body := r.do(t, ask(method, class, "x")); resp.StatusCode != 200 || body != "done" {
+				t.Fatalf("%s: %s %q", class, resp.Status, body)
+			}
+		}
+		for _, fault := range []string{"error", "hang"} {
+			began := time.Now()
+			resp, _ := r.do(t, ask(method, class, fault))
+			refused := resp.StatusCode == 429 || resp.StatusCode == 503
+			if took := time.Since(began); took > 4*time.Second || resp.StatusCode < 400 || refused != (class == "slow") {
+				t.Errorf("%s, %s: %s after %v", class, fault, resp.Status, took)
+			}
+		}
+	}
+	if n := len(s.requests()); n != 10 {
+		t.Errorf("%d requests reached the upstream, want 10: one attempt each", n)
+	}
+}
