sidecar: an answer that never ends is bounded in bytes and time

Cause: what is passed on as it comes was bounded by a stall alone (the longest deadline without a byte). An upstream that drips a byte now and then, or sends on for ever, held its connection, a client's and the handler for as long as it liked.

Change: more than 32 MB, as requests may have, breaks it off, and so does waiting longer than the stall plus what 4 KB a second would take; waiting for the client does not count. The client sees that its answer is not whole.

Seen to fail: with the two bounds taken back TestEndlessAnswersEnd runs into its time (40 s) in both cases.

--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -11,6 +11,7 @@
 const (
 	holdMost  = 100 * time.Millisecond // for an answer of unknown length to show that it is small
 	copyBytes = 32 << 10               // at a time, of an answer that is passed on as it comes
+	leastRate = 4 << 10                // bytes a second: what comes more slowly than that, over its stall, has no end to wait for
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
@@ -25,14 +26,24 @@
 	again  bool // the connection may be used again after it
 	once   sync.Once
 	whole  bool
+
+	took   int64         // bytes read
+	waited time.Duration // for them; what the client made us wait does not count
 }
 
-// read reads what comes next, for as long as something does.
+var errEndless = errors.New("the answer does not come to its end")
+
+// read reads what comes next, for as long as something does. Guards against answers that never end: bytes and time are bounded.
 func (a *answerRest) read(p []byte) (int, error) {
-	stalled := time.AfterFunc(a.stall, a.end)
+	begun := time.Now()
+	stalled := time.AfterFunc(a.stall+time.Duration(a.took)*time.Second/leastRate-a.waited, a.end)
 	defer stalled.Stop()
 	n, err := a.body.Read(p)
+	a.took, a.waited = a.took+int64(n), a.waited+time.Since(begun)
 	a.whole = a.whole || errors.Is(err, io.EOF)
+	if err == nil && a.took > bodyMost {
+		err = errEndless
+	}
 	return n, err
 }
 
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mosslead/balancer"
@@ -216,3 +218,51 @@
 		})
 	}
 }
+
+// Guards against answers that never end: a drip that keeps a connection and its client for ever, and one that goes on fast. The
+// client sees that it did not get all.
+func TestEndlessAnswersEnd(t *testing.T) {
+	t.Run("a drip", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			body, drip := io.Pipe()
+			rest := answerRest{body: body, length: -1, stall: 3 * time.Second, end: func() { body.Close() }}
+			over := make(chan struct{})
+			defer func() { <-over }()
+			go func() {
+				defer close(over)
+				for {
+					if _, err := drip.Write([]byte("x")); err != nil {
+						return
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+			}()
+			begun, err, n := time.Now(), error(nil), 0
+			for ; err == nil; n++ {
+				_, err = rest.read(make([]byte, copyBytes))
+			}
+			if took := time.Since(begun); !errors.Is(err, io.ErrClosedPipe) || took > 4*time.Second || n < 6 {
+				t.Errorf("%v after %v, %d reads", err, took, n)
+			}
+		})
+	})
+	t.Run("a flood", func(t *testing.T) {
+		s := newUpstream(t, func(c net.Conn, _ got) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for piece := "10000\r\n" + strings.Repeat("x", 1<<16) + "\r\n"; err == nil; {
+				_, err = io.WriteString(c, piece)
+			}
+			return false
+		})
+		r := rigOf(t, s)
+		resp, err := r.client.Do(request(t, r.address, "search", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		n, err := io.Copy(io.Discard, resp.Body)
+		if err == nil || n > bodyMost+keepMost+copyBytes {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+	})
+}
