watch: a line that never becomes whole keeps no watch alive, and an end puts no call off

Cause: each byte of a message set the clock of silence back, so that a line that trickled in byte by byte kept its watch, and the list, for ever. And the wait after an end replaced what was due before, so that a caller's long wait (the list service's client has up to 10 s) could lie behind the step at which the next call was to be made anyway.

What is no line now puts the clock off once: a head, or the first part of a message. A watch's next call is at most 5 s after its last line, and a list still has that long to come. An end never puts the next call off. Where a caller sets its own step, a call that has brought no line has one step after its head, too. Told, the 6 s to which all waits are cut, stands there with the sum of the longest steps of each path.

go test ./internal/watch: TestNewsIsInHandInTime has three rows more.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,6 +12,20 @@
 	"time"
 )
 
+// Told is what all waits are cut to: what the other side has is acted on so long after it had it and could be reached, whatever
+// failed, was refused or was given up before. Each path is as long as the wait that was begun just before it came back, and
+// the answer to the call after it (an agent has it at once; a list service reads it from memory):
+//
+//	followed here, where Wait is 2 s at the most:
+//	    refused, reset, ended, an error or a spoilt list, in a loop   Wait 2.0                         2.0 s
+//	    a connection that never comes up, an answer without a head    Step 1.25, stepLater 2.0         2.0 s
+//	    the same, and the connection is given up meanwhile            never later than the step        2.0 s
+//	    silent after a line, a head or a part of a message            Silence 2.5                      2.5 s
+//	    a part of a message, just before that silence counts          Silence 2.5, Silence 2.5         5.0 s
+//	one message without end, a byte at a time: as a part of it, since only its first bytes put the clock off
+//	asked for by another (Tries), and several replicas: beside the callers' constants
+const Told = 6 * time.Second
+
 const (
 	// Silence is how long a watch may bring nothing. An empty line comes every 2 s; what comes a quarter late costs one
 	// call more and loses nothing, since the silent watch stays open beside its successor.
@@ -53,6 +67,7 @@
 	cancel context.CancelFunc
 	over   chan struct{}
 	told   bool // it has brought a line
+	signs  bool // since its last line: a head, or a part of a message
 	silent bool // that was said
 }
 
@@ -81,8 +96,12 @@
 	}()
 	events := make(chan event[M])
 	tries := 0 // since the last line
-	next := time.NewTimer(0)
+	next, due := time.NewTimer(0), time.Now()
 	defer next.Stop()
+	set := func(wait time.Duration) {
+		due = time.Now().Add(wait)
+		next.Reset(wait)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,7 +119,7 @@
 			}
 			open = append(open, f.begin(ctx, events))
 			tries++
-			next.Reset(f.step(tries))
+			set(f.step(tries))
 		case e := <-events:
 			i := slices.Index(open, e.from)
 			if i < 0 || ctx.Err() != nil { // another is believed, or took its place
@@ -127,10 +146,16 @@
 				case f.Tries > 0 && len(open) == 0:
 					return e.err
 				case f.Tries == 0 && newest:
-					next.Reset(f.Wait())
+					if wait := f.Wait(); time.Until(due) > wait { // an end never puts the next call off
+						set(wait)
+					}
 				}
-			case newest:
-				next.Reset(Silence)
+			case e.message != nil || e.blank:
+				e.from.signs = false
+				set(Silence)
+			case newest && !e.from.signs: // once: a message that never becomes whole keeps no watch alive
+				e.from.signs = true
+				set(f.quiet(e.from))
 			}
 		}
 	}
@@ -146,6 +171,15 @@
 	return Step
 }
 
+// quiet is how long a call may go on without a line after a sign of life. Where the caller sets the step, a first line comes
+// with the head.
+func (f *Follower[M]) quiet(c *call) time.Duration {
+	if f.Step > 0 && !c.told {
+		return f.Step
+	}
+	return Silence
+}
+
 // doubt says once that a call is silent.
 func (f *Follower[M]) doubt(c *call) {
 	if !c.silent {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -95,6 +95,11 @@
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	stood := []step{{0, head}, {0, chunk(lineA)}, {ms(2000), chunk("\n")}} // its last byte comes after 2 s
 	news := []step{{0, head}, {0, chunk(lineB)}}
+	endless := append(slices.Clone(stood), step{0, chunk(`{"index":0,"x":"`)})
+	for range 100 {
+		endless = append(endless, step{ms(500), chunk("x")})
+	}
+	bad := append([]step{{0, head}}, endless[len(stood):]...)
 	mute := []step{}
 	for _, x := range []struct {
 		name  string
@@ -108,6 +113,8 @@
 		{"silent in the middle of a line", Follower[version]{}, [][]step{append(slices.Clone(stood), step{0, chunk(lineB[:5])}), news}, 4500, 2, "1"},
 		{"silent, with empty lines within a list", Follower[version]{}, [][]step{append(slices.Clone(stood),
 			step{0, chunk(lineB[:9])}, step{ms(2000), chunk("\n")}, step{ms(2000), chunk("\n")}), news}, 4500, 2, "1"},
+		{"a line without end, a byte at a time", Follower[version]{}, [][]step{endless, news}, 4500, 2, "1"},
+		{"the same, and the next two are as bad", Follower[version]{}, [][]step{endless, bad, bad, news}, 9500, 4, "1"},
 		{"silent, and the next two are never answered", Follower[version]{}, [][]step{stood, mute, mute, news}, 7000, 4, "1"},
 		{"silent, and the next is refused", Follower[version]{}, [][]step{stood, nil, nil, news}, 5000, 4, "1"},
 		{"silent, and asked for, the next never answered", Follower[version]{Step: Silence, Tries: 2}, [][]step{stood, mute, news}, 7000, 3, "1"},
@@ -116,6 +123,8 @@
 		{"silent, and it comes back before the next speaks", Follower[version]{}, [][]step{append(slices.Clone(stood), step{ms(3000), chunk(lineB)}),
 			{{0, head}, {ms(1000), chunk(`{"index":0}`)}}}, 5000, 2, "1"},
 		{"never answered at the start", Follower[version]{}, [][]step{mute, mute, news}, 2500, 3, "0"},
+		{"refused, and the wait after that is longer than the step", Follower[version]{Wait: func() time.Duration { return ms(5000) }},
+			[][]step{nil, nil, nil, news}, 3750, 4, "0"},
 		{"refused at the start", Follower[version]{}, [][]step{nil, nil, nil, news}, 750, 4, "0"},
 		{"down for 8 s, and what came then is lost", Follower[version]{}, [][]step{mute, mute, mute, mute, mute, mute, news}, 9750, 7, "0"},
 		{"in order", Follower[version]{}, [][]step{{{0, head}, {ms(2000), chunk("\n")}, {ms(2000), chunk("\n")}, {ms(2000), chunk("\n")}, {0, chunk(lineB)}}}, 6000, 1, "0"},
@@ -138,7 +147,10 @@
 					}
 					return nil
 				}
-				f.Says, f.Wait = func(string, error) {}, func() time.Duration { return ms(250) }
+				f.Says = func(string, error) {}
+				if f.Wait == nil {
+					f.Wait = func() time.Duration { return ms(250) }
+				}
 				if err := f.Follow(ctx); !errors.Is(err, context.Canceled) {
 					t.Errorf("gave up: %v", err)
 				}
