registry/client: a list is in hand 6 s after most replicas have it, whatever failed before

Cause: a watch that ended waited by the pace of calls, up to 10 s where it kept failing, a silent replica had 2 s and more, and reading a doubted list a second time 3 s. With the calls at a minority that can't be reached before the one that answers, a change could be in hand later than it binds.

Now the next call of a watch is made at another replica 1.5 s after the one before at the latest, whatever came of it, and the wait after an end is cut to that by chance, so that a fleet stays spread; the second read has 1 s. The sum of the longest steps, of five replicas with two that never answer, is beside the constants. What waits less than its pace owes no more than one burst. Calls that are no watch keep their pace.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -283,7 +283,7 @@
 	most := min(paceFirst<<min(p.failures, 10), paceMost)
 	p.failures++
 	wait := time.Duration(chance * float64(most))
-	p.tokens--
+	p.tokens = max(p.tokens-1, -paceBurst) // what does not wait so long, as watches don't, owes no more
 	if p.tokens < 0 {
 		wait = max(wait, time.Duration(-p.tokens*(0.5+chance)*float64(paceRefill)))
 	}
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -11,8 +11,22 @@
 	"mosslead/internal/watch"
 )
 
-// maxList bounds one message: twice the most entries that the service holds.
-const maxList = 8 << 20
+const (
+	// maxList bounds one message: twice the most entries that the service holds.
+	maxList = 8 << 20
+
+	// callMost is how long after a call of a watch the next is made at another replica at the latest, whatever comes of it. A
+	// list is in hand within watch.Told of the moment at which most replicas have it and can be reached, also where the calls
+	// before that meet all the others. Of five replicas, at the longest:
+	//
+	//	the watch that has fallen silent just before            2.5 s (watch.Silence; or a call: callMost)
+	//	two replicas that can't be reached, fail or say nothing 3.0 s (2 * callMost, with the wait after an end in it)
+	//	connecting, and one list                                0.5 s are left
+	//
+	// A list that is doubted binds at once in what drains; reading it a second time lasts readPatience at the most.
+	callMost     = 1500 * time.Millisecond
+	readPatience = time.Second
+)
 
 // Watcher is who follows the list. Calls come one at a time.
 type Watcher struct {
@@ -33,7 +47,7 @@
 		d.start(*start)
 	}
 	var p pace
-	f := watch.Follower[api.Listing]{Client: c.http, Most: maxList, At: c.at, Stands: w.Stands,
+	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxList, At: c.at, Stands: w.Stands,
 		From: func() int64 {
 			if d.index > 0 {
 				return d.index
@@ -54,11 +68,16 @@
 			w.Says(at, why)
 			c.next(at)
 		},
-		Wait: func() time.Duration { return p.next(time.Now(), rand.Float64()) },
+		Wait: func() time.Duration { return watchWait(&p, time.Now(), rand.Float64()) },
 	}
 	_ = f.Follow(ctx) // ends with ctx alone
 }
 
+// watchWait is the wait after a watch that ended: a pace's, cut short by chance, so that a fleet stays spread over it.
+func watchWait(p *pace, now time.Time, chance float64) time.Duration {
+	return min(p.next(now, chance), time.Duration((1+chance)/2*float64(callMost)))
+}
+
 // doubted lets the list in use go on, but for what binds, and reads a second time, from another replica if there is
 // one. What is strange there in the same way is believed; else the second list is.
 func (c *Client) doubted(ctx context.Context, at string, d *doubt, w Watcher, l api.Listing, strange string) error {
@@ -69,6 +88,8 @@
 		}
 	}
 	again := c.other(at)
+	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
 	var second api.Listing
 	if err := c.try(ctx, again, http.MethodGet, "/api/targets", nil, &second); err != nil {
 		return fmt.Errorf("reading a second time, at %s: %w", again, err)
