balancer: asks for the list again within 3 s of a failure

Cause: the waits before asking again doubled up to 8 s, and half as much again by chance: 12 s, and 2.5 s more behind a call that was never answered. Whatever failed, a change counts as told 6 s after discovery had it and could be reached.

The longest wait is derived from that: 6 s less a call that is never answered (2.5 s) less the next one's answer (0.5 s) is 3 s, so askMax is 2 s with its half by chance.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,7 +63,7 @@
 	crowdMost    = 1.5              // aims: a hung upstream is not a crowd
 	crowdMemory  = 10 * time.Second // crowding unheard of fades over this: all refused must not be for ever
 	askBase      = time.Second      // first wait before asking for the list again; doubles
-	askMax       = 8 * time.Second
+	askMax       = 2 * time.Second  // and half by chance: 3 s of 6 s, a call without an answer having 2.5 s
 )
 
 // ---- state ----
