sidecar: SIGHUP ends the module's wait for discovery, and every path of failure is played out

Cause: where the list comes to those who ask, the module waits after a failed call, and a new address told by SIGHUP meanwhile was not asked before that wait was over. A list binds 4 s after the signal.

A move while no watch is open now gives the module the list that it has, as at the start, at which it asks at once. Its entries are as they were, so nothing is taken for new, and it does not count as a fresh list.

TestAfterAnOutageAListIsInHandInTime: on a fake clock, 20 ways for an agent to fail (refused, never up, no head, half a line, a line without end, reset, ended, 5xx, spoilt), at the start, after it, and long after, back at every 50 ms of it, connects of 0.2, 2.2 and 5 s. TestAMovedListIsInHandInTime: SIGHUP at every 50 ms of the same: asked at once; where that call is never answered, in hand within 4 s.

--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -132,19 +132,12 @@
 		if old, listed := d.entries[e.Name]; listed {
 			before[e.Name] = old
 		}
-		state := balancer.Left
-		switch e.Status {
-		case statusReady:
-			state = balancer.Active
+		if e.Status == statusReady || e.Status == statusTerminating {
 			d.entries[e.Name] = e
-		case statusTerminating:
-			state = balancer.Leaving
-			d.entries[e.Name] = e
-		default:
+		} else {
 			delete(d.entries, e.Name)
 		}
-		m.Entries = append(m.Entries, balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type,
-			Cell: e.Group, State: state, CameUp: d.clock.unixMs(e.SinceMs), Weight: e.Weight})
+		m.Entries = append(m.Entries, d.member(e))
 	}
 	var dropped []string
 	for name, old := range before {
@@ -164,6 +157,28 @@
 	return m
 }
 
+// member is what the module is told of an entry.
+func (d *directory) member(e endpoint) balancer.Member {
+	m := balancer.Member{Upstream: e.Name, Zone: e.Zone, Machine: e.Type, Cell: e.Group, State: balancer.Left,
+		CameUp: d.clock.unixMs(e.SinceMs), Weight: e.Weight}
+	switch e.Status {
+	case statusReady:
+		m.State = balancer.Active
+	case statusTerminating:
+		m.State = balancer.Leaving
+	}
+	return m
+}
+
+// saved is the list as it stands, for the module.
+func (d *directory) saved() balancer.Members {
+	m := balancer.Members{Kind: balancer.Saved}
+	for _, e := range d.whole().Endpoints {
+		m.Entries = append(m.Entries, d.member(e))
+	}
+	return m
+}
+
 // whole is the list as it stands.
 func (d *directory) whole() *listing {
 	d.mu.RLock()
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,7 +18,14 @@
 	rewatchFirst = 250 * time.Millisecond // where lists are pushed: the wait before an agent that ended a watch is asked again
 	rewatchMost  = 2 * time.Second        // what it has binds, whether or not it is asked
 	// Where the list comes only to those who ask, a call is work, and discovery works through calls in turn: it gets twice
-	// as long to answer, and after two the module decides when to ask again.
+	// as long to answer, and after two the module decides when to ask again. Of watch.Told, at the longest:
+	//
+	//	the last call before the return is never answered     2.5 s (a connection that never comes up: as long at the most)
+	//	the module waits                                      3.0 s (balancer's askMax, and half as much by chance)
+	//	connecting, and one list from an agent that has it    0.5 s are left
+	//
+	// Refused, reset, ended, an error or a spoilt list are over at once, so that the module's wait is all. A move does not wait
+	// for the module: see turned.
 	askStep  = watch.Silence
 	askTries = 2
 )
@@ -30,6 +37,7 @@
 	index  int64
 	report func(balancer.Members)
 	asked  chan struct{} // holds one: the module asked for a watch
+	turned chan struct{} // holds one: discovery has moved while no watch was open
 
 	mu      sync.Mutex
 	address string
@@ -42,7 +50,7 @@
 
 func newWatcher(c *Config, dir *directory, report func(balancer.Members)) *watcher {
 	w := &watcher{address: c.Discovery, dir: dir, report: report,
-		asked: make(chan struct{}, 1)}
+		asked: make(chan struct{}, 1), turned: make(chan struct{}, 1)}
 	if c.Known != nil {
 		w.index = *c.Known.Index
 	}
@@ -76,6 +84,10 @@
 	if w.moved != nil {
 		w.moved(errMoved)
 	}
+	select {
+	case w.turned <- struct{}{}:
+	default:
+	}
 }
 
 // source is the address of discovery.
@@ -90,6 +102,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, w.moved = context.WithCancelCause(ctx)
+	select {
+	case <-w.turned: // it is known here
+	default:
+	}
 	return w.address, at, w.moved
 }
 
@@ -97,12 +113,8 @@
 func (w *watcher) run(ctx context.Context, moduleAsks bool) {
 	standing := false // a watch that the module asked for goes on elsewhere
 	for ctx.Err() == nil {
-		if moduleAsks && !standing {
-			select {
-			case <-w.asked:
-			case <-ctx.Done():
-				return
-			}
+		if moduleAsks && !standing && !w.wanted(ctx) {
+			return
 		}
 		address, at, end := w.here(ctx)
 		if several(address) {
@@ -118,6 +130,21 @@
 	}
 }
 
+// wanted waits until the module asks for a watch; false: ctx ended before. The module waits after a failure, which says
+// nothing of another address: once discovery has moved it is given the list that it has, at which it asks at once.
+func (w *watcher) wanted(ctx context.Context) bool {
+	for {
+		select {
+		case <-w.asked:
+			return true
+		case <-w.turned:
+			w.report(w.dir.saved())
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // watch follows the list at one address until ctx ends or, where the module asks, until it can't.
 func (w *watcher) watch(ctx context.Context, address string, moduleAsks bool) {
 	wait := rewatchFirst
--- /dev/null
+++ b/internal/sidecar/outage_test.go
@@ -0,0 +1,293 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mosslead/balancer"
+	"mosslead/internal/watch"
+)
+
+const outageHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// outages are the ways in which an agent of discovery may fail. A call made while it does gets what before writes, with
+// pauses between, for as long as goes is true, and then is reset where ends is set, or stays open and silent. Nothing that
+// was begun before the return brings anything after it, but for a message without end.
+var outages = []struct {
+	name  string
+	dial  string // refused or hangs; else it comes up
+	says  []string
+	pause time.Duration // between what it says
+	ends  bool
+	more  string // once all was said: again and again, also after the return
+}{
+	{name: "refused", dial: "refused"},
+	{name: "hangs", dial: "hangs"},
+	{name: "no head"},
+	{name: "half a head", says: []string{outageHead[:30]}},
+	{name: "a head, a byte at a time", says: []string{outageHead[:30]}, pause: 250 * time.Millisecond, more: "x"},
+	{name: "a head, late", says: []string{"", outageHead}, pause: 1900 * time.Millisecond},
+	{name: "a head", says: []string{outageHead}},
+	{name: "half a line", says: []string{outageHead + chunked(`{"index":7,"endp`)}},
+	{name: "half a line, late", says: []string{outageHead, chunked(`{"index":7,"endp`)}, pause: 2400 * time.Millisecond},
+	{name: "a line without end", says: []string{outageHead + chunked(`{"index":7,"more":"`)}, pause: 250 * time.Millisecond, more: chunked("x")},
+	{name: "a line without end, slowly", says: []string{outageHead + chunked(`{"index":7,"more":"`)}, pause: 2 * time.Second, more: chunked("x")},
+	{name: "reset", ends: true},
+	{name: "reset after a head", says: []string{outageHead}, ends: true},
+	{name: "reset after a while", says: []string{outageHead, ""}, pause: time.Second, ends: true},
+	{name: "ended", says: []string{outageHead + "0\r\n\r\n"}, ends: true},
+	{name: "ended after an empty line", says: []string{outageHead + chunked("\n") + "0\r\n\r\n"}, ends: true},
+	{name: "503", says: []string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}, ends: true},
+	{name: "500 without end", says: []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 10\r\n\r\n"}},
+	{name: "a spoilt line", says: []string{outageHead + chunked(`{"index":8]`)}},
+	{name: "a list that can't be used", says: []string{outageHead + chunked(`{"index":8,"snapshot":true,"endpoints":[{}]}`)}},
+}
+
+// outageParty is a watcher with its module, and its agent, which fails from down until back in one of the ways above, and
+// has a drain to tell when it is back. Times are since the party began.
+type outageParty struct {
+	way        int
+	down, back time.Duration
+	begun      time.Time
+	w          *watcher
+	dir        *directory
+	told       atomic.Int64  // when the drain was in hand; 0: it is not
+	failed     atomic.Int64  // how often the module was told of a failure
+	event      time.Duration // the return, or the move
+	swallows   bool          // the first call at the new address is never answered
+	swallowed  atomic.Bool   // it was made
+	running    *sync.WaitGroup
+}
+
+const (
+	outageFrom = "127.0.0.1:1"
+	outageTo   = "127.0.0.2:1" // an agent that never fails
+)
+
+func (p *outageParty) now() time.Duration { return time.Since(p.begun) }
+
+func (p *outageParty) fails() bool { return p.now() >= p.down && p.now() < p.back }
+
+func (p *outageParty) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if way := outages[p.way]; address == outageFrom && p.fails() && way.dial != "" {
+		if way.dial == "hangs" {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return nil, errors.New("refused")
+	}
+	ours, theirs := net.Pipe()
+	p.running.Go(func() {
+		defer theirs.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(theirs)); err != nil {
+			return
+		}
+		if address == outageTo && p.swallows && !p.swallowed.Swap(true) {
+			_, _ = io.Copy(io.Discard, theirs)
+			return
+		}
+		p.serve(theirs, address == outageTo)
+	})
+	return ours, nil
+}
+
+// serve is an agent's answer; it returns once the connection is to be reset.
+func (p *outageParty) serve(c net.Conn, sound bool) {
+	say := func(text string) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+	if way := outages[p.way]; sound || !p.fails() {
+		index, status := 5, "Ready"
+		if sound || p.now() >= p.back {
+			index, status = 7, "Terminating"
+		}
+		if !say(outageHead + chunked(list(index, false, entry("a", "127.0.0.2:1", status))+"\n")) {
+			return
+		}
+		for next := p.now() + 2*time.Second; index == 7 || next < p.down; next += 2 * time.Second {
+			time.Sleep(next - p.now())
+			if !say(chunked("\n")) {
+				return
+			}
+		}
+		time.Sleep(p.down - p.now())
+		if way.ends || way.dial == "refused" {
+			return
+		}
+		if way.more != "" && strings.HasPrefix(way.name, "a line") {
+			say(chunked(`{"index":7,"more":"`))
+			p.trickle(say)
+		}
+	} else {
+		for i, text := range way.says {
+			if i > 0 {
+				time.Sleep(way.pause)
+			}
+			if p.fails() && !say(text) {
+				return
+			}
+		}
+		if way.ends {
+			return
+		}
+		if way.more != "" {
+			p.trickle(say)
+		}
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func (p *outageParty) trickle(say func(string) bool) {
+	for say(outages[p.way].more) {
+		time.Sleep(outages[p.way].pause)
+	}
+}
+
+// begin runs the party until it has the drain, or ctx ends.
+func (p *outageParty) begin(ctx context.Context, t *testing.T, c Config, seed uint64) {
+	c.dial = p.dial
+	b, err := balancer.New(c.Settings.Settings, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	clk := newClock()
+	p.begun, p.dir = time.Now(), newDirectory(clk, func(string) {})
+	p.dir.apply(c.Known)
+	l := newLoop(b, clk, ctx.Done())
+	asks := c.Settings.MustSubscribe
+	p.w = newWatcher(&c, p.dir, func(m balancer.Members) {
+		if m.Kind == balancer.Failed {
+			p.failed.Add(1)
+		}
+		if _, ok := p.dir.place("a"); !ok && p.told.Load() == 0 {
+			p.told.Store(int64(p.now()))
+			cancel()
+		}
+		if asks {
+			l.postList(m)
+		}
+	})
+	p.running.Go(func() { p.w.run(ctx, asks) })
+	if asks {
+		l.ask = p.w.ask
+		p.running.Go(func() { l.run(p.dir.saved()) })
+	}
+}
+
+// moments are those at which something comes 50 ms apart: from then on, over so long, in an outage that begins at down.
+type moments struct{ down, from, over time.Duration }
+
+// outageMoments are at the start, after a while without an outage, and once all waits are at their longest, over one round of
+// all that is tried: two calls and the module's wait where that asks, one silence where not.
+func outageMoments(asks bool) []moments {
+	const sec = time.Second
+	if asks {
+		return []moments{{0, 0, 4 * sec}, {1017 * time.Millisecond, 0, 4 * sec}, {0, 20 * sec, 8 * sec}}
+	}
+	return []moments{{0, 0, 4 * sec}, {1017 * time.Millisecond, 0, 4 * sec}, {0, 10 * sec, 2500 * time.Millisecond}}
+}
+
+// outagePlay plays moments of an outage in one bubble: at each the agent is back for one party or, where moves is set,
+// discovery moves for good. It returns how long after that the latest of them had the drain.
+func outagePlay(t *testing.T, asks, moves bool, way int, connect time.Duration, at []moments) (latest time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		c := testConfig(t, outageFrom, entry("a", "127.0.0.2:1", "Ready"))
+		c.Settings.ConnectTimeout, c.Settings.MustSubscribe = connect, asks
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var all []*outageParty
+		var last, first time.Duration
+		for _, m := range at {
+			for after := 50 * time.Millisecond; after <= m.over; after += 50 * time.Millisecond {
+				p := &outageParty{way: way, down: m.down, event: m.down + m.from + after, running: &running}
+				p.back, last = p.event, max(last, p.event)
+				if moves {
+					p.back, p.swallows = time.Hour, len(all)%2 == 1
+				}
+				all = append(all, p)
+				p.begin(ctx, t, *c, uint64(len(all)))
+				if moves {
+					time.AfterFunc(p.event, func() { p.w.move(outageTo) })
+				}
+			}
+		}
+		time.Sleep(last + 2*watch.Told)
+		cancel()
+		running.Wait()
+		for _, p := range all {
+			told := time.Duration(p.told.Load())
+			if told < p.event {
+				t.Fatalf("down at %v, event at %v: told at %v, %d failures", p.down, p.event, told, p.failed.Load())
+			}
+			if !asks && p.failed.Load() > 0 {
+				t.Error("a failure was told to a module that did not ask")
+			}
+			latest = max(latest, told-p.event)
+			if moves && !p.swallowed.Load() {
+				first = max(first, told-p.event)
+			}
+		}
+		if first > 0 {
+			t.Errorf("the new address was first asked %v after the signal, at the latest", first)
+		}
+	})
+	return latest
+}
+
+// Guards against a drain that is acted on too late: whatever failed before, a change is in hand within watch.Told of the
+// moment at which discovery had it and could be reached, and where it is pushed within 3 s, since it binds at once there.
+func TestAfterAnOutageAListIsInHandInTime(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		for way := range outages {
+			for _, connect := range []time.Duration{200 * time.Millisecond, 2200 * time.Millisecond, 5 * time.Second} {
+				if connect > 200*time.Millisecond && outages[way].dial != "hangs" {
+					continue
+				}
+				t.Run(fmt.Sprintf("asks %v, %s, connect %v", asks, outages[way].name, connect), func(t *testing.T) {
+					t.Parallel()
+					most := 3 * time.Second
+					if asks {
+						most = watch.Told
+					}
+					if got := outagePlay(t, asks, false, way, connect, outageMoments(asks)); got > most {
+						t.Errorf("in hand %v after the return, at the latest", got)
+					} else {
+						t.Logf("in hand %v after the return, at the latest", got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a list that is late after SIGHUP: the new address is asked at once, whatever is wrong with the old one and
+// however long the module would still wait; where that first call is never answered, the list is in hand all the same
+// before it binds, 4 s after the signal.
+func TestAMovedListIsInHandInTime(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		for way := range outages {
+			t.Run(fmt.Sprintf("asks %v, %s", asks, outages[way].name), func(t *testing.T) {
+				t.Parallel()
+				at := []moments{{1017 * time.Millisecond, 0, 3 * time.Second}, {0, 15 * time.Second, 3 * time.Second}}
+				if got := outagePlay(t, asks, true, way, 2200*time.Millisecond, at); got > 4*time.Second {
+					t.Errorf("in hand %v after the signal, at the latest", got)
+				}
+			})
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -190,7 +190,7 @@
 	up := newUpstreams(c, clk, p.most)
 	l := newLoop(b, clk, stop)
 	w := newWatcher(c, up.dir, func(m balancer.Members) {
-		if m.Kind != balancer.Failed {
+		if m.Kind == balancer.Change || m.Kind == balancer.Full {
 			p.fresh.Store(true)
 		}
 		l.postList(m)
