sidecar: a test that a connection which is up after the drain sends nothing

An attempt was decided on, its connection is still coming up when discovery is back after an outage, or has moved with SIGHUP, and tells that the upstream drains: the program looks at the directory at the first byte and was right. The play, on a fake clock, goes from the watch to the write; without a drain the request is sent.

--- a/internal/sidecar/outage_test.go
+++ b/internal/sidecar/outage_test.go
@@ -291,3 +291,55 @@
 		}
 	}
 }
+
+// Guards against a request that was decided on before a drain was known and is sent after: its connection is still coming up when
+// discovery is back, or has moved, and is up later. Nothing is written to it, and the module may send it elsewhere.
+func TestAConnectionThatIsUpAfterTheDrainSendsNothing(t *testing.T) {
+	for _, moves := range []bool{false, true} {
+		for _, drains := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				p := &outageParty{way: 0, back: time.Hour, running: &running}
+				if drains && !moves {
+					p.back = 2 * time.Second
+				}
+				c := testConfig(t, outageFrom, entry("a", "127.0.0.2:1", "Ready"))
+				c.Settings.MustSubscribe = false
+				p.begin(ctx, t, *c, 1)
+				late, bytes := make(chan struct{}), make(chan int, 1)
+				c.Settings.ConnectTimeout = time.Minute
+				c.dial = func(context.Context, string, string) (net.Conn, error) {
+					<-late
+					ours, theirs := net.Pipe()
+					go func() {
+						got := make([]byte, 100)
+						n, _ := theirs.Read(got)
+						theirs.Close()
+						bytes <- n
+					}()
+					return ours, nil
+				}
+				u := newUpstreams(c, newClock(), 4)
+				u.dir = p.dir
+				ended := make(chan reply, 1)
+				go func() { ended <- u.attempt(t.Context(), "a", testRequest("GET", "")) }()
+				time.Sleep(time.Second)
+				if drains && moves {
+					p.w.move(outageTo)
+				}
+				time.Sleep(4 * time.Second)
+				close(late)
+				rep, n := <-ended, <-bytes
+				if drains && (n != 0 || rep.result != balancer.Moot) {
+					t.Errorf("moves %v: %d bytes after the drain, result %d", moves, n, rep.result)
+				}
+				if !drains && n == 0 {
+					t.Errorf("moves %v: nothing was sent without a drain", moves)
+				}
+				cancel()
+				running.Wait()
+			})
+		}
+	}
+}
