sidecar: a connection's end takes no answer with it, before SIGTERM too

Outside SIGTERM a client's connection was closed at once, over whatever was unread: the kernel then resets it, and an error that its peer had not read yet may be lost. The library waits in two of its cases only (a head that is too large, a body left unread), and there for half a second with descriptor and buffers in hand, whether or not the peer has gone.

Every connection that carried an answer now ends its sending first, reads away what comes (100 ms and 1 MiB at the most, until the peer's end) and then closes. Nothing that is read by then reaches the library, so nothing of it is sent on. The library's half second is gone: CloseWrite closes and ends the connection's goroutine, whose deferred calls are what is left to do. At the last close of a drain nothing lingers.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -25,6 +25,7 @@
 	going  *framedConn               // was told to make room, and has not yet; nil: none
 
 	lingers atomic.Bool // the connections' ends wait for clients that may be about to send
+	over    atomic.Bool // nothing is waited for any more
 }
 
 func newClientConns(l net.Listener, most int) *clientConns {
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	lastLook   = time.Millisecond       // for a request that is here already when its connection is to end
 	queueLook  = 10 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
 	lingerMost = 100 * time.Millisecond // for the client to close its side
+	lingerRead = 1 << 20                // bytes read away meanwhile: what was on its way when the client could see the end
 )
 
 // connStage is how far the next request of a connection has come.
@@ -40,6 +42,8 @@
 	active  bool // the library has a request in hand
 	waiting bool // a read is under way that can only bring the next request
 	read    connStage
+	closing bool // nothing more is sent
+	wrote   bool
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
@@ -70,6 +74,14 @@
 	return n, err
 }
 
+func (c *framedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.wrote = true
+	c.mu.Unlock()
+	return n, err
+}
+
 // stage tells where the connection is, as far as it was read.
 func (c *framedConn) stage() connStage {
 	c.mu.Lock()
@@ -134,19 +146,28 @@
 	c.mu.Unlock()
 }
 
-// CloseWrite lets the library end its sending before it closes.
+// CloseWrite is the library's before it closes a connection on which more may come. It would then wait for half a second, with
+// the descriptor and all buffers in hand: under a flood of peers that are turned away nobody else would get in. So the connection
+// is closed here, and its goroutine ends; its deferred calls are all that is left to be done.
 func (c *framedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
+	_ = c.Close() // whatever it says, the connection is gone
+	runtime.Goexit()
 	return nil
 }
 
-// Close lingers where a request may cross it: a socket that is closed with bytes unread is reset.
+// Close closes in order: a socket that is closed with bytes unread is reset, and an answer that is still on its way is lost. So the
+// sending ends first, and what comes is read away, unseen by the library, until the client closes. Where no answer was ever sent
+// there is nothing to lose by a reset, but after SIGTERM.
 func (c *framedConn) Close() error {
-	if c.all.lingers.Load() && !c.gone.Load() && c.CloseWrite() == nil {
+	c.mu.Lock()
+	owed := !c.gone.Load() && !c.closing && !c.all.over.Load() && (c.all.lingers.Load() || c.wrote)
+	if owed {
+		c.closing = true
+	}
+	c.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); owed && ok && half.CloseWrite() == nil {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) // fails on a closed connection only
-		_, _ = io.Copy(io.Discard, c.Conn)                     // an end of any kind is as good
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerRead)        // an end of any kind is as good
 	}
 	return c.Conn.Close()
 }
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -44,6 +44,6 @@
 	}
 	p.conns.finish()
 	p.conns.awaitNone(killAfter + wordsMost - time.Since(begun))
-	p.conns.lingers.Store(false)
+	p.conns.over.Store(true)
 	return srv.Close()
 }
--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -31,6 +31,7 @@
 	out    *upstreams // peers in the place of upstreams: a pool that sends nothing twice
 	in     net.Listener
 	srv    *http.Server
+	conns  *clientConns
 	taken  atomic.Int64 // forwarded to this sidecar and admitted
 	turned atomic.Int64 // and refused for pressure
 	sent   atomic.Int64 // forwarded by this sidecar
@@ -60,13 +61,13 @@
 
 // serve takes what peers forward, with the server that clients have; it ends with close.
 func (f *forwards) serve(s *server) {
-	conns := newClientConns(f.in, forwardIn)
+	f.conns = newClientConns(f.in, forwardIn)
 	f.srv = &http.Server{Handler: f.hop(s), ReadHeaderTimeout: sendPatience, IdleTimeout: clientIdle, MaxHeaderBytes: maxHeader,
-		DisableGeneralOptionsHandler: true, ConnState: conns.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		DisableGeneralOptionsHandler: true, ConnState: f.conns.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		}}
 	go func() {
-		if err := f.srv.Serve(conns); !errors.Is(err, http.ErrServerClosed) {
+		if err := f.srv.Serve(f.conns); !errors.Is(err, http.ErrServerClosed) {
 			warn(ofPeers, "nothing is taken from peers any more", err)
 		}
 	}()
@@ -180,6 +181,7 @@
 	}
 	f.abort()
 	if f.srv != nil {
+		f.conns.over.Store(true)
 		f.srv.Close()
 	}
 	f.in.Close()
