sidecar: a flood gives way by its own, many at a time, and holds up nobody

At the limit one connection at a time gave way: the one that rested for longest, or else one that had sent half a head. So a flood drove out the clients that were there before it; a peer with half a body held its descriptor for 2.5 s, and those behind it in the queue got neither an error nor an end within 3 s of connecting.

Who gives way is now by claim (room.go, conn.go): what was answered and only waits for the peer's end (after 10 ms), what never brought a request (50 ms), half a head (50 ms), what rests between requests, half a body that keeps us waiting beyond the rate that clients owe (150 ms, answered 408). What costs no proper client anything goes up to 16 at a time; of the connections that rest for under 2 s one at a time, and none while some of the flood will soon be ripe. What waited in the queue counts from when it can have come: its first head's and body's time, too, and 10 ms and 50 ms are enough for it then, as what it was about to send has come meanwhile. A connection on which a request comes after all is no longer ended after that one, and gets no more time than it had.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// clientConns is the listener for clients. It bounds their connections: at the limit it ends the one that
-// has been idle for longest, and accepts no more until there is room. A netutil.LimitListener would only wait.
+// clientConns is the listener for clients. It bounds their connections: at the limit it has others give way, see room.go, and
+// accepts no more until there is room. A netutil.LimitListener would only wait.
 type clientConns struct {
 	net.Listener
 	most int
@@ -22,14 +22,16 @@
 	paused bool                      // another process takes clients
 	last   bool                      // each connection is to end, and no others are to be had once none waits
 	quiet  map[*framedConn]time.Time // between requests, since when; zero: busy
-	going  *framedConn               // was told to make room, and has not yet; nil: none
+	going  map[*framedConn]bool      // told to make room, and have not yet
+	ripe   *time.Timer               // looks again for what may give way; nil: never needed
+	full   time.Time                 // since when others may wait to be accepted; zero: none do
 
 	lingers atomic.Bool // the connections' ends wait for clients that may be about to send
 	over    atomic.Bool // nothing is waited for any more
 }
 
 func newClientConns(l net.Listener, most int) *clientConns {
-	c := &clientConns{Listener: l, most: most, quiet: map[*framedConn]time.Time{}}
+	c := &clientConns{Listener: l, most: most, quiet: map[*framedConn]time.Time{}, going: map[*framedConn]bool{}}
 	c.room = sync.NewCond(&c.mu)
 	return c
 }
@@ -38,8 +40,11 @@
 	for empty := 0; ; {
 		c.mu.Lock()
 		for (c.paused && !c.last || len(c.quiet) >= c.most) && !c.closed {
-			if !c.paused && c.going == nil {
-				c.endQuietest()
+			if !c.paused {
+				c.makeRoom()
+			}
+			if c.full.IsZero() {
+				c.full = time.Now()
 			}
 			c.room.Wait()
 		}
@@ -51,10 +56,11 @@
 		if last {
 			c.deadline(time.Now().Add(queueLook))
 		}
+		begun := time.Now()
 		conn, err := c.Listener.Accept()
 		switch {
 		case err == nil:
-			return &framedConn{Conn: conn, accepted: time.Now(), all: c, ending: last}, nil
+			return &framedConn{Conn: conn, accepted: c.came(begun), taken: time.Now(), all: c, ending: last}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
 			return nil, err
 		case last:
@@ -136,38 +142,6 @@
 	}
 }
 
-// endQuietest makes room: the connection that was between requests for longest ends. Where there is none, one gives way that
-// has sent a part of a head for longest.
-func (c *clientConns) endQuietest() {
-	var oldest, half *framedConn
-	for conn, since := range c.quiet {
-		to := &oldest
-		switch conn.stage() {
-		case inHand:
-			continue
-		case halfHead:
-			to = &half
-		}
-		if !since.IsZero() && (*to == nil || since.Before(c.quiet[*to])) {
-			*to = conn
-		}
-	}
-	switch {
-	case oldest != nil:
-		if oldest.end() {
-			c.going = oldest
-			return
-		}
-		time.AfterFunc(lastLook, c.room.Broadcast) // a request has just come on it
-	case half == nil || c.lingers.Load(): // after SIGTERM none is cut off
-	case time.Since(c.quiet[half]) < justOpened: // the rest may be about to come
-		time.AfterFunc(justOpened, c.room.Broadcast)
-	default:
-		half.Close()
-		c.quiet[half] = time.Time{} // gone once the server has seen it
-	}
-}
-
 func (c *clientConns) Close() error {
 	c.mu.Lock()
 	c.closed = true
@@ -179,9 +153,7 @@
 // stays says that a request has come on a connection that was told to end.
 func (c *clientConns) stays(conn *framedConn) {
 	c.mu.Lock()
-	if c.going == conn {
-		c.going = nil
-	}
+	delete(c.going, conn)
 	c.mu.Unlock()
 	c.room.Broadcast()
 }
@@ -206,8 +178,8 @@
 	conn.setActive(s == http.StateActive)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.going == conn && s == http.StateClosed {
-		c.going = nil
+	if s == http.StateClosed {
+		delete(c.going, conn)
 	}
 	switch s {
 	case http.StateNew, http.StateIdle:
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -13,10 +13,13 @@
 )
 
 const (
-	lastLook   = time.Millisecond       // for a request that is here already when its connection is to end
-	queueLook  = 10 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
-	lingerMost = 100 * time.Millisecond // for the client to close its side
-	lingerRead = 1 << 20                // bytes read away meanwhile: what was on its way when the client could see the end
+	// bodyStall is how long bodies may keep us waiting while others wait for the descriptor, beside what bodyRate allows.
+	bodyStall   = 150 * time.Millisecond
+	lastLook    = time.Millisecond       // for a request that is here already when its connection is to end
+	queueLook   = 10 * time.Millisecond  // for a connection in the kernel's queue; twice, as a goroutine may be late
+	lingerMost  = 100 * time.Millisecond // for the client to close its side
+	lingerLeast = 10 * time.Millisecond  // the same where others wait for its descriptor: its answer and its end are with it by then
+	lingerRead  = 1 << 20                // bytes read away meanwhile: what was on its way when the client could see the end
 )
 
 // connStage is how far the next request of a connection has come.
@@ -32,38 +35,63 @@
 // and with its sending first, so that what crosses the end does not make the kernel reset it, and take an answer with it.
 type framedConn struct {
 	net.Conn
-	accepted time.Time
+	accepted time.Time // when it can have come at the earliest: it may have waited to be accepted
+	taken    time.Time // when it was accepted
 	all      *clientConns
 	f        framing
 	gone     atomic.Bool // nothing more can come
 
 	mu      sync.Mutex
 	ending  bool // it is to end between requests
+	room    bool // only to make room
 	active  bool // the library has a request in hand
 	waiting bool // a read is under way that can only bring the next request
 	read    connStage
-	closing bool // nothing more is sent
+	reading time.Time     // since when a read is under way; zero: none is
+	head    time.Time     // when the first bytes of a head came, of which more is owed
+	waited  time.Duration // for the body in hand, in reads
+	came    int           // of it, meanwhile
+	until   time.Time     // the library's bound on reads
+	cutting bool          // the rest of a request is waited for no longer
+	closing time.Time     // since when nothing more is sent; zero: not yet
 	wrote   bool
 }
 
 func (c *framedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.waiting = !c.active && c.f.stage() == between
+	c.reading = time.Now()
+	body := c.f.owing()
+	if !body {
+		c.waited, c.came = 0, 0
+	}
 	if c.waiting && c.ending {
 		c.look()
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	if c.waiting && c.ending && errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.atOnce(p)
+	stays := false
+	if told := c.waiting && c.ending; told || c.cutting {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.atOnce(p)
+		}
+		if n > 0 { // more has come after all
+			stays = true
+			c.ending = c.ending && !c.room
+			c.room, c.cutting = false, false
+			_ = c.Conn.SetReadDeadline(c.until) // as the library had it; else the next read shows it
+		}
 	}
-	stays := n > 0 && c.waiting && c.ending // a request has come after all
-	if stays {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(sendPatience)) // as the library had it; else the next read shows it
+	if body {
+		c.waited, c.came = c.waited+time.Since(c.reading), c.came+n
 	}
 	c.f.scan(p[:n])
-	c.waiting, c.read = false, c.f.stage()
+	now := c.f.stage()
+	if now == halfHead && c.read != halfHead {
+		c.head = time.Now()
+	}
+	c.waiting, c.read, c.reading = false, now, time.Time{}
 	c.mu.Unlock()
 	if stays {
 		c.all.stays(c)
@@ -74,6 +102,21 @@
 	return n, err
 }
 
+// SetReadDeadline is the library's. What is set beside it is taken back to it: a peer that was nearly ended has no more time
+// than before. A first head's time counts from the connecting, as far as that is known.
+func (c *framedConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.f.none() && c.taken.After(c.accepted) && at.After(c.taken) {
+		at = c.accepted.Add(sendPatience)
+		if least := c.taken.Add(bodyPatience); at.Before(least) {
+			at = least
+		}
+	}
+	c.until = at
+	return c.Conn.SetReadDeadline(at)
+}
+
 func (c *framedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
@@ -82,14 +125,43 @@
 	return n, err
 }
 
-// stage tells where the connection is, as far as it was read.
-func (c *framedConn) stage() connStage {
+// claim is how good a connection's claim is on its descriptor once others wait for one, the poorest first.
+type claim int
+
+const (
+	answered claim = iota // its last answer has gone, and only the client's end is waited for
+	unused                // it has never brought a request
+	slowHead
+	resting  // since its last answer
+	owedBody // of a request that is in hand, and of which the client owes more
+	full     // a request is in hand whole, or the end is near
+)
+
+// claim tells how the connection stands, since when, and how long it may do so at the least.
+func (c *framedConn) claim() (how claim, since time.Time, least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active {
-		return inHand
+	young, stall := justOpened, bodyStall
+	if c.f.fresh() && c.taken.Sub(c.accepted) > justOpened { // what it was about to send has come while it waited
+		young, stall = lingerLeast, justOpened
+	}
+	switch {
+	case c.cutting || c.room:
+		return full, since, 0
+	case !c.closing.IsZero():
+		return answered, c.closing, lingerLeast
+	case (c.active || c.read == inHand) && !c.reading.IsZero() && c.f.owing():
+		return owedBody, c.reading, stall + time.Duration(c.came)*time.Second/bodyRate - c.waited
+	case c.active || c.read == inHand:
+		return full, since, 0
+	case c.read == halfHead && !c.reading.IsZero():
+		return slowHead, c.head, young
+	case c.read == halfHead:
+		return full, since, 0
+	case c.f.none():
+		return unused, c.taken, young
 	}
-	return c.read
+	return resting, since, 0
 }
 
 // end has the connection closed once it is between requests, and tells whether it is. What has come until then is answered.
@@ -103,6 +175,33 @@
 	return !c.active && c.read == between
 }
 
+// makeRoom is end for a connection that another is to take the place of. Where a request comes after all, it stays.
+func (c *framedConn) makeRoom() bool {
+	c.mu.Lock()
+	c.room = !c.ending // else it is to end in any case
+	c.mu.Unlock()
+	if c.end() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending, c.room = c.ending && !c.room, false
+	return false
+}
+
+// cut ends the read that waits for the rest of a request: the library closes the connection, or answers that the request did
+// not come in time. False: something has come just now.
+func (c *framedConn) cut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading.IsZero() {
+		return false
+	}
+	c.cutting = true
+	_ = c.Conn.SetReadDeadline(time.Now()) // fails on a closed connection only
+	return true
+}
+
 // look bounds the read that waits for the next request: the library closes the connection where it brings none.
 func (c *framedConn) look() {
 	until := time.Now().Add(lastLook)
@@ -131,6 +230,7 @@
 	case failed != nil:
 		return 0, failed
 	case errors.Is(err, syscall.EAGAIN):
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // what reads on, ends
 		return 0, os.ErrDeadlineExceeded
 	case err != nil:
 		return 0, err
@@ -160,14 +260,20 @@
 // there is nothing to lose by a reset, but after SIGTERM.
 func (c *framedConn) Close() error {
 	c.mu.Lock()
-	owed := !c.gone.Load() && !c.closing && !c.all.over.Load() && (c.all.lingers.Load() || c.wrote)
+	owed := !c.gone.Load() && c.closing.IsZero() && !c.all.over.Load() && (c.all.lingers.Load() || c.wrote)
 	if owed {
-		c.closing = true
+		c.closing = time.Now()
+		c.reading, c.cutting, c.room = c.closing, false, false
 	}
 	c.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); owed && ok && half.CloseWrite() == nil {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerMost)) // fails on a closed connection only
-		_, _ = io.CopyN(io.Discard, c.Conn, lingerRead)        // an end of any kind is as good
+		c.mu.Lock()
+		if !c.cutting {
+			_ = c.Conn.SetReadDeadline(c.closing.Add(lingerMost)) // fails on a closed connection only
+		}
+		c.mu.Unlock()
+		c.all.room.Broadcast()                          // where room is needed, it is cut short
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerRead) // an end of any kind is as good
 	}
 	return c.Conn.Close()
 }
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -68,6 +68,14 @@
 	return between
 }
 
+// owing tells whether the request that the library handed on last has not come to its end, so that what is read can only be more
+// of it. The reader asks, or who holds it off.
+func (f *framing) owing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.doubts) == 0 && f.state > inHead
+}
+
 // first tells whether the request that was asked about last was the connection's first.
 func (f *framing) first() bool {
 	f.mu.Lock()
@@ -75,6 +83,13 @@
 	return f.handed == 1
 }
 
+// fresh tells whether no request was handed on but the first.
+func (f *framing) fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.handed < 2
+}
+
 // none tells whether no request was handed on yet.
 func (f *framing) none() bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/room_test.go
@@ -0,0 +1,176 @@
+package sidecar
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a flood that holds the descriptors: each of many peers that connect at once, with a house that takes few, gets an
+// error or a close within 3 s of connecting, and a client that comes behind them all is served in that time, too. A busy machine
+// may be late by a second; each peer in its turn would take 6 s and more.
+func TestFlood(t *testing.T) {
+	t.Parallel()
+	const most, peers, limit = 16, 192, 4 * time.Second
+	post := "POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\nX-Timeout: 9000m\r\n"
+	for name, says := range map[string]struct {
+		text  string
+		error bool // else a close is as good
+	}{
+		"nothing":                 {"", false},
+		"half a head":             {post, false},
+		"half a body":             {post + "Content-Length: 9\r\n\r\nhalf", true},
+		"half a body, not asked":  {strings.Replace(post, "confirm", "none", 1) + "Content-Length: 9\r\n\r\nhalf", true},
+		"half a chunk":            {post + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", true},
+		"a head without end":      {post + "X: " + strings.Repeat("x", 2*maxHeader), true},
+		"much that is no request": {"\x00\x01\r\n" + strings.Repeat("x", 60<<10), true},
+		"a bad request":           {"GET /none/1 HTTP/1.1\r\nHost: s\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newUpstream(t, func(c net.Conn, _ got) bool {
+				_, err := io.WriteString(c, ok200("done"))
+				return err == nil
+			})
+			c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+			c.Limits.Sockets = ownSockets + 2*most
+			r := start(t, c, "127.0.0.1:0")
+			var all sync.WaitGroup
+			var errorsRead atomic.Int32
+			for range peers {
+				begun := time.Now()
+				conn, err := net.Dial("tcp", r.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				all.Go(func() {
+					defer conn.Close()
+					_, _ = io.WriteString(conn, says.text) // fails where the end comes first
+					_ = conn.SetReadDeadline(begun.Add(limit))
+					line, err := bufio.NewReader(conn).ReadString('\n')
+					if errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("a peer has neither an error nor an end after %v", limit)
+					}
+					if strings.HasPrefix(line, "HTTP/1.1 4") {
+						errorsRead.Add(1)
+					}
+				})
+			}
+			begun := time.Now()
+			beside := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+			defer beside.CloseIdleConnections()
+			resp, err := beside.Do(request(t, r.address, "search", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if took := time.Since(begun); resp.StatusCode != 200 || took > limit {
+				t.Errorf("the client beside them: %s after %v", resp.Status, took)
+			}
+			all.Wait()
+			if n := errorsRead.Load(); says.error && n != peers {
+				t.Errorf("%d of %d could read their error", n, peers)
+			}
+			for _, g := range s.requests() {
+				if !strings.HasPrefix(g.target, "/search") {
+					t.Errorf("sent on: %v", g)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a flood that drives out those who were there before: what never brought a request gives way first, a connection
+// that rests for a moment only does not.
+func TestFloodLeavesClientsAlone(t *testing.T) {
+	t.Parallel()
+	const most = 8
+	s := newUpstream(t, says(ok200("done")))
+	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+	c.Limits.Sockets = ownSockets + 2*most
+	r := start(t, c, "127.0.0.1:0")
+	r.client.CloseIdleConnections()
+	p := dialRaw(t, r.address)
+	p.send(text("search"))
+	p.answered(200)
+	rested := time.Now()
+	for range 5 * most {
+		dialRaw(t, r.address)
+	}
+	q := dialRaw(t, r.address) // behind them all
+	q.send(text("search"))
+	q.answered(200)
+	if time.Since(rested) < mayClose { // else it may be closed
+		p.send(text("search"))
+		p.answered(200)
+	}
+}
+
+// Guards against the wrong one giving way, or giving way too soon.
+func TestWhoGivesWay(t *testing.T) {
+	type is struct {
+		how   claim
+		since time.Duration // ago
+	}
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		all  []is
+		want int // which; -1: none yet
+		wait time.Duration
+	}{
+		{nil, -1, 0},
+		{[]is{{full, time.Hour}}, -1, 0},
+		{[]is{{resting, 10 * ms}, {resting, 20 * ms}, {full, time.Hour}}, 1, 0},
+		{[]is{{resting, time.Hour}, {unused, 60 * ms}}, 1, 0},
+		{[]is{{resting, time.Second}, {unused, 40 * ms}}, -1, 10 * ms}, // a flood's own go first
+		{[]is{{resting, mayClose}, {unused, 40 * ms}}, 0, 0},
+		{[]is{{unused, 60 * ms}, {slowHead, 70 * ms}, {answered, 9 * ms}}, 0, 0},
+		{[]is{{unused, 60 * ms}, {answered, 10 * ms}}, 1, 0},
+		{[]is{{owedBody, time.Hour}, {resting, 10 * ms}}, 1, 0},
+		{[]is{{owedBody, time.Hour}, {slowHead, 10 * ms}}, -1, 40 * ms},
+		{[]is{{owedBody, time.Hour}, {full, time.Hour}}, 0, 0},
+		{[]is{{owedBody, 100 * ms}}, -1, 50 * ms},
+	} {
+		t.Run(fmt.Sprint(c.all), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := newClientConns(nil, 1)
+				time.Sleep(2 * time.Hour)
+				now := time.Now()
+				var conns []*framedConn
+				for _, one := range c.all {
+					at := now.Add(-one.since)
+					conn := &framedConn{all: all, accepted: at, taken: at}
+					conn.f.handed = 1
+					all.quiet[conn] = at
+					switch one.how {
+					case answered:
+						conn.closing = at
+					case unused:
+						conn.f.handed = 0
+					case slowHead:
+						conn.f.handed, conn.read, conn.head, conn.reading = 0, halfHead, at, at
+					case owedBody:
+						conn.active, conn.reading, conn.f.state = true, at, inBody
+					case full:
+						conn.active, conn.reading = true, at
+					}
+					conns = append(conns, conn)
+				}
+				got, _, wait := all.poorest(now)
+				if c.want < 0 && got != nil || c.want >= 0 && got != conns[c.want] || wait != c.wait {
+					t.Errorf("%p of %p, in %v; want number %d, in %v", got, conns, wait, c.want, c.wait)
+				}
+			})
+		})
+	}
+}
