sidecar: an accept that fails ends nothing, makes room and is tried again in 20 ms

For want of descriptors (EMFILE, ENFILE) the library rests 5 ms and then ever longer, up to a second, and nothing gives way meanwhile; on any other error (ENOMEM, a network error that was pending on the new connection) it ended, and the process with it.

Only a closed listener ends accepting now. After any other error those of the poorest claim give way, and the next try comes after 20 ms. One line a streak in the log.

Seen to fail: TestAcceptWithoutDescriptors on the program before ("too many open files: accept: accept4"). With the change: at most 51 tries in a second without descriptors, accepted within 20 ms of there being one, what rests has given way; virtual time.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -37,6 +37,7 @@
 }
 
 func (c *clientConns) Accept() (net.Conn, error) {
+	failing := false
 	for empty := 0; ; {
 		c.mu.Lock()
 		for (c.paused && !c.last || len(c.quiet) >= c.most) && !c.closed {
@@ -61,8 +62,14 @@
 		switch {
 		case err == nil:
 			return &framedConn{Conn: conn, accepted: c.came(begun), taken: time.Now(), all: c, ending: last}, nil
-		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
+		case errors.Is(err, net.ErrClosed):
 			return nil, err
+		case !errors.Is(err, os.ErrDeadlineExceeded): // see pause
+			if !failing {
+				warn(ofClients, "accepting", err)
+			}
+			failing = true
+			c.short(begun)
 		case last:
 			if empty++; empty == 2 { // none waits
 				return nil, net.ErrClosed
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -28,6 +28,7 @@
 // The components that the log's lines name.
 const (
 	ofRequests  = "requests"
+	ofClients   = "clients"
 	ofCounts    = "counts"
 	ofDiscovery = "discovery"
 	ofHandover  = "handover"
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -100,3 +100,15 @@
 	}
 	return c.full
 }
+
+// short makes room where a connection can't be accepted: for want of descriptors, say, whoever took them. The listener stands, so
+// it is no reason to end, and accepting rests before it tries again.
+func (c *clientConns) short(begun time.Time) {
+	c.mu.Lock()
+	c.makeRoom()
+	if c.full.IsZero() {
+		c.full = begun
+	}
+	c.mu.Unlock()
+	time.Sleep(acceptRest)
+}
--- a/internal/sidecar/room_test.go
+++ b/internal/sidecar/room_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,6 +117,62 @@
 	}
 }
 
+// Guards against an accept that fails for want of descriptors and ends the process, spins or rests for seconds: what rests gives
+// way, the next try comes soon, and each connection that waits is accepted once one can be.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	for _, fails := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.EPROTO} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &failing{err: &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", fails)}, until: time.Now().Add(time.Second)}
+			c := newClientConns(l, 8)
+			client, server := net.Pipe()
+			defer client.Close()
+			resting := &framedConn{Conn: server, all: c}
+			resting.f.handed = 1
+			c.state(resting, http.StateIdle)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := resting.Read(make([]byte, 1))
+				ended <- err
+			}()
+			synctest.Wait()
+			begun := time.Now()
+			conn, err := c.Accept()
+			if err != nil {
+				t.Fatalf("%v: %v", fails, err)
+			}
+			conn.Close()
+			if late := time.Since(begun) - time.Second; late > acceptRest {
+				t.Errorf("%v: accepted %v after one could be", fails, late)
+			}
+			if most := int(time.Second/acceptRest) + 1; l.calls > most {
+				t.Errorf("%v: tried %d times in a second", fails, l.calls)
+			}
+			if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%v: what rests did not give way: %v", fails, err)
+			}
+		})
+	}
+}
+
+// failing is a listener that fails until then.
+type failing struct {
+	err   error
+	until time.Time
+	calls int
+}
+
+func (l *failing) Accept() (net.Conn, error) {
+	l.calls++
+	if time.Now().Before(l.until) {
+		return nil, l.err
+	}
+	_, server := net.Pipe()
+	return server, nil
+}
+
+func (l *failing) Close() error   { return nil }
+func (l *failing) Addr() net.Addr { return &net.TCPAddr{} }
+
 // Guards against the wrong one giving way, or giving way too soon.
 func TestWhoGivesWay(t *testing.T) {
 	type is struct {
