sidecar: ready 3 s after the start at the latest, also without a server to send to

A process whose configuration lists no ready server (an empty list, or one of servers that drain) was not ready for as long as discovery was down or silent: an outage of 10 s beside a restart, and it missed the 10 s in which nine in ten have to be ready.

It is ready now once it takes clients and the module has the list as last known, where that has a ready server, and else 3 s after its start: by then a discovery that hangs has been called three times. What comes waits in the module for a list, which may come any moment, and is refused just before its time is over. A new process of an upgrade still takes over only with a list of use, and peers still forward nothing to one without.

--- a/internal/sidecar/forward.go
+++ b/internal/sidecar/forward.go
@@ -83,7 +83,7 @@
 		f.mu.Lock()
 		accepts := f.gauge.Accepts()
 		f.mu.Unlock()
-		if !accepts || s.stopping.Load() || !s.ready() {
+		if !accepts || s.stopping.Load() || !s.ready() || !s.sends() {
 			f.turned.Add(1)
 			w.Header().Set(headerNotProcessed, "1")
 			s.say(w, http.StatusServiceUnavailable, "refused: a peer is under pressure")
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -76,7 +76,8 @@
 	post     func(any) bool
 	stop     <-chan struct{}
 	ready    func() bool
-	bad      *lines // on requests that are turned away
+	sends    func() bool // there is a server to send to
+	bad      *lines      // on requests that are turned away
 	stats    *stats
 	budget   *budget
 	stopping atomic.Bool // connections are to end with their next answer
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,10 @@
 	clientIdle   = 2 * time.Minute
 	mayClose     = 2 * time.Second      // a connection may be closed once no request came on it for so long
 	startLook    = 5 * time.Millisecond // how often a new process looks whether it could take clients
+	// listPatience is how long a process without a list of use says that it is not ready. A call to discovery that hangs has
+	// another beside it after 1.25 s and one in its place after 2.5 s; whoever could answer has had three. Nine in ten processes
+	// are to be ready within 10 s, also where discovery is down for longer.
+	listPatience = 3 * time.Second
 )
 
 // Reload is a configuration that was read anew, or why it can't be used.
@@ -205,7 +209,7 @@
 	}
 	p.up, p.loop, p.watch = up, l, w
 	p.s = &server{clock: clk, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
-		ready: func() bool { return p.taking.Load() && l.started.Load() && !up.dir.empty() }}
+		ready: p.ready, sends: func() bool { return !up.dir.empty() }}
 	p.s.classes.Store(&classes)
 	p.conns = newClientConns(listener, p.most)
 	p.h = &handover{dir: tmp, yielded: make(chan struct{}), over: make(chan struct{}), halved: p.memory, state: p.state, ban: p.banned,
@@ -269,6 +273,15 @@
 	}
 }
 
+// ready tells whether clients may come: once they are taken, the module has the list as it was last known, and there is a server
+// to send to. Nothing else is waited for: no answer of discovery, as what was last known serves while it is down; no connection,
+// as the first request opens it; nothing learnt, as it only betters what is done without. Where no server is known, it is ready
+// all the same after listPatience. Requests then wait in the module for a list, and are refused just before their time is over:
+// discovery may come back at any moment, and whoever is not ready serves nobody then.
+func (p *process) ready() bool {
+	return p.taking.Load() && p.loop.started.Load() && (!p.up.dir.empty() || p.loop.clock.now()-clockStart >= listPatience)
+}
+
 // reload takes a configuration over whole, or not at all.
 func (p *process) reload(r Reload) {
 	if r.Err == nil {
