sidecar: limits that leave no descriptors for clients are named at the start

What a process sets aside for itself, its door, its disk, its peers and a process that takes over is subtracted from the limit before clients and upstreams share the rest. At 64 descriptors with all of them this left -82 for clients: nobody was ever accepted, and nothing said so.

Under what the configuration needs, with two connections to clients and two to upstreams, the start fails in one line: "limits: sockets: 64 is under 232, which is what this configuration needs". With everything on, 256 leave 14.

Seen to fail: without the check TestTooFewDescriptorsAreNamed starts with -82 and 1.

--- a/internal/sidecar/ready_test.go
+++ b/internal/sidecar/ready_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -88,3 +89,30 @@
 		}
 	}
 }
+
+// Guards against limits that leave nothing for clients, and are taken without a word: the process would accept nobody.
+func TestTooFewDescriptorsAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		sockets int
+		all     bool // doors, disk, passed socket
+		ok      bool
+	}{{64, false, true}, {64, true, false}, {35, false, false}, {256, true, true}} {
+		conf := testConfig(t, "127.0.0.1:1")
+		conf.Limits.Sockets = c.sockets
+		tmp := ""
+		if c.all {
+			conf.Ops, conf.State, tmp = "127.0.0.1:1", t.TempDir(), t.TempDir()
+			conf.Peers = &Peers{Forward: "127.0.0.1:1"}
+		}
+		p, err := newProcess(conf, nil, c.all, tmp, nil)
+		if (err == nil) != c.ok {
+			t.Errorf("%d descriptors, all %v: %v", c.sockets, c.all, err)
+		}
+		if err == nil && p.most < fewestConns {
+			t.Errorf("%d descriptors, all %v: %d for clients", c.sockets, c.all, p.most)
+		}
+		if err != nil && fmt.Sprint(err)[:16] != "limits: sockets:" {
+			t.Errorf("not named: %v", err)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -38,6 +38,7 @@
 	// another beside it after 1.25 s and one in its place after 2.5 s; whoever could answer has had three. Nine in ten processes
 	// are to be ready within 10 s, also where discovery is down for longer.
 	listPatience = 3 * time.Second
+	fewestConns  = 2 // to clients, and as many to upstreams: one that a request holds, and one for whoever comes beside it
 )
 
 // Reload is a configuration that was read anew, or why it can't be used.
@@ -188,6 +189,9 @@
 	if tmp != "" {
 		own *= 2 // the next process begins beside this one
 	}
+	if least := own + 2*fewestConns; c.Limits.Sockets < least {
+		return nil, fmt.Errorf("limits: sockets: %d is under %d, which is what this configuration needs", c.Limits.Sockets, least)
+	}
 	p := &process{c: c, most: (c.Limits.Sockets - own) / 2, meets: tmp != "",
 		heap: c.Limits.MemoryMB * memoryPart * (1 << 20)}
 	clk := newClock()
