--- a/internal/sidecar/outage_test.go
+++ b/internal/sidecar/outage_test.go
@@ -323,7 +323,7 @@
 				u := newUpstreams(c, newClock(), 4)
 				u.dir = p.dir
 				ended := make(chan reply, 1)
-				go func() { ended <- u.attempt(t.Context(), "a", testRequest("GET", "")) }()
+				go func() { ended <- u.attempt(t.Context(), "a", testRequest("GET", ""), 0) }()
 				time.Sleep(time.Second)
 				if drains && moves {
 					p.w.move(outageTo)
