balancer: what was learnt is kept also while in debt to a cold upstream

A costly request takes more of a cold upstream's budget than there is: its tokens go below 0. The next process took such a record for unusable and set all that was learnt aside: estimates, rates, ejections, for a few hundredths of a request. After a crash the debt was made good besides, as the budget left was set to 0. Now a debt is kept as it is.

Seen to fail before: TestDebtToAColdUpstreamIsKept (mean latency 0.05 in place of 0.123: nothing taken; after a crash 0 in place of -1.5 tokens).

--- a/balancer/learnt.go
+++ b/balancer/learnt.go
@@ -30,7 +30,7 @@
 	Ejections int
 	Left      time.Duration // of the ejection
 	ColdFor   time.Duration // 0: not cold
-	Tokens    float64       // of a cold one: what is left of its budget, in mean requests
+	Tokens    float64       // of a cold one: what is left of its budget, in mean requests; below 0: in debt
 }
 
 // LearntClass is what was learnt of a class.
@@ -138,7 +138,7 @@
 		if u.ColdFor > 0 {
 			u.ColdFor += d
 			if used {
-				u.Tokens = 0
+				u.Tokens = min(0, u.Tokens) // what is owed stays so
 			}
 		}
 		l.Upstreams[id] = u
@@ -171,7 +171,7 @@
 	ok := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
 	numbers := []float64{l.Fleet, l.Mean, l.HintMean, l.Mid, l.Late, l.AtHome, l.Limit, l.Crowd, l.Wins, l.Carried, l.Offered.Sum, l.Served.Sum}
 	for _, u := range l.Upstreams {
-		numbers = append(numbers, u.Estimate, float64(u.Age), float64(u.Ejections), float64(u.Left), float64(u.ColdFor), u.Tokens)
+		numbers = append(numbers, u.Estimate, float64(u.Age), float64(u.Ejections), float64(u.Left), float64(u.ColdFor), math.Abs(u.Tokens))
 	}
 	for _, mean := range l.Kinds {
 		numbers = append(numbers, mean)
--- a/balancer/learnt_test.go
+++ b/balancer/learnt_test.go
@@ -90,3 +90,22 @@
 		}
 	}
 }
+
+// Guards against a process that begins with nothing because the one before was in debt to a cold upstream, by a costly
+// request; and against a debt that a crash makes good.
+func TestDebtToAColdUpstreamIsKept(t *testing.T) {
+	old := newRig(t, testSettings())
+	old.list(Full, Member{Upstream: "u", Zone: "a", CameUp: old.now - time.Second})
+	old.b.ups["u"].tokens = -1.5
+	for _, crashed := range []bool{false, true} {
+		l := old.b.Learnt(old.now)
+		l.Pass(time.Second, crashed)
+		l.Fleet = 0.123
+		r := newRig(t, testSettings())
+		r.list(Full, Member{Upstream: "u", Zone: "a", CameUp: r.now - 2*time.Second})
+		r.do(l)
+		if u := r.b.ups["u"]; r.b.fleet != 0.123 || u.tokens != -1.5 {
+			t.Errorf("crashed %v: %v of the budget is left, mean latency %v", crashed, u.tokens, r.b.fleet)
+		}
+	}
+}
