balancer: many sidecars do not all keep a request for a cold upstream through a lull

A cold upstream falls beyond N + 2 root N + 2 now (was 3 and 3). Each sidecar's bucket for it holds one whole request at the least. After a lull all that share it may send theirs at once: 60 where 300 stand before 40 upstreams, beside the 10 or so that come in a window. Where a sidecar gets less than one in the rule's time, a whole request now lapses by chance, so that all together hold no more than comes in that time, whatever their number. Few sidecars and busy ones are as before. A bucket out of the subset neither fills for later nor is used up there.

TestColdBudgetsOfAllSidecarsTogether has the new bound, and demand without end by 2, 4, 20, 30 and 100 sidecars too, with restarts in the middle, clients that move, bursts, another site's settings; rates there sum up to the load, and home's part is what upstreams can carry.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -50,6 +50,7 @@
 	tryVotes     = 20               // requests that settle what time left is usual
 	rankOver     = 64               // requests that a new one's worth is ranked among
 	coldPart     = 0.45             // share used of what pushes a cold upstream over: it may be a small one
+	coldHeld     = 1.0              // of what comes in the time of its rule, so much may wait, over all sidecars
 	subsetEvery  = 2 * time.Second  // each upstream of the subset is heard about this often
 	subsetAims   = 0.5              // in a large fleet in so many mean aims: a queue lasts no longer
 	subsetCover  = 5.0              // sidecars that share an upstream at home, and as many away
@@ -101,7 +102,7 @@
 
 	cold     bool
 	coldFrom time.Duration // start of its warm-up
-	tokens   float64       // cold budget, in mean requests
+	tokens   float64       // cold budget, in mean requests; below 0: in debt
 	filled   time.Duration
 }
 
@@ -959,17 +960,24 @@
 	b.wideAt = b.now
 }
 
-// coldAllows holds a cold upstream to a part of what would push it over. The rule counts all sidecars' work;
-// each does its part by sending no more than that multiple of what it sends on the mean to one of its subset,
-// at home or away, as far as the upstream is warm; all together then stay under it (docs/ARCHITECTURE.md,
-// "Cold upstreams"). Only those whose subset it is in do: else, with many cold, every sidecar would come to
-// each. Where fewer are listed than carried the work, or at home than a zone's part, that many count. Guards
-// against all of a zone's work for the first that come back.
+// coldAllows holds a cold upstream to this sidecar's part of what would push it over.
 func (b *Balancer) coldAllows(u *upstream) bool {
 	f := b.warmth(u)
 	if !u.cold {
 		return true
 	}
+	perSec := b.coldRate(u, f)
+	b.fill(u, perSec)
+	return perSec > 0 && u.tokens >= 1
+}
+
+// coldRate is that part, in mean requests a second. The rule counts all sidecars' work; each does its part
+// by sending no more than coldPart of that multiple of what it sends on average to one of its subset, at home
+// or away, as far as the upstream is warm; all together then stay under it, whatever their number and shares
+// (docs/ARCHITECTURE.md, "Cold upstreams"). Only those whose subset it is in do: else, with many cold, each
+// sidecar would come to each. Where fewer are listed than carried the work, or at home than a zone's part,
+// that many count. Guards against all of a zone's work for the first that come back.
+func (b *Balancer) coldRate(u *upstream, f float64) float64 {
 	home := u.zone == b.set.Zone
 	share, size, usual := b.atHome, b.homes, b.wide/float64(b.zones)
 	if !home {
@@ -987,7 +995,7 @@
 		}
 		if (x.zone == b.set.Zone) == home {
 			if ahead++; ahead == size {
-				return false
+				return 0
 			}
 		}
 	}
@@ -998,11 +1006,7 @@
 	if b.shedding != 0 { // what is refused is missing there, and a cold upstream is needed most
 		work = max(work, b.carried)
 	}
-	perSec := f * share * work / float64(size)
-	depth := max(1, perSec*b.set.FallTime.Seconds()/10)
-	u.tokens = min(depth, u.tokens+perSec*(b.now-u.filled).Seconds())
-	u.filled = b.now
-	return u.tokens >= 1
+	return f * share * work / float64(max(size, 1))
 }
 
 // ---- admission ----
--- a/balancer/cold_test.go
+++ b/balancer/cold_test.go
@@ -1,9 +1,11 @@
 package balancer
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -13,14 +15,24 @@
 // of them cold, a quarter of these small; with the rule's windows counted over all sidecars. See docs/ARCHITECTURE.md,
 // "Cold upstreams".
 func TestColdBudgetsOfAllSidecarsTogether(t *testing.T) {
-	for name, d := range map[string]demand{
-		"all told":         {told: 1},
-		"half told":        {told: 0.5},
-		"all restarted":    {told: 1, restarted: true},
-		"in bursts":        {told: 1, bursts: true},
-		"twice the part":   {told: 1, plant: func(s *Settings) { s.FallMultiple *= 2 }},
-		"buckets too deep": {told: 1, bursts: true, plant: func(s *Settings) { s.FallTime *= 30 }},
-	} {
+	cases := map[string]demand{
+		"all told":                    {told: 1},
+		"half told":                   {told: 0.5},
+		"all restarted":               {told: 1, restarted: true},
+		"in bursts":                   {told: 1, bursts: true},
+		"twice the part":              {told: 1, plant: func(s *Settings) { s.FallMultiple *= 2 }},
+		"buckets too deep":            {told: 1, bursts: true, plant: func(s *Settings) { s.FallTime *= 30 }},
+		"after a lull, few upstreams": {told: 1, bursts: true, again: true, moves: true, upstreams: 40},
+	}
+	for _, size := range [][2]int{{2, 10}, {4, 12}, {20, 16}, {30, 20}, {100, 60}} {
+		d := demand{told: 1, again: true, moves: true, sidecars: size[0], upstreams: size[1]}
+		cases[fmt.Sprint(size[0], " sidecars")] = d
+		d.bursts, d.again, d.priced = true, false, true
+		cases[fmt.Sprint(size[0], " sidecars, in bursts")] = d
+		d.slow, d.bursts, d.skew = true, false, true
+		cases[fmt.Sprint(size[0], " sidecars, another site")] = d
+	}
+	for name, d := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			got, where := d.saturate(t, 0)
@@ -36,26 +48,39 @@
 type demand struct {
 	told      float64         // share of the sidecars that know of a start at once, the others later
 	restarted bool            // all processes begin within a second of the starts, and know no rate
+	again     bool            // and half of them anew at some moment later
+	moves     bool            // half of them hand their clients to others meanwhile
+	skew      bool            // the first zone's sidecars have twice the traffic of others
 	bursts    bool            // one second in three; buckets fill meanwhile
 	plant     func(*Settings) // what sidecars are told wrongly
+	sidecars  int             // 0: 300, and 160 upstreams
+	upstreams int
+	priced    bool // crossings are: work stays at home where it can
+	slow      bool // another site's settings: a lower multiple over a longer time, a longer warm-up
 }
 
 // saturate gives the most that a cold upstream got in a window, as a share of its limit, and which.
 func (d demand) saturate(t *testing.T, seed uint64) (most float64, where string) {
 	const (
-		sidecars, upstreams, cold = 300, 160, 96
-		capacity, small           = 24.0, 15.0 // requests of mean work a second, when warm
-		tick, length, delay       = 100 * ms, 10 * time.Second, 4 * time.Second
+		capacity, small     = 24.0, 15.0 // requests of mean work a second, when warm
+		tick, length, delay = 100 * ms, 10 * time.Second, 4 * time.Second
 	)
+	sidecars, upstreams, zones := cmp.Or(d.sidecars, 300), cmp.Or(d.upstreams, 160), 4
+	cold := upstreams * 6 / 10
 	rng := rand.New(rand.NewPCG(seed, 7))
 	s := testSettings()
 	s.Balancers, s.ColdFrom, s.WarmUp, s.FallMultiple, s.FallTime = sidecars, 0.3, 8800*ms, 4, time.Second
+	if d.slow {
+		s.ColdFrom, s.WarmUp, s.FallMultiple, s.FallTime = 0.13, 24*time.Second, 3, 3*time.Second
+		s.Classes[0].Aim = 400 * ms
+		zones = 3
+	}
 	rule := s
 	if d.plant != nil {
 		d.plant(&s)
 	}
 	can := func(i int) float64 {
-		if i%4 == i/4%4 { // in each zone alike
+		if i%zones == i/zones%4 { // in each zone alike
 			return small
 		}
 		return capacity
@@ -64,7 +89,7 @@
 	var list, new []Member
 	for i := range upstreams {
 		total += can(i)
-		m := Member{Upstream: fmt.Sprint(i), Zone: string(rune('a' + i%4))}
+		m := Member{Upstream: fmt.Sprint(i), Zone: string(rune('a' + i%zones))}
 		if list = append(list, m); i < cold {
 			m.CameUp = time.Minute + time.Duration(rng.Float64()*3e9)
 			new = append(new, m)
@@ -72,40 +97,89 @@
 	}
 	type sidecar struct {
 		*Balancer
-		rate float64 // requests a second
-		from time.Duration
+		rate      float64 // requests a second
+		from      time.Duration
+		restart   time.Duration // 0: never
+		restarted bool
+		begun     time.Duration
+		move      time.Duration // when its clients go to the next sidecar, 0: never
 	}
-	var all []sidecar
-	for i := range sidecars {
-		s.Zone = string(rune('a' + i%4))
-		b, err := New(s, seed<<32+uint64(i))
+	fresh := func(i, life int) *Balancer {
+		s.Zone = string(rune('a' + i%zones))
+		b, err := New(s, seed<<32+uint64(i)+uint64(life)<<16)
 		if err != nil {
 			t.Fatal(err)
 		}
-		x := sidecar{b, 0.85 * total / sidecars * (0.2 + 0.8*rng.ExpFloat64()), time.Minute}
+		return b
+	}
+	sometime := func(p bool) time.Duration {
+		if !p || rng.IntN(2) == 0 {
+			return 0
+		}
+		return time.Minute + time.Duration(rng.Float64()*float64(length))/tick*tick
+	}
+	var all []*sidecar
+	for i := range sidecars {
+		b := fresh(i, 0)
+		x := &sidecar{b, 0.2 + 0.8*rng.ExpFloat64(), time.Minute, sometime(d.again), d.restarted, 0, sometime(d.moves)}
+		if d.skew && i%zones == 0 {
+			x.rate *= 2
+		}
 		before := time.Duration(40 * time.Second)
 		if d.restarted {
 			before = -time.Duration(rng.Float64() * 1e9)
 		}
 		x.Handle(time.Minute-before, Members{Kind: Full, Entries: list}, nil)
-		for at := time.Minute - before; at < time.Minute; at += tick {
-			x.offered.add(x.rate*tick.Seconds(), at)
-		}
-		if float64(i) >= d.told*sidecars {
+		x.begun = time.Minute - before
+		if float64(i) >= d.told*float64(sidecars) {
 			x.from += delay
 		}
 		all = append(all, x)
 	}
+	whole := 0.0
+	for _, x := range all {
+		whole += x.rate
+	}
+	for _, x := range all {
+		x.rate *= 0.85 * total / whole
+		for at := x.begun; at < time.Minute; at += tick {
+			x.offered.add(x.rate*tick.Seconds(), at)
+		}
+	}
 	sent := make([][]float64, cold) // by tick
 	for at, n := time.Minute, 0; at < time.Minute+length; at, n = at+tick, n+1 {
 		for u := range sent {
 			sent[u] = append(sent[u], 0)
 		}
-		for _, x := range all {
+		zone := make([]float64, zones)
+		for i, x := range all {
+			zone[i%zones] += x.offered.per(at)
+		}
+		for i, x := range all { // as much stays at home as at most brings no upstream there more than any other's work
+			if at != x.restart && !x.restarted {
+				x.atHome = float64(x.homes) / float64(upstreams)
+				if d.priced {
+					x.atHome = min(1, x.atHome*sum(zone)/zone[i%zones])
+				}
+			}
 			if x.now > at {
 				continue
 			}
-			for mean := x.rate * tick.Seconds(); rng.Float64() < mean; mean /= 2 {
+			if at == x.restart {
+				x.Balancer, x.restarted = fresh(i, 1), true
+				entries := slices.Clone(list)
+				for u, m := range new {
+					if at >= max(x.from, m.CameUp) {
+						entries[u] = m
+					}
+				}
+				x.Handle(at, Members{Kind: Full, Entries: entries}, nil)
+			}
+			if at == x.move {
+				to := all[(i+1)%len(all)]
+				x.rate, to.rate = 0.1*x.rate, to.rate+0.9*x.rate
+			}
+			for wait := rng.ExpFloat64(); wait < x.rate*tick.Seconds(); wait += rng.ExpFloat64() {
 				x.offered.add(1, at)
 			}
 			x.now = at
@@ -131,10 +205,17 @@
 			}
 			warmth := rule.ColdFrom + (1-rule.ColdFrom)*float64(age)/float64(rule.WarmUp)
 			allowed := rule.FallMultiple * can(u) * warmth * rule.FallTime.Seconds()
-			if x := sum / (allowed + 3*math.Sqrt(allowed) + 3); x > most {
+			if x := sum / (allowed + 2*math.Sqrt(allowed) + 2); x > most {
 				most, where = x, fmt.Sprintf("upstream %d after %v: %.0f where %.0f are allowed", u, age, sum, allowed)
 			}
 		}
 	}
 	return most, where
 }
+
+func sum(xs []float64) (total float64) {
+	for _, x := range xs {
+		total += x
+	}
+	return total
+}
