balancer: an upstream called back by hand is not sent a request by every sidecar at once

One whose ban was lifted is cold, stands first with every sidecar, and was owed a request of each at once: 300 of 300 sidecars sent theirs where 64 are allowed. It then got the part of those whose subset holds it by chance from all of them. Now its part is over all of its side of the list, and the first request comes in advance, by the chance that one is due in the rule's time; nothing is filled until that is over. What is due later still goes there first. What was sent since the call counts too when discovery tells of the restart later.

Four sidecars still send theirs at once, and so does one alone (TestLiftedBanIsColdAndGetsWork).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -103,7 +103,7 @@
 	cold     bool
 	coldFrom time.Duration // start of its warm-up
 	tokens   float64       // cold budget, in mean requests; below 0: in debt
-	filled   time.Duration
+	filled   time.Duration // up to here; ahead of now: what comes until then was given in advance
 }
 
 type attempt struct {
@@ -870,16 +870,13 @@
 	if b.means[m.Machine] == nil {
 		b.means[m.Machine] = new(b.fleet)
 	}
-	u := &upstream{id: m.Upstream, machine: m.Machine, mean: b.means[m.Machine], cameUp: m.CameUp}
+	u := &upstream{id: m.Upstream, zone: m.Zone, machine: m.Machine, mean: b.means[m.Machine], cameUp: m.CameUp}
 	u.est, u.banned = estimate{*u.mean, b.now}, b.banned[u.id]
 	at, from := slices.Index(b.list, old), m.CameUp
 	when, back := b.lifted[u.id]
 	if from = max(from, when); from > 0 && b.now-from < b.set.WarmUp {
 		b.chill(u, from)
 	}
-	if b.owed[u.id] {
-		u.tokens = 1 // one request alone pushes nothing over
-	}
 	if at >= 0 {
 		b.list = slices.Delete(b.list, at, at+1)
 	} else {
@@ -890,6 +887,11 @@
 	}
 	b.list = slices.Insert(b.list, at, u)
 	b.ups[u.id] = u
+	if b.owed[u.id] {
+		b.advance(u)
+	} else if back && old != nil { // what it was sent since the ban was lifted counts
+		u.tokens, u.filled = min(u.tokens, old.tokens), max(u.filled, old.filled)
+	}
 	return u
 }
 
@@ -914,7 +916,7 @@
 	delete(b.banned, e.Upstream)
 	b.lifted[e.Upstream], b.owed[e.Upstream] = b.now, true
 	if u != nil {
-		back := b.renew(u, Member{Upstream: u.id, Machine: u.machine, CameUp: u.cameUp})
+		back := b.renew(u, Member{Upstream: u.id, Zone: u.zone, Machine: u.machine, CameUp: u.cameUp})
 		back.listed, back.zone, back.cell, back.weight = true, u.zone, u.cell, u.weight
 	}
 }
@@ -987,7 +989,9 @@
 		share, usual = 1, b.wide
 	}
 	f *= min(1, float64(size)/usual)
-	size = min(size, b.subset())
+	if b.lifted[u.id] == 0 { // else it stands first with every sidecar, not with those that chance says
+		size = min(size, b.subset())
+	}
 	ahead := 0
 	for _, x := range b.list {
 		if x == u {
--- a/balancer/ban_test.go
+++ b/balancer/ban_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -70,3 +71,54 @@
 		t.Errorf("%d of 100 at once to a cold upstream", n)
 	}
 }
+
+// Guards against an upstream pushed over when it is called back: each sidecar sent it a request at once, and it stood first
+// with all of them. Few sidecars still do.
+func TestLiftedBanIsNotPushedOverByAllSidecars(t *testing.T) {
+	for _, c := range []struct {
+		sidecars int
+		perSec   float64 // of each
+	}{{4, 200}, {300, 6}} {
+		s := testSettings()
+		s.Balancers, s.ColdFrom, s.WarmUp, s.FallMultiple, s.FallTime = c.sidecars, 0.3, 8800*ms, 4, time.Second
+		all := make([]*rig, c.sidecars)
+		for i := range all {
+			s.Zone = string(rune('a' + i%4))
+			b, err := New(s, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			all[i] = &rig{t: t, b: b, now: time.Minute}
+			var list []Member
+			for u := range 40 {
+				list = append(list, Member{Upstream: fmt.Sprint(u), Zone: string(rune('a' + u%4))})
+			}
+			all[i].list(Full, list...)
+			for at := 20 * time.Second; at < time.Minute; at += 100 * ms {
+				b.offered.add(c.perSec/10, at)
+			}
+			all[i].do(Ban{Upstream: "5"})
+			all[i].do(Ban{Upstream: "5", Lifted: true})
+		}
+		got, first := 0, 0
+		for k := range int(c.perSec) {
+			for i, r := range all {
+				r.now = time.Minute + time.Duration(k+1)*time.Second/time.Duration(c.perSec+1)
+				id := fmt.Sprint(k)
+				if r.wantSend(r.request(id, "c", time.Second)) == "5" {
+					if got++; k == 0 {
+						first++
+					}
+				}
+				r.now += 10 * ms
+				r.result(id, 0, OK, 10*ms)
+				all[i] = r
+			}
+		}
+		n := 4 * 0.3 * c.perSec * float64(c.sidecars) / 40 / 0.85
+		t.Logf("%d sidecars: %d, of them %d at once, where %.0f are allowed", c.sidecars, got, first, n)
+		if x := float64(got); x > n+2*math.Sqrt(n)+2 || first == 0 {
+			t.Errorf("%d sidecars: %d, of them %d at once, where %.0f are allowed", c.sidecars, got, first, n)
+		}
+	}
+}
--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -105,3 +105,15 @@
 		}
 	}
 }
+
+// advance gives a cold upstream at once what comes in the time of its rule, one request or by chance none, and then
+// nothing until that is over.
+func (b *Balancer) advance(u *upstream) {
+	u.tokens = 1
+	if f := b.warmth(u); u.cold && b.set.FallMultiple > 0 {
+		if !(b.rng.Float64() < b.coldRate(u, f)*b.set.FallTime.Seconds()) {
+			u.tokens = 0
+		}
+		u.filled = b.now + b.set.FallTime
+	}
+}
