sidecar: a new connection has its 50 ms to bring a request, also if it waited before

At SIGTERM the time that a new connection has for its first request counted from when it can have come at the earliest, for one accepted behind a full house from some time before: it could be ended after a millisecond, with nowhere to come again to. It counts from the accepting now; only those that are told to make room, and have had it, have less.

TestRoomIsTakenBack: a connection that was told to make room and on which a request comes is kept and may rest again, with the library's bound on reads as it was. Seen to fail with the end left standing, and with 2.5 s in place of that bound; TestEndLooksOnceMore fails without the 50 ms.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -43,9 +43,9 @@
 		for (c.paused && !c.last || len(c.quiet) >= c.most) && !c.closed {
 			if !c.paused {
 				c.makeRoom()
-			}
-			if c.full.IsZero() {
-				c.full = time.Now()
+				if c.full.IsZero() {
+					c.full = time.Now()
+				}
 			}
 			c.room.Wait()
 		}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -202,10 +202,11 @@
 	return true
 }
 
-// look bounds the read that waits for the next request: the library closes the connection where it brings none.
+// look bounds the read that waits for the next request: the library closes the connection where it brings none. One that is new
+// has its time to bring the first; to make room only those are told that have had it.
 func (c *framedConn) look() {
 	until := time.Now().Add(lastLook)
-	if young := c.accepted.Add(justOpened); c.f.none() && young.After(until) {
+	if young := c.taken.Add(justOpened); !c.room && c.f.none() && young.After(until) {
 		until = young
 	}
 	_ = c.Conn.SetReadDeadline(until) // fails on a closed connection only
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -250,7 +250,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				client, server := net.Pipe()
 				defer client.Close()
-				conn := &framedConn{Conn: server, accepted: time.Now(), all: newClientConns(nil, 1), active: c.active}
+				conn := &framedConn{Conn: server, taken: time.Now(), all: newClientConns(nil, 1), active: c.active}
 				defer conn.Close()
 				if c.used {
 					conn.f.handed = 1
--- a/internal/sidecar/room_test.go
+++ b/internal/sidecar/room_test.go
@@ -231,3 +231,49 @@
 		})
 	}
 }
+
+// Guards against a connection that was told to make room, kept since a request came on it, and ended after that one all the same;
+// and against a peer that gains time by being told.
+func TestRoomIsTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer client.Close()
+		all := newClientConns(nil, 1)
+		conn := &framedConn{Conn: server, all: all}
+		defer conn.Close()
+		conn.f.handed = 1
+		all.state(conn, http.StateIdle)
+		until := time.Now().Add(time.Second)
+		_ = conn.SetReadDeadline(until) // a read shows it
+		read := func() <-chan error {
+			end := make(chan error, 1)
+			go func() {
+				_, err := conn.Read(make([]byte, 1))
+				end <- err
+			}()
+			synctest.Wait()
+			return end
+		}
+		end := read()
+		all.mu.Lock()
+		all.makeRoom()
+		told := len(all.going)
+		all.mu.Unlock()
+		if told != 1 {
+			t.Fatal("not told")
+		}
+		if _, err := client.Write([]byte("G")); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-end; err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if conn.ending || conn.room || len(all.going) > 0 {
+			t.Error("it is still to end")
+		}
+		if err := <-read(); !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Equal(until) {
+			t.Errorf("%v at %v, the library's bound was %v", err, time.Now(), until)
+		}
+	})
+}
