sidecar: after SIGTERM, too, a connection that only waits for its peer's end makes room

While connections lingered after SIGTERM (100 ms each, for a request that may cross their end) and the house was full, whoever waited to be accepted waited for that: behind a hundred peers that only hold descriptors a client came in after 4 s, when all that was left is refused. Where room is needed a lingering connection now has 10 ms there, too; no request that has begun is cut off after SIGTERM, as before.

--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -271,3 +271,26 @@
 		})
 	}
 }
+
+// Guards against peers that only take up descriptors at SIGTERM: the client that comes behind them, in the time in which clients
+// still come, is served before the process is killed.
+func TestTermBehindAFlood(t *testing.T) {
+	t.Parallel()
+	const most, peers = 4, 110
+	s, _ := held(t)
+	c := testConfig(t, quiet(t).address, entry("s", s.address, "Ready"))
+	c.Limits.Sockets = ownSockets + 2*most
+	r := start(t, c, "127.0.0.1:0")
+	r.client.CloseIdleConnections()
+	for range peers {
+		dialRaw(t, r.address)
+	}
+	begun := term(r)
+	p := dialRaw(t, r.address)
+	p.send(text("search"))
+	p.answered(200)
+	p.over()
+	if took := time.Since(begun); took > killMost {
+		t.Errorf("answered %v after SIGTERM", took)
+	}
+}
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -53,8 +53,8 @@
 	var of [full]candidate
 	for conn, quiet := range c.quiet {
 		how, since, least := conn.claim()
-		if how == full || c.going[conn] && how != answered || c.lingers.Load() && how != unused && how != resting { // after SIGTERM none is cut off
-			continue
+		if how == full || c.going[conn] && how != answered || c.lingers.Load() && (how == slowHead || how == owedBody) {
+			continue // after SIGTERM no request is cut off
 		}
 		if how == resting {
 			since = quiet
