memnet: a connection has the port that its dialling began with

Two diallings of one host that overlapped both took the port of the later one: the port was read once the connection was up. Whoever tells connections apart by their address saw two of one.

TestPortsAreOnesOwn: without the change "both are 10.0.0.1:40002"; with it green, three times with -race.

--- a/internal/lab/memnet/memnet_test.go
+++ b/internal/lab/memnet/memnet_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// Guards against two connections of one address: a dialling that takes longer than the next one must not take its port.
+func TestPortsAreOnesOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(func(Event) {})
+		defer n.Close()
+		a, b := n.Host("a", "10.0.0.1", time.Second), n.Host("b", "10.0.0.2", time.Second)
+		if _, err := b.Listen(80); err != nil {
+			t.Fatal(err)
+		}
+		ports := make(chan string, 2)
+		for range 2 {
+			go func() {
+				c, err := a.Dial(t.Context(), "tcp", "10.0.0.2:80")
+				if err != nil {
+					t.Error(err)
+				}
+				ports <- c.LocalAddr().String()
+			}()
+		}
+		if one, other := <-ports, <-ports; one == other {
+			t.Errorf("both are %s", one)
+		}
+	})
+}
+
 // Guards against dialling that comes up too soon, or never ends: the way there and back, refusal, silence, no such host.
 func TestDialling(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/lab/memnet/network.go
+++ b/internal/lab/memnet/network.go
@@ -167,6 +167,7 @@
 	to := n.hosts[host]
 	n.dialled++
 	h.port++
+	from := h.port
 	d := &dialling{net: n, number: n.dialled, from: h, to: to, toName: address}
 	if to != nil {
 		d.toName, d.way = to.name, h.delay+to.delay
@@ -191,7 +192,7 @@
 	if l == nil || l.closed {
 		return failed(os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
-	near := &end{net: n, host: h, number: d.number, way: d.way, addr: &net.TCPAddr{IP: h.ip, Port: h.port}}
+	near := &end{net: n, host: h, number: d.number, way: d.way, addr: &net.TCPAddr{IP: h.ip, Port: from}}
 	far := &end{net: n, host: to, number: d.number, way: d.way, addr: &net.TCPAddr{IP: to.ip, Port: port}, peer: near}
 	near.peer = far
 	h.ends, to.ends = append(h.ends, near), append(to.ends, far)
