memnet: connections that come up late, or never

Some connections to upstreams come up only after seconds, while others to the same host are in time; Silence holds up all of them. Late says it of the next connection to a host.

TestDialling has both: with Late doing nothing, "late" is up after 4 s instead of 9, and "lost" does not end with its context's minute.

--- a/internal/lab/memnet/memnet_test.go
+++ b/internal/lab/memnet/memnet_test.go
@@ -98,6 +98,7 @@
 		if _, err := b.Listen(80); err != nil {
 			t.Fatal(err)
 		}
+		b.Late(time.Second)
 		ports := make(chan string, 2)
 		for range 2 {
 			go func() {
@@ -119,13 +120,16 @@
 	for name, c := range map[string]struct {
 		address string
 		silent  bool
+		late    time.Duration
 		want    error
 		took    time.Duration
 	}{
-		"up":      {"10.0.0.2:80", false, nil, 4 * time.Second},
-		"refused": {"10.0.0.2:81", false, syscall.ECONNREFUSED, 4 * time.Second},
-		"silent":  {"10.0.0.2:80", true, os.ErrDeadlineExceeded, time.Minute},
-		"no host": {"10.0.0.3:80", false, os.ErrDeadlineExceeded, time.Minute},
+		"up":      {"10.0.0.2:80", false, 0, nil, 4 * time.Second},
+		"late":    {"10.0.0.2:80", false, 5 * time.Second, nil, 9 * time.Second},
+		"lost":    {"10.0.0.2:80", false, -1, os.ErrDeadlineExceeded, time.Minute},
+		"refused": {"10.0.0.2:81", false, 0, syscall.ECONNREFUSED, 4 * time.Second},
+		"silent":  {"10.0.0.2:80", true, 0, os.ErrDeadlineExceeded, time.Minute},
+		"no host": {"10.0.0.3:80", false, 0, os.ErrDeadlineExceeded, time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -136,6 +140,7 @@
 					t.Fatal(err)
 				}
 				b.Silence(c.silent)
+				b.Late(c.late)
 				begun := time.Now()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
--- a/internal/lab/memnet/network.go
+++ b/internal/lab/memnet/network.go
@@ -100,6 +100,7 @@
 	port  int
 	bound map[int]*listener
 	ends  []*end
+	late  []time.Duration // of the next connections to it
 }
 
 // Host adds a machine. A way between two takes the sum of their delays, which has to be above 0.
@@ -123,6 +124,14 @@
 	h.net.changed.Broadcast()
 }
 
+// Late has the next connection to the host come up that much later, or with a negative time never; called again, the one
+// after that.
+func (h *Host) Late(by time.Duration) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	h.late = append(h.late, by)
+}
+
 // Kill ends the host's process: its connections are reset, and new ones refused until it listens again.
 func (h *Host) Kill() {
 	h.net.mu.Lock()
@@ -176,7 +185,12 @@
 	failed := func(err error) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Net: network, Addr: &net.TCPAddr{IP: net.ParseIP(host), Port: port}, Err: err}
 	}
-	if err := d.pass(ctx); err != nil {
+	late := time.Duration(0)
+	if to != nil && len(to.late) > 0 {
+		late, to.late = to.late[0], to.late[1:]
+		d.lost = late < 0
+	}
+	if err := d.pass(ctx, d.way+late); err != nil {
 		return failed(err)
 	}
 	for to.bound[port] != nil && len(to.bound[port].queue) >= backlog && ctx.Err() == nil {
@@ -186,7 +200,7 @@
 	if l == nil {
 		d.tell(to.name, h.name, Refuses)
 	}
-	if err := d.pass(ctx); err != nil {
+	if err := d.pass(ctx, d.way); err != nil {
 		return failed(err)
 	}
 	if l == nil || l.closed {
@@ -208,19 +222,20 @@
 	from, to *Host
 	toName   string
 	way      time.Duration
+	lost     bool // it never comes up
 }
 
 func (d *dialling) tell(from, to string, kind Kind) {
 	d.net.observe(Event{At: time.Now(), Conn: d.number, From: from, To: to, Kind: kind})
 }
 
-// pass waits until what was sent now is there, or ctx ends.
-func (d *dialling) pass(ctx context.Context) error {
-	due := time.Now().Add(d.way)
+// pass waits until what was sent now is there, that much later, or ctx ends.
+func (d *dialling) pass(ctx context.Context, way time.Duration) error {
+	due := time.Now().Add(way)
 	for {
 		until := due
 		if past(due) {
-			if d.to != nil && !d.from.dark && !d.to.dark {
+			if d.to != nil && !d.lost && !d.from.dark && !d.to.dark {
 				return nil
 			}
 			until = time.Time{}
