sidecar: what comes after the loop's end is freed

An attempt that outlives serve, since its client had left before SIGTERM was through, may bring an answer that has not come whole. The loop was over, or its queue held the event unread, and nobody dropped the answer: its connection and two goroutines of the library stayed. The process ends then, so nothing was lost but by whoever runs several sidecars in one process, as tests do. The attempt now drops what the loop does not take, and the loop what it has not handled.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -131,6 +131,11 @@
 
 // post reports an event to the loop; false once the loop has ended.
 func (l *loop) post(e any) bool {
+	select {
+	case <-l.stop: // it has ended for certain, and what holds its events is no end for them
+		return false
+	default:
+	}
 	select {
 	case l.events <- e:
 		return true
@@ -211,6 +216,21 @@
 		case <-look:
 			l.look(l.b.Ejected(l.clock.now()))
 		case <-l.stop:
+			l.abandon()
+			return
+		}
+	}
+}
+
+// abandon frees what came too late to be handled: answers that have not come whole hold a connection and its goroutines.
+func (l *loop) abandon() {
+	for {
+		select {
+		case e := <-l.events:
+			if e, ok := e.(ended); ok {
+				e.reply.drop()
+			}
+		default:
 			return
 		}
 	}
@@ -394,7 +414,9 @@
 	f.out++
 	go func() {
 		rep := l.send(ctx, upstream, f.request, before)
-		l.post(ended{f, n, l.clock.now(), rep})
+		if !l.post(ended{f, n, l.clock.now(), rep}) {
+			rep.drop()
+		}
 	}()
 }
 
