--- /dev/null
+++ b/internal/sidecar/orders_planted_test.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Faults that stand between the sidecar and the network, so that what the rules see is what a sidecar with that fault
+// would do.
+
+// plantedConn is a connection of the sidecar's with a fault in it.
+type plantedConn struct {
+	net.Conn
+	write func(c net.Conn, p []byte) (int, error) // nil: without a fault
+	read  func(c net.Conn, p []byte) (int, error)
+}
+
+func (c *plantedConn) Write(p []byte) (int, error) {
+	if c.write == nil {
+		return c.Conn.Write(p)
+	}
+	return c.write(c.Conn, p)
+}
+
+func (c *plantedConn) Read(p []byte) (int, error) {
+	if c.read == nil {
+		return c.Conn.Read(p)
+	}
+	return c.read(c.Conn, p)
+}
+
+// CloseWrite ends the sending, as the server does before it closes.
+func (c *plantedConn) CloseWrite() error {
+	return c.Conn.(interface{ CloseWrite() error }).CloseWrite()
+}
+
+func isHead(p []byte) bool {
+	return bytes.HasPrefix(p, []byte("GET /")) || bytes.HasPrefix(p, []byte("POST /"))
+}
+
+// plantedMost is how many seeds a planted fault may take to be found.
+const plantedMost = 3000
+
+var planted = []struct {
+	name  string
+	finds string // part of what the rules say of it
+	plant plant
+}{
+	{"each attempt goes out twice", "both at once", plant{toUpstream: func(w *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			if to := map[string]string{up1: up2, up2: up1}[c.RemoteAddr().String()]; isHead(p) {
+				copied := bytes.Clone(p)
+				go func() {
+					if other, err := w.sidecar.Dial(w.ctx, "tcp", to); err == nil {
+						_, _ = other.Write(copied)
+					}
+				}()
+			}
+			return c.Write(p)
+		}}
+	}}},
+	{"what a reset broke off never ran", "where it may have run", plant{toUpstream: func(_ *world, c net.Conn) net.Conn {
+		told := false
+		return &plantedConn{Conn: c, read: func(c net.Conn, p []byte) (int, error) {
+			n, err := c.Read(p)
+			if errors.Is(err, syscall.ECONNRESET) && !told {
+				told = true
+				return copy(p, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"), nil
+			}
+			return n, err
+		}}
+	}}},
+	{"requests go on for clients that have left", "its client had gone", plant{toUpstream: func(w *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			copied := bytes.Clone(p)
+			go func() {
+				if w.passes(150 * milli) {
+					_, _ = c.Write(copied)
+				}
+			}()
+			return len(p), nil
+		}}
+	}}},
+	{"drains are not read", "which was Terminating", plant{toDiscovery: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, read: func(c net.Conn, p []byte) (int, error) {
+			n, err := c.Read(p)
+			copy(p, bytes.ReplaceAll(p[:n], []byte(`"Terminating"`), []byte(`"Ready"      `)))
+			return n, err
+		}}
+	}}},
+	{"silent watches go unnoticed", "told at 0s", plant{toDiscovery: func(_ *world, c net.Conn) net.Conn {
+		begun := false
+		return &plantedConn{Conn: c, read: func(c net.Conn, p []byte) (int, error) {
+			if begun {
+				_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // fails on a closed connection only
+			}
+			n, err := c.Read(p)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return copy(p, "1\r\n\n\r\n"), nil
+			}
+			begun = true
+			return n, err
+		}}
+	}}},
+	{"failures are not answered", "no answer", plant{toClient: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			if bytes.HasPrefix(p, []byte("HTTP/1.1 502")) {
+				return len(p), nil
+			}
+			return c.Write(p)
+		}}
+	}}},
+	{"answers go out twice", "answers to", plant{toClient: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			_, _ = c.Write(p)
+			return c.Write(p)
+		}}
+	}}},
+	{"an empty 200 for a failure", "no upstream has made", plant{toClient: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			if bytes.HasPrefix(p, []byte("HTTP/1.1 502")) {
+				_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				return len(p), err
+			}
+			return c.Write(p)
+		}}
+	}}},
+	{"refusals for failures", "was refused", plant{toClient: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			return c.Write(bytes.Replace(p, []byte("HTTP/1.1 502"), []byte("HTTP/1.1 503"), 1))
+		}}
+	}}},
+	{"a request that no client sent", "which no client did", plant{toUpstream: func(_ *world, c net.Conn) net.Conn {
+		return &plantedConn{Conn: c, write: func(c net.Conn, p []byte) (int, error) {
+			return c.Write(bytes.Replace(p, []byte("X-Request-Id: 0"), []byte("X-Request-Id: f"), 1))
+		}}
+	}}},
+	{"keyed requests without a window", "longer ago than its window", plant{settings: func(c *Config) {
+		c.Settings.Classes[1].Window = time.Minute
+	}}},
+	{"an end with requests in hand", "was ended at", plant{killsAfter: 700 * milli}},
+}
+
+// Guards against rules that see nothing: each planted fault is found.
+func TestOrdersFindPlantedFaults(t *testing.T) {
+	hush(t)
+	t.Run("planted", func(t *testing.T) {
+		for _, x := range planted {
+			t.Run(x.name, func(t *testing.T) {
+				var next atomic.Int64
+				var found atomic.Bool
+				var both sync.WaitGroup
+				for range orderWorkers {
+					both.Go(func() {
+						for seed := next.Add(1); seed <= plantedMost && !found.Load(); seed = next.Add(1) {
+							broken, _ := play(t, draw(seed), x.plant, false)
+							for _, text := range broken {
+								if strings.Contains(text, x.finds) && !found.Swap(true) {
+									t.Logf("found by seed %d: %s", seed, text)
+								}
+							}
+						}
+					})
+				}
+				both.Wait()
+				if !found.Load() {
+					t.Errorf("not found in %d orders", plantedMost)
+				}
+			})
+		}
+	})
+}
