--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"mosslead/balancer"
@@ -36,9 +38,9 @@
 
 // Limits is what the platform allows the process.
 type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB float64 `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
+	Cores    float64
+	MemoryMB float64
+	Sockets  int
 }
 
 const (
@@ -80,9 +82,13 @@
 		Name, Listen, Discovery, Seed string
 		Ops, State                    string
 		Peers                         *Peers
-		Limits                        *Limits
-		Known                         json.RawMessage
-		Settings                      json.RawMessage
+		Limits                        *struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64 // some write whole numbers with a fraction of 0
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, located(text, text, err)
@@ -108,7 +114,7 @@
 	if file.Limits == nil {
 		return nil, errors.New("limits: missing")
 	}
-	c.Limits = *file.Limits
+	c.Limits = Limits{file.Limits.Cores, file.Limits.MemoryMB, int(max(-1, min(file.Limits.Sockets, math.MaxInt32)))}
 	switch {
 	case !(c.Limits.Cores > 0):
 		return nil, fmt.Errorf("limits: cores: %v is not above 0", c.Limits.Cores)
@@ -206,7 +212,7 @@
 }
 
 // keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
-// of them hold. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
+// of them hold; of a list without any its path and a dot, for they lack nothing. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
 // is absent from one that is 0, but for pointers in each field.
 func keysOf(text []byte) (map[string]bool, error) {
 	var file map[string]any
@@ -233,6 +239,9 @@
 					counts[key]++
 				}
 			}
+			if len(v) == 0 {
+				into[path] = true
+			}
 			for key, n := range counts {
 				if n == len(v) {
 					into[key] = true
@@ -245,16 +254,37 @@
 }
 
 // follows tells why a file that was read anew can't take the place of the one in use: a key that is gone reads like a
-// limit or a price that was never set.
+// limit or a price that was never set. A key that nothing reads, or that may be absent, can go.
 func (c *Config) follows(old *Config) error {
 	for _, key := range slices.Sorted(maps.Keys(old.keys)) {
-		if !c.keys[key] {
+		free := key == "known" || key == "settings.Classes.AimStretch" || strings.HasSuffix(key, ".") ||
+			strings.HasPrefix(key, "settings.") && !usedKeys()[key]
+		if !free && !c.holds(key) {
 			return fmt.Errorf("lacks %s", key)
 		}
 	}
 	return nil
 }
 
+// holds tells whether the file holds a key, or an empty list in whose objects it would be.
+func (c *Config) holds(key string) bool {
+	for i, x := range key {
+		if x == '.' && c.keys[key[:i+1]] {
+			return true
+		}
+	}
+	return c.keys[key]
+}
+
+// usedKeys are the settings' keys that are read.
+var usedKeys = sync.OnceValue(func() map[string]bool {
+	keys, err := keysOf(fmt.Appendf(nil, `{"settings":%s}`, wire.Keys()))
+	if err != nil {
+		panic(err) // the module's own text
+	}
+	return keys
+})
+
 // addressesOf takes a key's value apart: only discovery may be at several addresses, as replicas of a list service are.
 func addressesOf(key, value string) []string {
 	if key != "discovery" {
