--- a/balancer/stats.go
+++ b/balancer/stats.go
@@ -85,35 +85,3 @@
 	}
 	return drawn
 }
-
-// fill lets what is due of a cold upstream's budget come. Guards against many sidecars that all hold a whole request for it
-// after a lull: where they are many, and each gets little, such a one lapses by chance, so that all together hold coldHeld
-// of what comes in the time of the rule at the most (docs/ARCHITECTURE.md, "Cold upstreams").
-func (b *Balancer) fill(u *upstream, perSec float64) {
-	past := (b.now - u.filled).Seconds()
-	if past <= 0 {
-		return
-	}
-	window := perSec * b.set.FallTime.Seconds()
-	u.filled = b.now
-	had := u.tokens
-	u.tokens = min(max(1, window/10), had+perSec*past)
-	if held := coldHeld * window; u.tokens >= 1 && held > 0 && held < 1 {
-		whole := past - max(0, 1-had)/perSec // for so long
-		if mean := coldHeld * b.set.FallTime.Seconds() / (1 - held); b.rng.Float64() > math.Exp(-whole/mean) {
-			u.tokens = 0
-		}
-	}
-}
-
-// advance gives a cold upstream at once what comes in the time of its rule, one request or by chance none, and then
-// nothing until that is over.
-func (b *Balancer) advance(u *upstream) {
-	u.tokens = 1
-	if f := b.warmth(u); u.cold && b.set.FallMultiple > 0 {
-		if !(b.rng.Float64() < b.coldRate(u, f)*b.set.FallTime.Seconds()) {
-			u.tokens = 0
-		}
-		u.filled = b.now + b.set.FallTime
-	}
-}
