lab: what a child that ended said is read once its log is written

Cause: awaitReady read the log's tail as soon as the child had ended; the goroutine that copies its log could still be on its way, so the error named an empty log. Change: it waits for the log as Kill does, which is there for that. Seen to fail: TestSidecarThatIsNeverReadyIsNamed/ends, six processes beside each other, 300 repeats each: 19 of 1,800 before, none after.

--- a/internal/lab/sidecars.go
+++ b/internal/lab/sidecars.go
@@ -226,6 +226,7 @@
 	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(readyLook) {
 		select {
 		case <-child.Ended():
+			_ = child.Kill() // nothing is left to kill: it waits until the log is written
 			return fmt.Errorf("%s ended before it was ready: %s; its log: %s", s.name, child.Exit(), p.logTail(s))
 		case <-p.ctx.Done():
 			return p.ctx.Err()
