registry: the words of documents with a service's settings, acks and rollouts

The parts that are built beside each other need the words between them first. Nothing serves them yet, and no sidecar asks. Measured: nothing; no behaviour changes.

--- a/internal/registry/api/api.go
+++ b/internal/registry/api/api.go
@@ -37,6 +37,9 @@
 	Index     int64   `json:"index"`
 	Snapshot  bool    `json:"snapshot"`
 	Endpoints []Entry `json:"endpoints"`
+	// Region is whose list it is, and Documents the settings that changed; both only for those who ask for them.
+	Region    string     `json:"region,omitempty"`
+	Documents []Document `json:"documents,omitempty"`
 }
 
 // Record is an entry with what the service knows beside the list.
@@ -127,6 +130,8 @@
 	Silent     []string           `json:"silent"` // servers whose lease has lapsed, as the leader knows
 	Members    map[string]Replica `json:"members"`
 	Voters     []string           `json:"voters"`
+	Region     string             `json:"region,omitempty"`
+	Following  []Following        `json:"following,omitempty"` // other regions; by the leader alone
 }
 
 // The codes of failures.
--- /dev/null
+++ b/internal/registry/api/settings.go
@@ -0,0 +1,110 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// Document is the settings of one service. One region owns it: its version rises there alone, and nobody who has seen a version
+// takes in an older one of the same region.
+type Document struct {
+	Service  string          `json:"service"`
+	Region   string          `json:"region,omitempty"` // its owner; empty where there is one region
+	Version  int64           `json:"version"`          // of the owner's list, when this last changed
+	Schema   int             `json:"schema"`           // of Settings, see package settings
+	Deleted  bool            `json:"deleted,omitempty"`
+	Settings json.RawMessage `json:"settings,omitempty"` // the object that a sidecar's file has under "settings"; absent once deleted
+}
+
+// Documents are all that a region knows, its own and others'.
+type Documents struct {
+	Version   int64      `json:"version"` // of the list that was read
+	Documents []Document `json:"documents"`
+}
+
+// Put is a wish to change the settings of a service.
+type Put struct {
+	Schema    int             `json:"schema"`
+	Settings  json.RawMessage `json:"settings,omitempty"`
+	IfVersion *int64          `json:"if_version"` // of the document that it was based on; 0: only if there is none, or it is deleted
+}
+
+// Ack is a sidecar's word on a document: it is in force there, or was rejected and the one before still is.
+type Ack struct {
+	Node     string `json:"node"`
+	Service  string `json:"service"`
+	Region   string `json:"region,omitempty"` // of the document
+	Version  int64  `json:"version"`          // in force; 0: its file's settings are
+	Rejected int64  `json:"rejected,omitempty"`
+	Why      string `json:"why,omitempty"` // the rejected version is not in force
+}
+
+// Acks are the words of several.
+type Acks struct {
+	Acks []Ack `json:"acks"`
+}
+
+// Rollout is how far a document has come among the sidecars that speak to this region. Counts are of those heard within HeardMs;
+// Unheard of those that were heard once, and are not any more.
+type Rollout struct {
+	Document          // without Settings
+	InForce  int   `json:"in_force"`
+	Behind   int   `json:"behind"`
+	Rejected int   `json:"rejected"`
+	Unheard  int   `json:"unheard"`
+	Others   []Ack `json:"others,omitempty"` // of those in whom it is not in force, MaxOthers at most
+}
+
+// Rollouts are those of all documents.
+type Rollouts struct {
+	Region   string    `json:"region,omitempty"` // that answers
+	Rollouts []Rollout `json:"rollouts"`
+}
+
+// Following is how far one region has followed another.
+type Following struct {
+	Region  string `json:"region"`
+	Version int64  `json:"version"` // all of the other's changes up to it are in
+	Seen    int64  `json:"seen"`    // the highest that was told; above Version: some of it is on its way in
+	AgeMs   int64  `json:"age_ms"`  // since the other was last heard, by the leader's clock; -1: not since it leads
+	Entries int    `json:"entries"`
+	// Aside says why what the other tells is not taken in, as when its version went back; empty: it is.
+	Aside string `json:"aside,omitempty"`
+}
+
+// The bounds on documents.
+const (
+	MaxSettings  = 64 << 10 // bytes of one
+	MaxDocuments = 1024     // of one region, deleted ones too
+	MaxWhy       = 256
+	MaxOthers    = 100
+	HeardMs      = 60_000
+)
+
+// Check names what is wrong with a wish in form; nil: nothing. What the settings say is checked by package settings.
+func (p *Put) Check(service string) error {
+	switch {
+	case service == "" || len(service) > MaxName:
+		return Fail(CodeBad, "service: 1 to %d bytes", MaxName)
+	case p.IfVersion == nil || *p.IfVersion < 0:
+		return Fail(CodeBad, "if_version: the version that the change is based on, 0 where there is none")
+	case p.Schema < 1:
+		return Fail(CodeBad, "schema: at least 1")
+	case len(p.Settings) > MaxSettings || len(bytes.TrimSpace(p.Settings)) == 0:
+		return Fail(CodeBad, "settings: an object of at most %d bytes", MaxSettings)
+	}
+	return nil
+}
+
+// Check names what is wrong with a sidecar's word; nil: nothing.
+func (a *Ack) Check() error {
+	switch {
+	case a.Node == "" || len(a.Node) > MaxName || a.Service == "" || len(a.Service) > MaxName:
+		return Fail(CodeBad, "node and service: 1 to %d bytes", MaxName)
+	case len(a.Region) > MaxWord || len(a.Why) > MaxWhy:
+		return Fail(CodeBad, "region: at most %d bytes, why: %d", MaxWord, MaxWhy)
+	case a.Version < 0 || a.Rejected < 0:
+		return Fail(CodeBad, "version and rejected: at least 0")
+	}
+	return nil
+}
