registry: settings of services in the list, told to their sidecars, and followed between regions

Change: schema 3 of the log brings documents (put and delete on a version, tombstones, four earlier versions) and what is held of other regions, taken in by bounded pieces that go on from a complete version and never below the highest that was begun. The watch has service= with held= and own=1; without them its bytes are those of before. Replicas: region = "south" and, for each other region, [[follow]] with region and api (a table [[region]] beside the key region is no TOML). A sidecar asks with client.Watcher.Query and client.Service. Acknowledgements are in the leader's memory alone.

Measured: the lines of a watch with and without settings, calls and a restore, in TestSettingsOnAWatch. Following: not yet run.

--- a/internal/registry/api/settings.go
+++ b/internal/registry/api/settings.go
@@ -47,7 +47,7 @@
 // Rollout is how far a document has come among the sidecars that speak to this region. Counts are of those heard within HeardMs;
 // Unheard of those that were heard once, and are not any more.
 type Rollout struct {
-	Document          // without Settings
+	Document       // without Settings
 	InForce  int   `json:"in_force"`
 	Behind   int   `json:"behind"`
 	Rejected int   `json:"rejected"`
@@ -74,11 +74,12 @@
 
 // The bounds on documents.
 const (
-	MaxSettings  = 64 << 10 // bytes of one
-	MaxDocuments = 1024     // of one region, deleted ones too
-	MaxWhy       = 256
-	MaxOthers    = 100
-	HeardMs      = 60_000
+	MaxSettings    = 64 << 10 // bytes of one
+	MaxAllSettings = 8 << 20  // bytes of all of one region
+	MaxDocuments   = 1024     // of one region, deleted ones too
+	MaxWhy         = 256
+	MaxOthers      = 100
+	HeardMs        = 60_000
 )
 
 // Check names what is wrong with a wish in form; nil: nothing. What the settings say is checked by package settings.
--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"mosslead/internal/registry/api"
@@ -35,6 +37,8 @@
 	Take func(l api.Listing) error
 	// Stands is called once for each watch that was taken up, and has no news.
 	Stands func()
+	// Query is what each call of the watch asks for beside the list, as Service words it; nil: nothing.
+	Query func() string
 	// Says is told why a watch ended, or what of a list is doubted.
 	Says func(at string, why error)
 }
@@ -47,7 +51,7 @@
 		d.start(*start)
 	}
 	var p pace
-	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxList, At: c.at, Stands: w.Stands,
+	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxList, At: c.at, Stands: w.Stands, Query: w.Query,
 		From: func() int64 {
 			if d.index > 0 {
 				return d.index
@@ -73,6 +77,34 @@
 	_ = f.Follow(ctx) // ends with ctx alone
 }
 
+// Service words a wish to hear of the settings of a service: held are those that are known already, if any are.
+func Service(name string, held api.Document) string {
+	q := "&service=" + url.QueryEscape(name) + "&held="
+	if held.Version > 0 {
+		q += url.QueryEscape(held.Region + "@" + strconv.FormatInt(held.Version, 10))
+	}
+	return q
+}
+
+// maxRegion bounds one message of a whole region: the most settings, each byte worded by six at the worst, and entries.
+const maxRegion = 64 << 20
+
+// Region follows what a service's own region writes, until ctx ends: from tells which version is held, or -1 for all of it. w.Take
+// judges alone what of it to believe; w.Query is not asked. heard is called for each sign of life.
+func (c *Client) Region(ctx context.Context, from func() int64, w Watcher, heard func()) {
+	var p pace
+	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxRegion, At: c.at, Stands: w.Stands, From: from, Heard: heard,
+		Query: func() string { return "&own=1" },
+		Take:  func(_ string, l *api.Listing) error { return w.Take(*l) },
+		Says: func(at string, why error) {
+			w.Says(at, why)
+			c.next(at)
+		},
+		Wait: func() time.Duration { return watchWait(&p, time.Now(), rand.Float64()) },
+	}
+	_ = f.Follow(ctx) // ends with ctx alone
+}
+
 // watchWait is the wait after a watch that ended: a pace's, cut short by chance, so that a fleet stays spread over it.
 func watchWait(p *pace, now time.Time, chance float64) time.Duration {
 	return min(p.next(now, chance), time.Duration((1+chance)/2*float64(callMost)))
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -30,6 +30,12 @@
 	API  string `toml:"api"`  // host:port for everybody else
 }
 
+// FollowedRegion is where another region answers.
+type FollowedRegion struct {
+	Region string   `toml:"region"`
+	API    []string `toml:"api"` // host:port of its replicas, or of some
+}
+
 // Config is a replica's configuration. Absent times and bounds have the defaults that are noted.
 type Config struct {
 	Name      string   `toml:"name"`
@@ -45,6 +51,11 @@
 	Watchers  int      `toml:"watchers"`  // at most; absent: 20000
 	Heartbeat Duration `toml:"heartbeat"` // a leader that is silent for so long is followed by another; absent: 300ms
 
+	// Region names the quorum that this replica belongs to among several; absent: there is one. All its replicas have the same here.
+	Region string `toml:"region"`
+	// Follow are the other regions. Whoever leads takes in what they list, and their services' settings.
+	Follow []FollowedRegion `toml:"follow"`
+
 	// Dial replaces the addresses at which this replica reaches others, by name: for networks in which not everybody has
 	// the same address everywhere.
 	Dial map[string]Peer `toml:"dial"`
@@ -131,9 +142,38 @@
 		return fmt.Errorf("preserve: above 0, at most 1, not %g", c.Preserve)
 	case c.Grace.Duration < 0 || c.Stale.Duration < 0 || c.Heartbeat.Duration < 0 || c.Watchers < 0:
 		return errors.New("grace, stale, heartbeat and watchers: at least 0")
+	case len(c.Region) > api.MaxWord:
+		return fmt.Errorf("region: at most %d bytes", api.MaxWord)
+	case c.Region == "" && len(c.Follow) > 0:
+		return errors.New("region: absent, and other regions are to be followed")
 	case c.Breaks != "" && c.Breaks != breakStale:
 		return fmt.Errorf("breaks: nothing is called %q", c.Breaks)
 	}
+	return c.completeFollow()
+}
+
+// MaxFollow is how many other regions may be followed.
+const MaxFollow = 15
+
+func (c *Config) completeFollow() error {
+	if len(c.Follow) > MaxFollow {
+		return fmt.Errorf("follow: %d regions, and %d are the most", len(c.Follow), MaxFollow)
+	}
+	seen := map[string]bool{c.Region: true}
+	for _, f := range c.Follow {
+		switch {
+		case f.Region == "" || len(f.Region) > api.MaxWord || seen[f.Region]:
+			return fmt.Errorf("follow.region: %q is absent, over %d bytes, this one, or there twice", f.Region, api.MaxWord)
+		case len(f.API) == 0:
+			return fmt.Errorf("follow.api of %s: absent", f.Region)
+		}
+		seen[f.Region] = true
+		for _, a := range f.API {
+			if !api.IsAddress(a) {
+				return fmt.Errorf("follow.api of %s: host:port, not %q", f.Region, a)
+			}
+		}
+	}
 	return nil
 }
 
--- a/internal/registry/duties.go
+++ b/internal/registry/duties.go
@@ -10,6 +10,8 @@
 
 const maxClaim = 4 << 10 // bytes of a claim
 
+var schemaBrought = map[int]string{list.DutySchema: "duties", list.DocumentSchema: "settings and other regions"}
+
 // speaks is nil if all replicas of the quorum understand a schema: one that does not would part from the others.
 func (n *Node) speaks(schema int) error {
 	names := n.voterNames()
@@ -19,7 +21,7 @@
 	ok := false
 	n.machine.read(func(l *list.List) { ok = len(names) > 0 && l.Speaks(schema, names) })
 	if !ok {
-		return api.Fail(api.CodeOldPeer, "a replica of the quorum knows of no duties, or has not said yet that it does")
+		return api.Fail(api.CodeOldPeer, "a replica of the quorum knows of no %s, or has not said yet that it does", schemaBrought[schema])
 	}
 	return nil
 }
--- a/internal/registry/fsm.go
+++ b/internal/registry/fsm.go
@@ -30,7 +30,7 @@
 	result := m.list.Apply(c)
 	var now []api.Record
 	switch c.Op {
-	case list.Take, list.Renew, list.Release, list.Lapse: // no entry is touched
+	case list.Take, list.Renew, list.Release, list.Lapse, list.Put, list.Delete, list.Follow: // no own entry is touched
 	case list.Restore:
 		now = m.list.Records()
 	case list.Expire:
--- a/internal/registry/list/list.go
+++ b/internal/registry/list/list.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"mosslead/internal/registry/api"
 )
@@ -24,8 +25,9 @@
 // Schema is the newest form of commands and backups that this program understands. Replicas tell each other theirs; the
 // program that brings a second form must propose none of it while a member's schema is below, or lists would part.
 //
-// 2 brought duties. A program of 1 that meets a command of 2 answers that it knows of none, and its list stays as it is.
-const Schema = 2
+// 2 brought duties, 3 documents and other regions. A program of 1 that meets a command of 2 answers that it knows of none, and
+// its list stays as it is.
+const Schema = 3
 
 // History is how many changed entries are remembered, gone ones among them: a watch from before gets the whole list.
 const History = 8192
@@ -43,6 +45,9 @@
 	State        *State            `json:"state,omitempty"`
 	Claim        *Claim            `json:"claim,omitempty"` // schema 2, as what follows
 	Terms        []Term            `json:"terms,omitempty"`
+	Region       string            `json:"region,omitempty"` // schema 3, as what follows: the region that writes
+	Document     *api.Document     `json:"document,omitempty"`
+	Piece        *Piece            `json:"piece,omitempty"`
 
 	Index uint64 `json:"-"` // its place in the log, by which all replicas know it
 }
@@ -64,10 +69,18 @@
 	Replicas map[string]api.Replica `json:"replicas"`
 	Duties   []Duty                 `json:"duties,omitempty"` // schema 2
 	Epoch    uint64                 `json:"epoch,omitempty"`  // schema 2: the highest that was given
+
+	Region    string           `json:"region,omitempty"`    // schema 3, as what follows
+	Documents []Document       `json:"documents,omitempty"` // own ones, by service
+	Others    []Region         `json:"others,omitempty"`    // by name
+	Moved     map[string]int64 `json:"moved,omitempty"`     // see List
 }
 
 // Schema is the form that the state needs.
 func (s *State) Schema() int {
+	if s.Region != "" || len(s.Documents) > 0 || len(s.Others) > 0 {
+		return DocumentSchema
+	}
 	if s.Epoch > 0 || len(s.Duties) > 0 {
 		return DutySchema
 	}
@@ -92,12 +105,17 @@
 	history  int
 	duties   map[string]Duty // that are held, or whose lease is over and nobody has taken them since
 	epoch    uint64          // the highest that was given for any duty
+
+	region    string               // whose list this is
+	documents map[string]*Document // own ones, by service; deleted ones too
+	others    map[string]*other    // regions that are followed
+	moved     map[string]int64     // when what is told of a name last changed by what another region's list says
 }
 
 // New is an empty list that remembers so many changed entries.
 func New(history int) *List {
 	return &List{records: map[string]*api.Record{}, hands: map[string]string{}, replicas: map[string]api.Replica{}, history: history,
-		duties: map[string]Duty{}}
+		duties: map[string]Duty{}, documents: map[string]*Document{}, others: map[string]*other{}, moved: map[string]int64{}}
 }
 
 // Version is a number that rises with each change of an entry.
@@ -140,8 +158,23 @@
 	return 0
 }
 
-// Whole is the list as discovery tells it.
+// Whole is the list as discovery tells it: own entries, and those of other regions that have no namesake here.
 func (l *List) Whole() api.Listing {
+	w := l.ownEntries()
+	if len(l.others) == 0 {
+		return w
+	}
+	for name := range l.namesOfOthers() {
+		if r := l.records[name]; r == nil || r.Own == api.Gone {
+			w.Endpoints = append(w.Endpoints, l.told(name))
+		}
+	}
+	slices.SortFunc(w.Endpoints, func(a, b api.Entry) int { return strings.Compare(a.Name, b.Name) })
+	return w
+}
+
+// ownEntries is the whole list without what other regions tell.
+func (l *List) ownEntries() api.Listing {
 	w := api.Listing{Index: l.version, Snapshot: true, Endpoints: []api.Entry{}}
 	for _, r := range l.Records() {
 		if r.Status != api.Gone {
@@ -161,15 +194,31 @@
 		return l.Whole()
 	}
 	c := api.Listing{Index: l.version, Endpoints: []api.Entry{}}
-	from, _ := slices.BinarySearchFunc(l.touches, version+1, func(t touch, v int64) int { return int(t.version - v) })
-	for _, t := range l.touches[from:] {
-		if r := l.records[t.name]; r != nil && r.Version == t.version {
-			c.Endpoints = append(c.Endpoints, r.Entry)
+	for _, t := range l.after(version) {
+		if l.toldAt(t.name) == t.version {
+			c.Endpoints = append(c.Endpoints, l.told(t.name))
 		}
 	}
 	return c
 }
 
+// after are the changes after a version.
+func (l *List) after(version int64) []touch {
+	from, _ := slices.BinarySearchFunc(l.touches, version+1, func(t touch, v int64) int { return int(t.version - v) })
+	return l.touches[from:]
+}
+
+// ownAt is when an own entry last changed; 0: there is none that is remembered.
+func (l *List) ownAt(name string) int64 {
+	if r := l.records[name]; r != nil {
+		return r.Version
+	}
+	return 0
+}
+
+// toldAt is when what is told of a name last changed.
+func (l *List) toldAt(name string) int64 { return max(l.ownAt(name), l.moved[name]) }
+
 // Apply carries a command out.
 func (l *List) Apply(c Command) Result {
 	switch c.Op {
@@ -184,6 +233,12 @@
 		return Result{Version: l.version}
 	case Take, Renew, Release, Lapse:
 		return l.duty(c, c.Index)
+	case Put, Delete:
+		l.call(c.Region)
+		return l.settle(c)
+	case Follow:
+		l.call(c.Region)
+		return l.follow(c.Piece)
 	case Join:
 		forgot := l.forget(*c.Replica)
 		l.replicas[c.Replica.Name] = *c.Replica
@@ -282,7 +337,12 @@
 	l.version++
 	r.Version = l.version
 	l.records[r.Name] = &r
-	l.touches = append(l.touches, touch{r.Version, r.Name})
+	l.touch(r.Name)
+}
+
+// touch notes that what is told of a name changed at the present version.
+func (l *List) touch(name string) {
+	l.touches = append(l.touches, touch{l.version, name})
 	if len(l.touches) > 2*l.history {
 		l.compact()
 	}
@@ -290,10 +350,13 @@
 
 // compact forgets changes that were followed by others, and then the oldest beyond the bound, with who is gone by them.
 func (l *List) compact() {
-	l.touches = slices.DeleteFunc(l.touches, func(t touch) bool { return l.records[t.name].Version != t.version })
+	l.touches = slices.DeleteFunc(l.touches, func(t touch) bool { return l.ownAt(t.name) != t.version && l.moved[t.name] != t.version })
 	for _, t := range l.touches[:max(0, len(l.touches)-l.history)] {
 		l.floor = t.version
-		if l.records[t.name].Own == api.Gone {
+		if l.moved[t.name] == t.version {
+			delete(l.moved, t.name)
+		}
+		if r := l.records[t.name]; r != nil && r.Version == t.version && r.Own == api.Gone {
 			delete(l.records, t.name)
 		}
 	}
@@ -303,7 +366,7 @@
 // State is all of the list.
 func (l *List) State() State {
 	s := State{Version: l.version, Floor: l.floor, Hands: maps.Clone(l.hands), Replicas: maps.Clone(l.replicas), Records: []api.Record{},
-		Duties: l.Duties(), Epoch: l.epoch}
+		Duties: l.Duties(), Epoch: l.epoch, Region: l.region, Documents: l.ownDocuments(), Others: l.othersState(), Moved: maps.Clone(l.moved)}
 	for _, r := range l.records {
 		s.Records = append(s.Records, *r)
 	}
@@ -330,6 +393,7 @@
 			l.touches = append(l.touches, touch{r.Version, r.Name})
 		}
 	}
+	l.loadDocuments(s)
 	slices.SortFunc(l.touches, func(a, b touch) int { return int(a.version - b.version) })
 	return l
 }
@@ -345,7 +409,9 @@
 	was := *l
 	next := *s
 	next.Version, next.Floor, next.Replicas = version, version, was.replicas
+	next.Region, next.Moved = was.region, nil
 	*l = *Load(next, l.history)
+	l.restoreDocuments(&was)
 	l.restoreDuties(&was)
 	for name, r := range l.records {
 		if r.Own == api.Gone {
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -1,7 +1,8 @@
 // Package registry owns a replica of the list service: the replicated log, leases, watches and the answers to calls.
 //
 // fsm.go holds the list as the log makes it, leases.go the servers' signs of life, watches.go tells of changes, forming.go
-// decides how a replica takes part, api.go answers.
+// decides how a replica takes part, server.go answers; documents.go has the calls on services' settings, acks.go what sidecars say of
+// them, regions.go follows other regions.
 package registry
 
 import (
@@ -53,10 +54,12 @@
 
 	raft atomic.Pointer[raft.Raft] // nil until it takes part
 
-	mu      sync.Mutex
-	leases  leases
-	terms   terms.Terms // of duties
-	leading bool        // and all that was committed before is applied here
+	mu        sync.Mutex
+	leases    leases
+	terms     terms.Terms // of duties
+	acks      acks
+	followers map[string]*follower // of other regions, by name; while it leads
+	leading   bool                 // and all that was committed before is applied here
 
 	freshAt atomic.Int64 // time since start at which the list was known to be the service's
 }
@@ -73,7 +76,7 @@
 	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}}
 	n.leases = leases{grace: c.Grace.Duration, share: c.Preserve}
 	n.machine.touched, n.machine.turned = n.touched, n.turned
-	n.watches = newWatches(n.machine, c.Watchers, n.freshEnough)
+	n.watches = newWatches(n.machine, c.Watchers, c.Region, n.freshEnough)
 	n.client = &http.Client{Timeout: raftTimeout + writePatienceRaft,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	self := c.self()
@@ -192,6 +195,8 @@
 	following.Go(func() { n.keepFresh(ctx, r) })
 	following.Go(func() { n.keepLeases(ctx, r) })
 	following.Go(func() { n.announce(ctx) })
+	stopFollowing := func() {}
+	defer func() { stopFollowing() }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -200,7 +205,13 @@
 			}
 			return nil
 		case leads := <-r.LeaderCh():
+			n.leadNoMore()
+			stopFollowing()
+			stopFollowing = func() {}
 			n.lead(r, leads)
+			if n.leads() {
+				stopFollowing = n.followOthers(ctx)
+			}
 		}
 	}
 }
@@ -310,11 +321,15 @@
 	return "", fmt.Errorf("no address of its own for %s", id) // the one that all know is used
 }
 
-// lead begins or ends what only a leader does.
-func (n *Node) lead(r *raft.Raft, leads bool) {
+func (n *Node) leadNoMore() {
 	n.mu.Lock()
 	n.leading = false
 	n.mu.Unlock()
+}
+
+// lead begins or ends what only a leader does.
+func (n *Node) lead(r *raft.Raft, leads bool) {
+	n.leadNoMore()
 	if !leads {
 		n.log.Info("leads no more", "component", "registry", "node", n.me.Name)
 		return
@@ -332,6 +347,7 @@
 	n.leading = true
 	n.terms.Lead(n.now(), duties)
 	n.leases.lead(n.now(), records)
+	n.acks.lead()
 	n.mu.Unlock()
 	n.log.Info("leads", "component", "registry", "node", n.me.Name, "epoch", r.CurrentTerm(), "entries", len(records))
 }
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -45,6 +45,13 @@
 	mux.HandleFunc("POST /v1/duties/{name}/take", n.onLeader(maxClaim, n.takeDuty))
 	mux.HandleFunc("POST /v1/duties/{name}/renew", n.onLeader(maxClaim, n.changeDuty(list.Renew)))
 	mux.HandleFunc("POST /v1/duties/{name}/release", n.onLeader(maxClaim, n.changeDuty(list.Release)))
+	mux.HandleFunc("GET /v1/settings", n.either(n.documents))
+	mux.HandleFunc("GET /v1/settings/{service}", n.either(n.document))
+	mux.HandleFunc("GET /v1/settings/{service}/versions/{version}", n.either(n.document))
+	mux.HandleFunc("PUT /v1/settings/{service}", n.onLeader(maxBody, n.putSettings))
+	mux.HandleFunc("POST /v1/settings/{service}/delete", n.onLeader(maxBody, n.deleteSettings))
+	mux.HandleFunc("POST /v1/acks", n.onLeader(maxBody, n.acknowledged))
+	mux.HandleFunc("GET /v1/rollouts", n.onLeader(maxBody, n.rollouts))
 	mux.HandleFunc("POST /v1/overrule", n.onLeader(maxBody, n.overrule))
 	mux.HandleFunc("POST /v1/announce", n.onLeader(maxBody, n.announced))
 	mux.HandleFunc("POST /v1/replicas", n.onLeader(maxBody, n.addReplica))
@@ -286,7 +293,8 @@
 
 // Status is what this replica knows of itself and of the service.
 func (n *Node) Status() api.Status {
-	s := api.Status{Replica: n.me, State: "starting", Members: n.members(), Voters: n.voterNames(), Watchers: n.watches.watching(), StaleMs: -1}
+	s := api.Status{Replica: n.me, State: "starting", Members: n.members(), Voters: n.voterNames(), Watchers: n.watches.watching(), StaleMs: -1,
+		Region: n.c.Region}
 	if at := time.Duration(n.freshAt.Load()); at > 0 {
 		s.StaleMs = (n.now() - at).Milliseconds()
 	}
@@ -296,6 +304,7 @@
 		s.Preserving, s.Silent = n.leases.holding, n.leases.silent(n.now())
 	}
 	n.mu.Unlock()
+	s.Following = n.following()
 	if r := n.raft.Load(); r != nil {
 		_, leader := r.LeaderWithID()
 		s.Leader, s.Term = string(leader), r.CurrentTerm()
@@ -381,6 +390,16 @@
 			return nil, fmt.Errorf("backup: duty %d is none", i)
 		}
 	}
+	for i, d := range s.Documents {
+		if d.Service == "" || i > 0 && d.Service <= s.Documents[i-1].Service || d.Version < 1 || d.Version > s.Version {
+			return nil, fmt.Errorf("backup: document %d is none", i)
+		}
+	}
+	for i, o := range s.Others {
+		if o.Name == "" || i > 0 && o.Name <= s.Others[i-1].Name || o.Version > o.Seen {
+			return nil, fmt.Errorf("backup: region %d is none", i)
+		}
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/registry/settings_test.go
@@ -0,0 +1,193 @@
+package registry_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+// bare is a watch as it is on the wire.
+type bare struct {
+	t     *testing.T
+	lines chan string
+}
+
+// watchBare opens a watch; its empty lines are left out.
+func watchBare(t *testing.T, at, query string) *bare {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+at+"/api/targets?watch=1&"+query, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bare{t, make(chan string, 64)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		in := bufio.NewScanner(resp.Body)
+		for in.Scan() {
+			if len(bytes.TrimSpace(in.Bytes())) > 0 {
+				b.lines <- in.Text()
+			}
+		}
+	}()
+	t.Cleanup(func() { resp.Body.Close(); <-ended })
+	return b
+}
+
+func (b *bare) next() string {
+	b.t.Helper()
+	select {
+	case l := <-b.lines:
+		return l
+	case <-time.After(10 * time.Second):
+		b.t.Fatal("no line")
+		return ""
+	}
+}
+
+// form is settings that a sidecar would take in, unlike any with another number.
+func form(n int) string {
+	return fmt.Sprintf(`{"Classes":[{"Name":"read","Semantics":"retryable","DeadlineMs":%d}]}`, 100+n)
+}
+
+// The lines of a watch: those who ask for no settings read what they always read, byte for byte.
+func TestSettingsOnAWatch(t *testing.T) {
+	at := dev(t)
+	c := client.New([]string{at})
+	defer c.Close()
+	ctx := t.Context()
+	must := func(version int64, err error) int64 {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return version
+	}
+	zero := int64(0)
+	put := func(service, text string, on int64) int64 {
+		t.Helper()
+		return must(c.Put(ctx, service, api.Put{Schema: 1, Settings: json.RawMessage(text), IfVersion: &on}))
+	}
+	if v := must(c.Register(ctx, "u", api.Registration{Address: "127.0.0.1:1", Weight: 1})); v != 1 {
+		t.Fatalf("version %d", v)
+	}
+	const entry = `{"name":"u","address":"127.0.0.1:1","zone":"","type":"","group":0,"status":"Ready","weight":1,"since_ms":0}`
+	plain := watchBare(t, at, "from=-1")
+	orders := watchBare(t, at, "from=-1&service=orders&held=")
+	own := watchBare(t, at, "from=-1&own=1")
+	for _, b := range []*bare{plain, orders, own} {
+		if got, want := b.next(), `{"index":1,"snapshot":true,"endpoints":[`+entry+`]}`; got != want {
+			t.Errorf("got %s\nwant %s", got, want)
+		}
+	}
+	put("other", form(0), 0)
+	put("orders", form(0), 0)
+	for b, want := range map[*bare]string{
+		orders: `{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":`+form(0)+`}]}`,
+		own:    `{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"other","version":2,"schema":1,"settings":`+form(0)+`}]}`,
+	} {
+		if got := b.next(); got != want {
+			t.Errorf("got %s\nwant %s", got, want)
+		}
+	}
+	// Someone who holds it is told nothing of it, and someone who holds another is told at once.
+	holds := watchBare(t, at, "from=3&service=orders&held="+"@3")
+	old := watchBare(t, at, "from=3&service=orders&held=north@9")
+	if got := old.next(); !strings.Contains(got, `"documents":[{"service":"orders","version":3`) {
+		t.Errorf("one that holds another region's gets %s", got)
+	}
+	must(c.Drain(ctx, "u", api.Ask{}))
+	drained := `{"index":4,"snapshot":false,"endpoints":[` + strings.Replace(entry, "Ready", "Terminating", 1) + `]}`
+	for _, b := range []*bare{plain, holds, old} {
+		if got := b.next(); got != drained {
+			t.Errorf("got %s\nwant %s", got, drained)
+		}
+	}
+	must(c.Delete(ctx, "orders", 3))
+	for _, b := range []*bare{holds, old} {
+		if got, want := b.next(), `{"index":5,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":5,"schema":0,"deleted":true}]}`; got != want {
+			t.Errorf("got %s\nwant %s", got, want)
+		}
+	}
+
+	// What is refused changes nothing, and says why.
+	for _, x := range []struct {
+		text string
+		on   *int64
+		code string
+	}{
+		{form(0), nil, api.CodeBad},
+		{`{"classes":[]}`, &zero, api.CodeBad},
+		{`[]`, &zero, api.CodeBad},
+		{form(0), &[]int64{4}[0], api.CodeConflict},
+	} {
+		if _, err := c.Put(ctx, "orders", api.Put{Schema: 1, Settings: json.RawMessage(x.text), IfVersion: x.on}); !api.IsCode(err, x.code) {
+			t.Errorf("%s: %v, want %s", x.text, err, x.code)
+		}
+	}
+	if _, err := c.Put(ctx, "orders", api.Put{Schema: 99, Settings: json.RawMessage(form(0)), IfVersion: &zero}); !api.IsCode(err, api.CodeBad) {
+		t.Errorf("of a later schema: %v", err)
+	}
+	if v := put("orders", form(0), 0); v != 6 {
+		t.Errorf("put again after it was deleted: version %d", v)
+	}
+	if d, err := c.Document(ctx, "orders", 3, true); err != nil || d.Version != 3 || string(d.Settings) != form(0) {
+		t.Errorf("version 3: %+v, %v", d, err)
+	}
+	if _, err := c.Document(ctx, "orders", 4, true); !api.IsCode(err, api.CodeNone) {
+		t.Errorf("version 4: %v", err)
+	}
+	if all, err := c.Documents(ctx, false); err != nil || len(all.Documents) != 2 || all.Documents[0].Version != 6 || all.Documents[0].Settings != nil {
+		t.Errorf("all: %+v, %v", all, err)
+	}
+	if _, err := c.Delete(ctx, "nobody's", 3); !api.IsCode(err, api.CodeNone) {
+		t.Errorf("deleting what is not there: %v", err)
+	}
+
+	said := []api.Ack{{Node: "a", Service: "orders", Version: 6}, {Node: "b", Service: "orders", Version: 3},
+		{Node: "c", Service: "orders", Version: 3, Rejected: 6, Why: "no room"}, {Node: "a", Service: "elsewhere", Version: 6}}
+	if err := c.Acknowledge(ctx, said); err != nil {
+		t.Fatal(err)
+	}
+	all, err := c.Rollouts(ctx)
+	if err != nil || len(all.Rollouts) != 2 {
+		t.Fatalf("%+v, %v", all, err)
+	}
+	if r := all.Rollouts[0]; r.InForce != 1 || r.Behind != 1 || r.Rejected != 1 || r.Unheard != 0 || len(r.Others) != 2 || r.Others[0].Node != "c" || r.Settings != nil {
+		t.Errorf("%+v", r)
+	}
+	if err := c.Acknowledge(ctx, []api.Ack{{Node: "a"}}); !api.IsCode(err, api.CodeBad) {
+		t.Errorf("a word on nothing: %v", err)
+	}
+
+	// A backup from now goes in after a change: all documents come back under versions that are new.
+	backup, err := c.Backup(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := put("late", form(0), 0)
+	if err := c.Restore(ctx, backup); err != nil {
+		t.Fatal(err)
+	}
+	restored, err := c.Documents(ctx, true)
+	if err != nil || len(restored.Documents) != 3 {
+		t.Fatalf("%+v, %v", restored, err)
+	}
+	for _, d := range restored.Documents {
+		if d.Version <= late || d.Deleted != (d.Service == "late") {
+			t.Errorf("restored: %+v", d)
+		}
+	}
+}
--- a/internal/registry/watches.go
+++ b/internal/registry/watches.go
@@ -29,21 +29,43 @@
 
 // watches tell all watchers of changes: one goroutine wakes them, and each writes for itself.
 type watches struct {
-	m     *machine
-	most  int
-	fresh func() error // nil: the list is as fresh as it must be
+	m      *machine
+	most   int
+	region string       // as it is told to those who ask for own entries
+	fresh  func() error // nil: the list is as fresh as it must be
 
 	mu      sync.Mutex
 	count   int
 	told    int64
-	changed chan struct{}    // closed when there is news
-	lines   map[int64][]byte // by the version they lead on from, up to told
-	begins  *time.Timer      // of the next telling, where one is due
+	changed chan struct{}   // closed when there is news
+	lines   map[line]worded // up to told
+	begins  *time.Timer     // of the next telling, where one is due
 	last    time.Time
 }
 
-func newWatches(m *machine, most int, fresh func() error) *watches {
-	return &watches{m: m, most: most, fresh: fresh, changed: make(chan struct{}), lines: map[int64][]byte{}}
+// line names one that several watchers may be told.
+type line struct {
+	from    int64  // the version that it leads on from
+	own     bool   // with what this region writes alone
+	service string // with the settings of this service; empty: without any
+}
+
+// worded is a line in words, and which settings are in it.
+type worded struct {
+	text []byte
+	held string
+}
+
+// wish is what a watcher asks for, and has.
+type wish struct {
+	from    int64
+	own     bool
+	service string // whose settings it is to hear of; empty: of none
+	held    string // which settings it has, as REGION@VERSION; empty: none
+}
+
+func newWatches(m *machine, most int, region string, fresh func() error) *watches {
+	return &watches{m: m, most: most, region: region, fresh: fresh, changed: make(chan struct{}), lines: map[line]worded{}}
 }
 
 // news says that the list has changed. Watchers hear of it after a while that grows with their number.
@@ -70,38 +92,65 @@
 // anew stands for every version after which the whole list is to be told, so that all who need it share one line.
 const anew = -1
 
-// line is what is to be said after a version, the version it leads to, and a channel that is closed on the next news.
-// Nil: nothing.
-func (w *watches) line(from int64) (text []byte, to int64, next <-chan struct{}, err error) {
+// line is what is to be said to a watcher, what it has then, and a channel that is closed on the next news. Nil: nothing. first: it
+// was told nothing yet.
+func (w *watches) line(has wish, first bool) (text []byte, then wish, next <-chan struct{}, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	next = w.changed
-	if from == w.told {
-		return nil, from, next, nil
+	if has.from == w.told && !(first && has.service != "") {
+		return nil, has, next, nil
 	}
 	var l api.Listing
-	w.m.read(func(of *list.List) {
-		if !of.Knows(from) {
-			from = anew
+	of := line{from: has.from, own: has.own}
+	then = has
+	w.m.read(func(x *list.List) {
+		if !x.Knows(of.from) {
+			of.from = anew
+		}
+		var settings api.Document
+		held := has.held
+		if has.service != "" {
+			if d, found := x.Document(has.service); found {
+				if held = fmt.Sprintf("%s@%d", d.Region, d.Version); held != has.held {
+					of.service, settings = has.service, d
+				}
+			}
+		}
+		if known := w.lines[of]; known.text != nil { // the list may be ahead of it by now
+			if text = known.text; of.service != "" {
+				then.held = known.held
+			}
+			return
 		}
-		if text = w.lines[from]; text == nil {
-			l = of.Since(from)
+		then.held = held
+		if of.own {
+			l = x.OwnSince(of.from)
+			l.Region = w.region
+		} else {
+			l = x.Since(of.from)
+		}
+		if of.service != "" {
+			l.Documents = []api.Document{settings}
 		}
 	})
 	if text != nil {
-		return text, w.told, next, nil
+		then.from = w.told
+		return text, then, next, nil
 	}
-	if !l.Snapshot && len(l.Endpoints) == 0 { // nothing, or only what did not outlast the moment
-		return nil, max(from, l.Index), next, nil
+	then.from = l.Index
+	if !l.Snapshot && len(l.Endpoints) == 0 && len(l.Documents) == 0 { // nothing, or only what did not outlast the moment
+		then.from = max(has.from, l.Index)
+		return nil, then, next, nil
 	}
 	if text, err = json.Marshal(l); err != nil {
-		return nil, from, next, fmt.Errorf("wording a change: %w", err)
+		return nil, has, next, fmt.Errorf("wording a change: %w", err)
 	}
 	text = append(text, '\n')
 	if l.Index == w.told && len(w.lines) < linesKept {
-		w.lines[from] = text
+		w.lines[of] = worded{text, then.held}
 	}
-	return text, l.Index, next, nil
+	return text, then, next, nil
 }
 
 // serve is one watch, to its end. It takes the connection over from the server, since ten thousand idle ones should not
@@ -115,6 +164,11 @@
 		refuse(rw, api.Fail(api.CodeBad, "from: a whole number, not %.40q", r.FormValue("from")))
 		return
 	}
+	has := wish{from: from, own: r.FormValue("own") != "", service: r.FormValue("service"), held: r.FormValue("held")}
+	if len(has.service) > api.MaxName || has.own && has.service != "" {
+		refuse(rw, api.Fail(api.CodeBad, "service: at most %d bytes, and not with own", api.MaxName))
+		return
+	}
 	if err := w.fresh(); err != nil {
 		refuse(rw, err)
 		return
@@ -145,7 +199,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	w.follow(conn, from, r.Context().Done())
+	w.follow(conn, has, r.Context().Done())
 }
 
 const watchHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\nTrailer: " +
@@ -157,7 +211,7 @@
 var errWatchOver = errors.New("this replica stops")
 
 // follow tells of changes until the watcher is gone, or this replica's list is too old to be told.
-func (w *watches) follow(conn net.Conn, from int64, over <-chan struct{}) {
+func (w *watches) follow(conn net.Conn, has wish, over <-chan struct{}) {
 	out := chunks{conn}
 	if !out.write([]byte(watchHead), false) {
 		return
@@ -169,12 +223,12 @@
 			out.end(err)
 			return
 		}
-		text, to, next, err := w.line(from)
+		text, then, next, err := w.line(has, first)
 		if err != nil {
 			out.end(err)
 			return
 		}
-		from = to
+		has = then
 		switch {
 		case text != nil:
 			if !out.write(text, true) {
