--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -67,6 +67,9 @@
 // breakStale lets a replica serve what it has as if it were fresh.
 const breakStale = "stale-read"
 
+// breakBack lets a replica take in what another region told before, also where it is older than what it has.
+const breakBack = "follow-back"
+
 // LoadConfig reads a file. An error names file, line and key.
 func LoadConfig(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
@@ -146,7 +149,7 @@
 		return fmt.Errorf("region: at most %d bytes", api.MaxWord)
 	case c.Region == "" && len(c.Follow) > 0:
 		return errors.New("region: absent, and other regions are to be followed")
-	case c.Breaks != "" && c.Breaks != breakStale:
+	case c.Breaks != "" && c.Breaks != breakStale && c.Breaks != breakBack:
 		return fmt.Errorf("breaks: nothing is called %q", c.Breaks)
 	}
 	return c.completeFollow()
--- a/internal/registry/fsm.go
+++ b/internal/registry/fsm.go
@@ -18,6 +18,8 @@
 	list    *list.List
 	touched func(records []api.Record) // after a command, with the entries as they are now; not under mu
 	turned  func(r list.Result)        // after a command on duties, or one that voids them; not under mu
+
+	careless bool // see breakBack
 }
 
 func (m *machine) Apply(l *raft.Log) any {
@@ -27,6 +29,9 @@
 	}
 	c.Index = l.Index
 	m.mu.Lock()
+	if m.careless {
+		m.list.Careless()
+	}
 	result := m.list.Apply(c)
 	var now []api.Record
 	switch c.Op {
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -73,7 +73,7 @@
 
 // Open prepares a replica. An error means that its directory can't be used, or is in use.
 func Open(c *Config, log *slog.Logger) (*Node, error) {
-	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History)}}
+	n := &Node{c: c, log: log, start: time.Now(), machine: &machine{list: list.New(list.History), careless: c.Breaks == breakBack}}
 	n.leases = leases{grace: c.Grace.Duration, share: c.Preserve}
 	n.machine.touched, n.machine.turned = n.touched, n.turned
 	n.watches = newWatches(n.machine, c.Watchers, c.Region, n.freshEnough)
--- a/internal/registry/regions.go
+++ b/internal/registry/regions.go
@@ -97,7 +97,13 @@
 func (f *follower) take(ctx context.Context, l api.Listing) error {
 	var pieces []list.Piece
 	var odd, refused string
-	f.n.machine.read(func(of *list.List) { pieces, odd, refused = follow.Pieces(f.region, of.Held(f.region), l) })
+	f.n.machine.read(func(of *list.List) {
+		held := of.Held(f.region)
+		if f.n.c.Breaks == breakBack {
+			held.Seen, held.Documents = 0, nil
+		}
+		pieces, odd, refused = follow.Pieces(f.region, held, l)
+	})
 	f.mu.Lock()
 	if refused == "" {
 		f.whole = f.whole || l.Snapshot
