history: settings are written, told between regions and judged

Change: callers of a history can write services' settings, judged by the model of an entry; what replicas of both regions tell of them is held against what was put. Plays with two regions of three real replicas each (-plays 40 for many), and an owner put back to an old copy of its disk, with a follower that looks and with one that does not.

--- /dev/null
+++ b/internal/lab/history/documents.go
@@ -0,0 +1,153 @@
+package history
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+// Settings of a service are judged by the model of an entry: they are there or not, what they say is unlike any other, and their
+// version rises. A put is its register, a deletion its leave.
+
+// text is settings that no other call puts.
+func text(caller, n int) string {
+	return fmt.Sprintf(`{"Classes":[{"Name":"c%dn%d","Semantics":"retryable","DeadlineMs":100}]}`, caller, n)
+}
+
+func askDocument(ctx context.Context, c *client.Client, o op) (x out, err error) {
+	switch o.kind {
+	case "read":
+		var d api.Document
+		d, err = c.Document(ctx, o.name, 0, true)
+		if api.IsCode(err, api.CodeNone) {
+			err = nil
+		}
+		if err == nil && !d.Deleted && d.Version > 0 {
+			x.record = api.Record{Entry: api.Entry{Name: o.name, Address: string(d.Settings), Status: api.Ready}, Version: d.Version, Own: api.Ready}
+		}
+	case "register":
+		x.version, err = c.Put(ctx, o.name, api.Put{Schema: 1, Settings: json.RawMessage(o.address), IfVersion: &o.ifVersion})
+	case "leave":
+		_, err = c.Delete(ctx, o.name, o.ifVersion)
+	}
+	return x, err
+}
+
+// tale is what one replica tells of one service's settings, over all watches on it.
+type tale struct {
+	at, service string
+	told        []api.Document
+	times       []time.Duration
+	restarts    int
+}
+
+// tell begins to follow each service at each follower.
+func (r *Run) tell(ctx context.Context) {
+	for _, at := range r.spec.Followers {
+		for i := range r.spec.Names {
+			t := &tale{at: at, service: fmt.Sprintf("%s%d", prefix, i)}
+			r.tales = append(r.tales, t)
+			r.all.Go(func() { t.follow(ctx, r.begin) })
+		}
+	}
+}
+
+// follow watches again and again until ctx ends, each time as one that holds what it was told last.
+func (t *tale) follow(ctx context.Context, begin time.Time) {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext}}
+	for ctx.Err() == nil {
+		t.once(ctx, c, begin)
+		t.restarts++
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewatch):
+		}
+	}
+}
+
+func (t *tale) once(ctx context.Context, c *http.Client, begin time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dead := time.AfterFunc(silence, cancel)
+	defer dead.Stop()
+	held := ""
+	if n := len(t.told); n > 0 {
+		held = fmt.Sprintf("%s@%d", t.told[n-1].Region, t.told[n-1].Version)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/api/targets?watch=1&from=-1&service=%s&held=%s",
+		t.at, url.QueryEscape(t.service), url.QueryEscape(held)), nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 8<<20)
+	for lines.Scan() {
+		dead.Reset(silence)
+		var l api.Listing
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) == 0 || json.Unmarshal(line, &l) != nil {
+			continue
+		}
+		for _, d := range l.Documents {
+			t.told, t.times = append(t.told, d), append(t.times, time.Since(begin))
+		}
+	}
+}
+
+// told judges what was told of documents: each replica's versions of one only rise, and each version says what was put under it, to
+// all the same.
+func (r *Run) told() (found []Breach) {
+	type version struct {
+		service string
+		at      int64
+	}
+	issued := map[version]string{}
+	texts := map[string]bool{"": true} // of a deletion
+	for _, c := range r.calls {
+		if c.op.kind == "register" {
+			if texts[c.op.address] = true; c.out.version > 0 {
+				issued[version{c.op.name, c.out.version}] = c.op.address
+			}
+		}
+	}
+	for _, t := range r.tales {
+		highest := map[string]int64{} // by region
+		for i, d := range t.told {
+			says := func(rule, format string, args ...any) {
+				found = append(found, Breach{Rule: rule, At: t.times[i], Text: t.at + ": " + t.service + ": " + fmt.Sprintf(format, args...)})
+			}
+			if was := highest[d.Region]; d.Version < was {
+				says("monotonic", "version %d after %d", d.Version, was)
+			}
+			highest[d.Region] = max(highest[d.Region], d.Version)
+			v := version{d.Service, d.Version}
+			had, known := issued[v]
+			switch {
+			case d.Service != t.service || !texts[string(d.Settings)] || d.Deleted != (len(d.Settings) == 0):
+				says("issued", "told what nobody put: %+v", d)
+			case known && had != string(d.Settings):
+				says("issued", "version %d says %s, and elsewhere %s", d.Version, d.Settings, had)
+			}
+			issued[v] = string(d.Settings)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Breach) int { return int(a.At - b.At) })
+	return found
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -1,5 +1,6 @@
 // Package history owns concurrent calls on the list service while it is broken on purpose, and the judgement of what they
-// were answered: whether all of it can have been done one call after another, and whether each watch told every change.
+// were answered: whether all of it can have been done one call after another, and whether each watch told every change. Documents
+// are judged so at the region that owns them; what others tell of them only goes on.
 package history
 
 import (
@@ -25,6 +26,10 @@
 	Callers  int
 	Names    int
 	Seed     uint64
+
+	// Documents has the callers write services' settings instead of entries, the service's watches left out.
+	Documents bool
+	Followers []string // with Documents: replicas that tell of them, of any region
 }
 
 // op is what a call asks.
@@ -60,6 +65,7 @@
 	mu      sync.Mutex
 	calls   []call
 	watches []*watch
+	tales   []*tale
 	all     sync.WaitGroup
 }
 
@@ -69,6 +75,10 @@
 	for i := range s.Callers {
 		r.all.Go(func() { r.caller(ctx, i) })
 	}
+	if s.Documents {
+		r.tell(ctx)
+		return r
+	}
 	for i, at := range s.Replicas {
 		w := &watch{at: at, index: -1, hashes: map[int64]uint64{}}
 		r.watches = append(r.watches, w)
@@ -88,6 +98,10 @@
 		switch p := rng.Float64(); {
 		case p < 0.4:
 			o.kind = "read"
+		case r.spec.Documents && p < 0.85 || r.spec.Documents && known[name] == 0:
+			o.kind, o.address, o.ifVersion = "register", text(i, n), known[name]
+		case r.spec.Documents:
+			o.kind, o.ifVersion = "leave", known[name]
 		case p < 0.7:
 			o.kind, o.address, o.ifVersion = "register", fmt.Sprintf("127.0.0.1:%d", 1+(i*1000+n)%65000), known[name]
 		case p < 0.8:
@@ -123,16 +137,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callPatience)
 	defer cancel()
 	var err error
-	switch o.kind {
-	case "read":
+	switch kind := o.kind; {
+	case r.spec.Documents:
+		x, err = askDocument(ctx, c, o)
+	case kind == "read":
 		x.record, err = c.Record(ctx, o.name, true)
-	case "register":
+	case kind == "register":
 		x.version, err = c.Register(ctx, o.name, api.Registration{Address: o.address, Weight: 1, IfVersion: &o.ifVersion})
-	case "drain":
+	case kind == "drain":
 		x.version, err = c.Drain(ctx, o.name, api.Ask{IfVersion: &o.ifVersion})
-	case "leave":
+	case kind == "leave":
 		err = c.Leave(ctx, o.name, api.Ask{IfVersion: &o.ifVersion})
-	case "hand":
+	case kind == "hand":
 		x.version, err = c.Hand(ctx, o.name, api.Ask{Hand: o.hand, IfVersion: &o.ifVersion})
 	}
 	switch {
@@ -149,7 +165,7 @@
 
 // Breach is what was seen that must not be.
 type Breach struct {
-	Rule string // linearizable or watch
+	Rule string // linearizable, watch, or of documents monotonic or issued
 	At   time.Duration
 	Text string
 }
@@ -176,3 +192,20 @@
 	}
 	return append(found, r.watched(final)...), n
 }
+
+// EndDocuments waits for all, which end with the context of Start, and judges what was written and told of documents.
+func (r *Run) EndDocuments() ([]Breach, Count) {
+	r.all.Wait()
+	n := Count{Calls: len(r.calls)}
+	for _, c := range r.calls {
+		if c.out.unknown {
+			n.Unknown++
+		}
+	}
+	found := r.linearizable()
+	for _, t := range r.tales {
+		n.Messages += len(t.told)
+		n.Restarts += t.restarts
+	}
+	return append(found, r.told()...), n
+}
--- a/internal/lab/history/history_test.go
+++ b/internal/lab/history/history_test.go
@@ -75,3 +75,37 @@
 		}
 	}
 }
+
+func TestWhatIsToldOfDocumentsIsJudged(t *testing.T) {
+	put := func(text string, x out) call {
+		return call{op: op{kind: "register", name: "h-0", address: text}, out: x}
+	}
+	is := func(region string, version int64, text string) api.Document {
+		return api.Document{Service: "h-0", Region: region, Version: version, Settings: []byte(text), Deleted: text == ""}
+	}
+	calls := []call{put(`"a"`, out{version: 5}), put(`"b"`, out{version: 7}), put(`"c"`, out{unknown: true})}
+	for _, x := range []struct {
+		name, rule string
+		told       [][]api.Document // by replica
+	}{
+		{"in order, one skipped", "", [][]api.Document{{is("n", 5, `"a"`), is("n", 7, `"b"`)}, {is("n", 7, `"b"`), is("n", 8, "")}}},
+		{"again", "", [][]api.Document{{is("n", 5, `"a"`), is("n", 5, `"a"`)}}},
+		{"one without an answer", "", [][]api.Document{{is("n", 9, `"c"`)}, {is("n", 9, `"c"`)}}},
+		{"back", "monotonic", [][]api.Document{{is("n", 7, `"b"`), is("n", 5, `"a"`)}}},
+		{"lower, of another region", "", [][]api.Document{{is("n", 7, `"b"`), is("m", 5, `"a"`)}}},
+		{"back, with another region's between", "monotonic", [][]api.Document{{is("n", 7, `"b"`), is("m", 5, `"a"`), is("n", 5, `"a"`)}}},
+		{"by nobody", "issued", [][]api.Document{{is("n", 6, `"x"`)}}},
+		{"another's text", "issued", [][]api.Document{{is("n", 7, `"a"`)}}},
+		{"two texts of one version", "issued", [][]api.Document{{is("n", 9, `"c"`)}, {is("n", 9, "")}}},
+		{"deleted, and says something", "issued", [][]api.Document{{{Service: "h-0", Version: 5, Settings: []byte(`"a"`), Deleted: true}}}},
+	} {
+		r := &Run{calls: calls}
+		for _, told := range x.told {
+			r.tales = append(r.tales, &tale{service: "h-0", told: told, times: make([]time.Duration, len(told))})
+		}
+		found := r.told()
+		if (x.rule == "") != (len(found) == 0) || len(found) > 0 && found[0].Rule != x.rule {
+			t.Errorf("%s: %+v", x.name, found)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/plays_test.go
@@ -0,0 +1,274 @@
+package registry_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mosslead/internal/lab/history"
+	"mosslead/internal/lab/relay"
+	"mosslead/internal/registry/api"
+)
+
+var (
+	plays    = flag.Int("plays", 1, "how many histories of documents are played and judged, at least 1")
+	playSeed = flag.Uint64("playseed", 1, "seed of the first history of documents")
+)
+
+// fleet is two regions of real replicas; south follows north over links, and north south.
+type fleet struct {
+	t            *testing.T
+	north, south *quorum
+	links        []*relay.Link // of south, to each of north's replicas
+}
+
+func newFleet(t *testing.T, north, south int, breaks string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, north: layOut(t, north), south: layOut(t, south)}
+	at := func(q *quorum) (all []string) {
+		for _, p := range q.peers {
+			all = append(all, p["api"].(string))
+		}
+		return all
+	}
+	var over []string
+	for i, target := range at(f.north) {
+		l, err := relay.New("south", fmt.Sprint("north ", i), "127.0.0.1:0", target, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		f.links, over = append(f.links, l), append(over, l.Address())
+	}
+	follow := func(region string, at []string) []map[string]any {
+		return []map[string]any{{"region": region, "api": at}}
+	}
+	for i := range north {
+		f.north.start(fmt.Sprint("r", i), f.inNorth(follow("south", at(f.south))))
+	}
+	for i := range south {
+		more := map[string]any{"region": "south", "follow": follow("north", over)}
+		if breaks != "" {
+			more["breaks"] = breaks
+		}
+		f.south.start(fmt.Sprint("r", i), more)
+	}
+	f.north.serving(north)
+	f.south.serving(south)
+	return f
+}
+
+func (f *fleet) inNorth(follow []map[string]any) map[string]any {
+	return map[string]any{"region": "north", "follow": follow}
+}
+
+func (f *fleet) southAt() (all []string) {
+	for _, p := range f.south.peers {
+		all = append(all, p["api"].(string))
+	}
+	return all
+}
+
+// restart starts one of north's replicas again.
+func (f *fleet) restart(name string) {
+	f.t.Helper()
+	f.north.start(name, f.inNorth([]map[string]any{{"region": "south", "api": f.southAt()}}))
+}
+
+func (f *fleet) cut(s relay.State) {
+	f.t.Helper()
+	for _, l := range f.links {
+		if err := l.Set(s); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// write begins to write documents in north, and to listen in both regions.
+func (f *fleet) write(ctx context.Context, seed uint64) *history.Run {
+	s := history.Spec{Callers: 4, Names: 2, Seed: seed, Documents: true, Followers: f.southAt()}
+	for _, p := range f.north.peers {
+		s.Replicas = append(s.Replicas, p["api"].(string))
+	}
+	s.Followers = append(s.Followers, s.Replicas...)
+	return history.Start(ctx, s)
+}
+
+// caughtUp waits until south has the settings that north has.
+func (f *fleet) caughtUp() time.Duration {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
+	defer cancel()
+	begun := time.Now()
+	for {
+		north, err := f.north.all.Documents(ctx, true)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		south, err := f.south.all.Documents(ctx, true)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if reflect.DeepEqual(north.Documents, south.Documents) {
+			return time.Since(begun)
+		}
+		if ctx.Err() != nil {
+			f.t.Fatalf("north has %+v, south %+v", north.Documents, south.Documents)
+		}
+		time.Sleep(10 * time.Millisecond) // between two looks
+	}
+}
+
+// befall has one thing after another happen, as the seed draws them, and ends with all in order.
+func (f *fleet) befall(rng *rand.Rand) (what []string) {
+	signal := func(q *quorum, name string, s syscall.Signal) {
+		if err := q.run[name].Signal(s); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	rest := func(least, most int) { time.Sleep(time.Duration(least+rng.IntN(most-least)) * time.Millisecond) }
+	for range 2 {
+		rest(100, 400)
+		switch rng.IntN(6) {
+		case 0:
+			what = append(what, "south cut off")
+			f.cut(relay.State{Reset: true})
+			rest(300, 1500)
+			f.cut(relay.State{})
+		case 1:
+			what = append(what, "south hears nothing")
+			f.cut(relay.State{SilentBack: true})
+			rest(300, 3500)
+			f.cut(relay.State{})
+		case 2:
+			what = append(what, "slow and lossy")
+			f.cut(relay.State{Delay: 100 * time.Millisecond, Loss: 0.05, Chop: 512})
+			rest(300, 1500)
+			f.cut(relay.State{})
+		case 3:
+			what = append(what, "north's leader killed")
+			name := f.north.serving(len(f.north.peers))
+			f.north.kill(name)
+			rest(50, 800)
+			f.restart(name)
+			f.north.serving(len(f.north.peers))
+		case 4:
+			what = append(what, "north's leader stopped")
+			name := f.north.serving(len(f.north.peers))
+			signal(f.north, name, syscall.SIGSTOP)
+			rest(300, 2000)
+			signal(f.north, name, syscall.SIGCONT)
+		case 5:
+			what = append(what, "south's leader stopped")
+			name := f.south.serving(len(f.south.peers))
+			signal(f.south, name, syscall.SIGSTOP)
+			rest(300, 2000)
+			signal(f.south, name, syscall.SIGCONT)
+		}
+	}
+	rest(100, 300)
+	return what
+}
+
+// Documents of a region of three replicas, followed by another of three, through cuts, deaths and stops: at their owner all calls can
+// have been done one after another, no replica ever tells an older version after a newer, or one that nobody put, and the other region
+// has what the owner has soon after. More plays: go test -run TestHistoriesOfDocuments -plays 40 -timeout 30m.
+func TestHistoriesOfDocuments(t *testing.T) {
+	for i := range max(1, *plays) {
+		seed := *playSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			f := newFleet(t, 3, 3, "")
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			run := f.write(ctx, seed)
+			what := f.befall(rand.New(rand.NewPCG(seed, 28)))
+			stop()
+			found, n := run.EndDocuments()
+			took := f.caughtUp()
+			t.Logf("%v: %d calls, %d without an answer, %d told, %d watches; caught up in %v", what, n.Calls, n.Unknown, n.Messages, n.Restarts, took.Round(time.Millisecond))
+			if took > 7*time.Second {
+				t.Errorf("south had it %v after the last change", took)
+			}
+			if n.Calls < 20 || n.Messages < 20 {
+				t.Errorf("too little to be judged: %+v", n)
+			}
+			for _, b := range found {
+				t.Errorf("%s at %v: %s", b.Rule, b.At.Round(time.Millisecond), b.Text)
+			}
+		})
+	}
+}
+
+// The owner is put back to an old copy of its disk. A follower stays with what it has seen, says so, and goes on once the owner is
+// beyond that; one that takes in what is older is found.
+func TestAnOwnerOfBefore(t *testing.T) {
+	for _, breaks := range []string{"", "follow-back"} {
+		t.Run("breaks "+breaks, func(t *testing.T) {
+			f := newFleet(t, 1, 1, breaks)
+			q, old := f.north, filepath.Join(f.north.dir, "old")
+			disk := filepath.Join(q.dir, "r0")
+			version := put(t, q.all, "h-0", 0, 0)
+			f.caughtUp()
+			q.kill("r0")
+			if err := os.CopyFS(old, os.DirFS(disk)); err != nil {
+				t.Fatal(err)
+			}
+			f.restart("r0")
+			q.serving(1)
+
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			listens := history.Start(ctx, history.Spec{Names: 1, Documents: true, Followers: f.southAt()})
+			highest := version
+			for n := range 9 {
+				highest = put(t, q.all, "h-0", 1+n, highest)
+			}
+			f.caughtUp()
+			q.kill("r0")
+			if err := os.RemoveAll(disk); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.Rename(old, disk); err != nil {
+				t.Fatal(err)
+			}
+			f.restart("r0")
+			q.serving(1)
+			if breaks == "" {
+				f.south.until("south says that north went back", func(all map[string]api.Status) bool {
+					for _, s := range all {
+						if len(s.Following) == 1 && strings.Contains(s.Following[0].Aside, "goes back") && s.Following[0].Seen >= highest {
+							return true
+						}
+					}
+					return false
+				})
+				if d, err := f.south.all.Document(ctx, "h-0", 0, true); err != nil || d.Version != highest {
+					t.Errorf("south has %+v, %v; %d was seen", d, err, highest)
+				}
+				for n := 20; version <= highest; n++ {
+					version = put(t, q.all, "h-0", n, version)
+				}
+			}
+			f.caughtUp()
+			stop()
+			found, n := listens.EndDocuments()
+			back := 0
+			for _, b := range found { // who put what is not judged here: an owner of before gives its versions twice
+				if b.Rule == "monotonic" {
+					back++
+				}
+			}
+			if (back > 0) != (breaks != "") || n.Messages == 0 {
+				t.Errorf("%d times an older version was told in south; %+v", back, n)
+			}
+		})
+	}
+}
--- a/internal/registry/processes_test.go
+++ b/internal/registry/processes_test.go
@@ -68,6 +68,17 @@
 }
 
 func newQuorum(t *testing.T, n int) *quorum {
+	t.Helper()
+	q := layOut(t, n)
+	for i := range n {
+		q.start(fmt.Sprint("r", i), nil)
+	}
+	q.serving(n)
+	return q
+}
+
+// layOut is a quorum of which nobody runs yet.
+func layOut(t *testing.T, n int) *quorum {
 	t.Helper()
 	q := &quorum{t: t, dir: t.TempDir(), run: map[string]*proc.Child{}}
 	var at []string
@@ -75,9 +86,6 @@
 		q.peers = append(q.peers, map[string]any{"name": fmt.Sprint("r", i), "raft": address(t), "api": address(t)})
 		at = append(at, q.peers[i]["api"].(string))
 	}
-	for i := range n {
-		q.start(fmt.Sprint("r", i), nil)
-	}
 	q.all = client.New(at)
 	t.Cleanup(func() {
 		q.all.Close()
@@ -91,7 +99,6 @@
 			}
 		}
 	})
-	q.serving(n)
 	return q
 }
 
--- a/internal/registry/regions_test.go
+++ b/internal/registry/regions_test.go
@@ -66,16 +66,22 @@
 
 func (r *twoRegions) put(region, service string, n int, on int64) int64 {
 	r.t.Helper()
-	ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+	return put(r.t, r.all[region], service, n, on)
+}
+
+// put writes the form of settings with that number.
+func put(t *testing.T, c *client.Client, service string, n int, on int64) int64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	for {
-		v, err := r.all[region].Put(ctx, service, api.Put{Schema: 1, Settings: json.RawMessage(form(n)), IfVersion: &on})
+		v, err := c.Put(ctx, service, api.Put{Schema: 1, Settings: json.RawMessage(form(n)), IfVersion: &on})
 		if api.IsCode(err, api.CodeOldPeer) && ctx.Err() == nil { // it has not said yet what it understands
 			time.Sleep(10 * time.Millisecond) // between two tries
 			continue
 		}
 		if err != nil {
-			r.t.Fatalf("put in %s: %v", region, err)
+			t.Fatalf("put: %v", err)
 		}
 		return v
 	}
