--- a/internal/registry/settings_test.go
+++ b/internal/registry/settings_test.go
@@ -191,3 +191,47 @@
 		}
 	}
 }
+
+// While a replica of the quorum runs an earlier program, settings are not taken in; what that program knows goes on.
+func TestSettingsBesideAnEarlierReplica(t *testing.T) {
+	at := dev(t)
+	c := client.New([]string{at})
+	defer c.Close()
+	ctx := t.Context()
+	zero := int64(0)
+	was := (&quorum{t: t, all: c}).until("it said what it understands", func(said map[string]api.Status) bool {
+		return said[at].Members["dev"].Schema == 3
+	})[at].Replica
+	announce := func(schema int) {
+		t.Helper()
+		m := was
+		m.Schema = schema
+		text, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.Post("http://"+at+"/v1/announce", "application/json", bytes.NewReader(text))
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		resp.Body.Close()
+	}
+	put := func() error {
+		_, err := c.Put(ctx, "orders", api.Put{Schema: 1, Settings: json.RawMessage(form(0)), IfVersion: &zero})
+		return err
+	}
+	announce(2)
+	if err := put(); !api.IsCode(err, api.CodeOldPeer) || !strings.Contains(err.Error(), "settings") {
+		t.Errorf("beside schema 2: %v", err)
+	}
+	if g, err := c.Take(ctx, api.Claim{Name: "d", Holder: "h", LeaseMs: 1000}); err != nil || g.Holder != "h" {
+		t.Errorf("a duty beside schema 2: %+v, %v", g, err)
+	}
+	if all, err := c.Documents(ctx, true); err != nil || len(all.Documents) != 0 {
+		t.Errorf("%+v, %v", all, err)
+	}
+	announce(3)
+	if err := put(); err != nil {
+		t.Errorf("once all speak schema 3: %v", err)
+	}
+}
