--- a/internal/registry/plays_test.go
+++ b/internal/registry/plays_test.go
@@ -191,8 +191,8 @@
 			run := f.write(ctx, seed)
 			what := f.befall(rand.New(rand.NewPCG(seed, 28)))
 			stop()
-			found, n := run.EndDocuments()
 			took := f.caughtUp()
+			found, n := run.EndDocuments()
 			t.Logf("%v: %d calls, %d without an answer, %d told, %d watches; caught up in %v", what, n.Calls, n.Unknown, n.Messages, n.Restarts, took.Round(time.Millisecond))
 			if took > 7*time.Second {
 				t.Errorf("south had it %v after the last change", took)
