--- a/internal/registry/plays_test.go
+++ b/internal/registry/plays_test.go
@@ -212,6 +212,7 @@
 func TestAnOwnerOfBefore(t *testing.T) {
 	for _, breaks := range []string{"", "follow-back"} {
 		t.Run("breaks "+breaks, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, 1, 1, breaks)
 			q, old := f.north, filepath.Join(f.north.dir, "old")
 			disk := filepath.Join(q.dir, "r0")
