--- a/internal/registry/processes_test.go
+++ b/internal/registry/processes_test.go
@@ -453,3 +453,52 @@
 		t.Errorf("renewed under an old epoch: %+v", late)
 	}
 }
+
+// A replica that starts again tells no list before it has all that was committed until then: what its own log holds is the list of
+// before, and it hears from the leader that there is one before it hears how much of that is committed.
+func TestAReplicaThatStartsAgainTellsNothingOld(t *testing.T) {
+	q := newQuorum(t, 3)
+	const entries = 200
+	for i := range entries {
+		q.register(fmt.Sprint("u", i))
+	}
+	leader, name := q.serving(3), "r0"
+	if leader == name {
+		name = "r1"
+	}
+	at := ""
+	for _, p := range q.peers {
+		if p["name"] == name {
+			at = p["api"].(string)
+		}
+	}
+	for range 3 {
+		q.kill(name)
+		q.start(name, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		for {
+			var l api.Listing
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/api/targets", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if ctx.Err() != nil {
+				t.Fatal("it never tells a list")
+			}
+			if err != nil {
+				continue // it does not listen yet
+			}
+			err = api.ReadAnswer(resp, &l)
+			resp.Body.Close()
+			if api.IsCode(err, api.CodeStale) {
+				continue
+			}
+			if err != nil || len(l.Endpoints) != entries {
+				t.Errorf("its first list has %d entries of %d, %v", len(l.Endpoints), entries, err)
+			}
+			break
+		}
+		cancel()
+	}
+}
