--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -75,6 +75,9 @@
 	return c, nil
 }
 
+// ParseConfig reads a configuration that is in no file.
+func ParseConfig(text []byte) (*Config, error) { return parseConfig(text) }
+
 // parseConfig checks everything that a sidecar relies on, the module's settings too: what is wrong must
 // show at the start and not under traffic.
 func parseConfig(text []byte) (*Config, error) {
--- a/internal/sidecar/directory.go
+++ b/internal/sidecar/directory.go
@@ -34,6 +34,7 @@
 const (
 	statusReady       = "Ready"
 	statusTerminating = "Terminating"
+	statusGone        = "Gone"
 )
 
 // parseListing turns down what is not whole, so that half a message never replaces a good list.
@@ -191,6 +192,13 @@
 	return l
 }
 
+// size is the list's version, and how many entries it has.
+func (d *directory) size() (index int64, entries int) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.index, len(d.entries)
+}
+
 // ban takes an upstream out of use by hand, or with lifted back; false where nobody has that id. It holds at once for
 // what was decided before: the write looks, see upstreamConn.
 func (d *directory) ban(name string, lifted bool) bool {
--- a/internal/sidecar/keeper.go
+++ b/internal/sidecar/keeper.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"os/signal"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"mosslead/balancer"
@@ -72,7 +70,6 @@
 	if c.State == "" {
 		return nil, state.Kept{}, nil
 	}
-	signal.Ignore(syscall.SIGXFSZ) // a bound on files is an error of the write, and no reason to end
 	k := newKeeper(state.New(c.State, c.Name))
 	lock := k.store.TryLock
 	if alone {
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -138,7 +138,7 @@
 	froms   []string
 }
 
-func newDiscovery(t *testing.T, script func(n int, send func(string), done <-chan struct{})) *fakeDiscovery {
+func newDiscovery(t testing.TB, script func(n int, send func(string), done <-chan struct{})) *fakeDiscovery {
 	t.Helper()
 	d := &fakeDiscovery{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -204,7 +204,7 @@
   "SecondCopies":true,"SendCap":5},
  "Rules":{"ColdFrom":0.3,"FallMs":2000,"FallMultiple":3,"WarmUpMs":8800},"Tenants":[]}`
 
-func testConfig(t *testing.T, discovery string, known ...string) *Config {
+func testConfig(t testing.TB, discovery string, known ...string) *Config {
 	t.Helper()
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:9000","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,10 +15,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mosslead/balancer"
@@ -51,6 +53,9 @@
 // over the settings and where discovery is; the rest is for the next start.
 func Run(ctx context.Context, c *Config, reloads <-chan Reload) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	if c.State != "" {
+		signal.Ignore(syscall.SIGXFSZ) // a bound on files is an error of the write, and no reason to end
+	}
 	listener, err := passedListener()
 	if err != nil {
 		return err
@@ -169,10 +174,6 @@
 
 // newProcess puts the parts together; nothing runs yet.
 func newProcess(c *Config, listener net.Listener, door bool, tmp string, stop <-chan struct{}) (*process, error) {
-	b, err := balancer.New(c.Settings.Settings, c.Seed)
-	if err != nil {
-		return nil, err
-	}
 	own := ownSockets
 	if door {
 		own += doorConns + 2 // the listener, and the caller that another gives way to
@@ -194,25 +195,17 @@
 	}
 	p := &process{c: c, most: (c.Limits.Sockets - own) / 2, meets: tmp != "",
 		heap: c.Limits.MemoryMB * memoryPart * (1 << 20)}
-	clk := newClock()
-	up := newUpstreams(c, clk, p.most)
-	l := newLoop(b, clk, stop)
-	w := newWatcher(c, up.dir, func(m balancer.Members) {
-		if m.Kind == balancer.Change || m.Kind == balancer.Full {
-			p.fresh.Store(true)
-		}
-		l.postList(m)
-	})
-	l.send, l.ask, l.sockets, l.zone = up.attempt, w.ask, up.sockets, up.dir.zone
-	classes := classTable(c.Settings.Settings)
-	l.classes = classes
+	if err := p.assemble(stop); err != nil {
+		return nil, err
+	}
+	up, l := p.up, p.loop
+	l.send, l.sockets = up.attempt, up.sockets
+	classes := l.classes
 	up.dispatched = l.stats.dispatched
-	l.stats.name(slices.Collect(maps.Keys(classes)))
 	if door {
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
-	p.up, p.loop, p.watch = up, l, w
-	p.s = &server{clock: clk, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
+	p.s = &server{clock: l.clock, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
 		ready: p.ready, sends: func() bool { return !up.dir.empty() }}
 	p.s.classes.Store(&classes)
 	p.conns = newClientConns(listener, p.most)
@@ -223,6 +216,29 @@
 	return p, nil
 }
 
+// assemble puts together what decides and what it hears, with clients or without; nothing runs yet.
+func (p *process) assemble(stop <-chan struct{}) error {
+	c := p.c
+	b, err := balancer.New(c.Settings.Settings, c.Seed)
+	if err != nil {
+		return err
+	}
+	clk := newClock()
+	up := newUpstreams(c, clk, p.most)
+	l := newLoop(b, clk, stop)
+	w := newWatcher(c, up.dir, func(m balancer.Members) {
+		if m.Kind == balancer.Change || m.Kind == balancer.Full {
+			p.fresh.Store(true)
+		}
+		l.postList(m)
+	})
+	l.ask, l.zone = w.ask, up.dir.zone
+	l.classes = classTable(c.Settings.Settings)
+	l.stats.name(slices.Collect(maps.Keys(l.classes)))
+	p.up, p.loop, p.watch = up, l, w
+	return nil
+}
+
 // begin finds what this process begins with: the list, with the bans in already, and what was learnt. The process before
 // tells it; where there is none, the disk does. An error: the disk is another process's.
 func (p *process) begin() (known balancer.Members, learnt *balancer.Learnt, err error) {
