settings: one reader for a sidecar's file and for documents, with line, column and key

Need: a document with a service's settings is checked before it is accepted, by what a sidecar's file is read with.

The place in the text, the keys that a file holds and the rule that a key in use may not vanish move from the sidecar's configuration to package settings, beside Check. A document's settings now name line and column too, and SendCap 0 is rejected there as in a file. Watches can ask for something beside the list (Query), and client.Service words what a sidecar asks.

go test ./internal/settings and the sidecar's tests of configuration and SIGHUP: passed.

--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"mosslead/internal/registry/api"
@@ -35,6 +37,8 @@
 	Take func(l api.Listing) error
 	// Stands is called once for each watch that was taken up, and has no news.
 	Stands func()
+	// Query is what each call of the watch asks for beside the list, as Service words it; nil: nothing.
+	Query func() string
 	// Says is told why a watch ended, or what of a list is doubted.
 	Says func(at string, why error)
 }
@@ -47,7 +51,7 @@
 		d.start(*start)
 	}
 	var p pace
-	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxList, At: c.at, Stands: w.Stands,
+	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxList, At: c.at, Stands: w.Stands, Query: w.Query,
 		From: func() int64 {
 			if d.index > 0 {
 				return d.index
@@ -73,6 +77,15 @@
 	_ = f.Follow(ctx) // ends with ctx alone
 }
 
+// Service words a wish to hear of the settings of a service: held are those that are known already, if any are.
+func Service(name string, held api.Document) string {
+	q := "&service=" + url.QueryEscape(name) + "&held="
+	if held.Version > 0 {
+		q += url.QueryEscape(held.Region + "@" + strconv.FormatInt(held.Version, 10))
+	}
+	return q
+}
+
 // watchWait is the wait after a watch that ended: a pace's, cut short by chance, so that a fleet stays spread over it.
 func watchWait(p *pace, now time.Time, chance float64) time.Duration {
 	return min(p.next(now, chance), time.Duration((1+chance)/2*float64(callMost)))
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,21 +1,17 @@
 package sidecar
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"mosslead/balancer"
+	"mosslead/internal/settings"
 	"mosslead/internal/wire"
 )
 
@@ -32,8 +28,8 @@
 	Known     *listing // the list of upstreams as last held; nil: none
 	Settings  wire.Settings
 
-	keys map[string]bool // that the file holds, see keysOf
-	dial dialer          // nil outside tests
+	keys settings.Keys // that the file holds
+	dial dialer        // nil outside tests
 }
 
 // Limits is what the platform allows the process.
@@ -94,9 +90,9 @@
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, located(text, text, err)
+		return nil, settings.Located(text, text, err)
 	}
-	keys, err := keysOf(text)
+	keys, err := settings.KeysOf(text, "known") // its entries hold what they need to
 	if err != nil {
 		return nil, err
 	}
@@ -128,34 +124,35 @@
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		if c.Known, err = parseListing(file.Known); err != nil {
-			return nil, fmt.Errorf("known: %w", located(text, file.Known, err))
+			return nil, fmt.Errorf("known: %w", settings.Located(text, file.Known, err))
 		}
 	}
 	if len(file.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
-	if c.Settings, err = wire.DecodeSettings(file.Settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", located(text, file.Settings, err))
-	}
-	if c.keys["settings.Limits.SendCap"] && c.Settings.MaxAttempts < 1 {
-		return nil, fmt.Errorf("settings: Limits.SendCap: %d is not above 0", c.Settings.MaxAttempts)
+	read, err := settings.Read(text, file.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if c.Peers != nil {
 		if err := c.Peers.check(); err != nil {
 			return nil, fmt.Errorf("peers: %w", err)
 		}
-		c.Settings.Reports = true
-	}
-	if _, err = balancer.New(c.Settings.Settings, c.Seed); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if c.Settings.ConnectTimeout == 0 {
-		c.Settings.ConnectTimeout = connectDefault
+	c.Settings = c.complete(read)
+	return c, nil
+}
+
+// complete fills in what a sidecar does where the settings say nothing.
+func (c *Config) complete(s wire.Settings) wire.Settings {
+	s.Reports = c.Peers != nil
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = connectDefault
 	}
-	if c.Settings.ConnIdle <= 0 {
-		c.Settings.ConnIdle = connIdleShort
+	if s.ConnIdle <= 0 {
+		s.ConnIdle = connIdleShort
 	}
-	return c, nil
+	return s
 }
 
 // check names the key that can't be used.
@@ -196,98 +193,14 @@
 	return nil
 }
 
-// located says where in the text an error of the JSON library is, which counts from the beginning of the part it was given
-// and names the key itself.
-func located(text, part []byte, err error) error {
-	var syntax *json.SyntaxError
-	var kind *json.UnmarshalTypeError
-	at := max(0, bytes.Index(text, part))
-	switch {
-	case errors.As(err, &syntax):
-		at += int(syntax.Offset)
-	case errors.As(err, &kind):
-		at += int(kind.Offset)
-	default:
-		return err
-	}
-	before := text[:min(at, len(text))]
-	return fmt.Errorf("line %d, column %d: %w", 1+bytes.Count(before, []byte("\n")), len(before)-1-bytes.LastIndexByte(before, '\n'), err)
-}
-
-// keysOf names the keys of the configuration, those inside objects by their path. Of a list's objects it names what all
-// of them hold; of a list without any its path and a dot, for they lack nothing. What discovery words is left out: its entries hold what they need to. The JSON library can't tell a key that
-// is absent from one that is 0, but for pointers in each field.
-func keysOf(text []byte) (map[string]bool, error) {
-	var file map[string]any
-	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, err
-	}
-	keys := map[string]bool{}
-	var walk func(path string, v any, into map[string]bool)
-	walk = func(path string, v any, into map[string]bool) {
-		switch v := v.(type) {
-		case map[string]any:
-			for key, x := range v {
-				into[path+key] = true
-				if path+key != "known" {
-					walk(path+key+".", x, into)
-				}
-			}
-		case []any:
-			counts := map[string]int{}
-			for _, x := range v {
-				one := map[string]bool{}
-				walk(path, x, one)
-				for key := range one {
-					counts[key]++
-				}
-			}
-			if len(v) == 0 {
-				into[path] = true
-			}
-			for key, n := range counts {
-				if n == len(v) {
-					into[key] = true
-				}
-			}
-		}
-	}
-	walk("", file, keys)
-	return keys, nil
-}
-
-// follows tells why a file that was read anew can't take the place of the one in use: a key that is gone reads like a
-// limit or a price that was never set. A key that nothing reads, or that may be absent, can go.
+// follows tells why a file that was read anew can't take the place of the one in use: a key is gone.
 func (c *Config) follows(old *Config) error {
-	for _, key := range slices.Sorted(maps.Keys(old.keys)) {
-		free := key == "known" || key == "settings.Classes.AimStretch" || strings.HasSuffix(key, ".") ||
-			strings.HasPrefix(key, "settings.") && !usedKeys()[key]
-		if !free && !c.holds(key) {
-			return fmt.Errorf("lacks %s", key)
-		}
+	if key := c.keys.Lacks(old.keys, "known"); key != "" {
+		return fmt.Errorf("lacks %s", key)
 	}
 	return nil
 }
 
-// holds tells whether the file holds a key, or an empty list in whose objects it would be.
-func (c *Config) holds(key string) bool {
-	for i, x := range key {
-		if x == '.' && c.keys[key[:i+1]] {
-			return true
-		}
-	}
-	return c.keys[key]
-}
-
-// usedKeys are the settings' keys that are read.
-var usedKeys = sync.OnceValue(func() map[string]bool {
-	keys, err := keysOf(fmt.Appendf(nil, `{"settings":%s}`, wire.Keys()))
-	if err != nil {
-		panic(err) // the module's own text
-	}
-	return keys
-})
-
 // addressesOf takes a key's value apart: only discovery may be at several addresses, as replicas of a list service are.
 func addressesOf(key, value string) []string {
 	if key != "discovery" {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -54,6 +54,7 @@
 	Tries  int                         // calls without a line before Follow gives up; it does too when none is open. 0: it never does
 	At     func() string               // host:port that the next call goes to
 	From   func() int64                // the version that is held; -1: the whole list is asked for
+	Query  func() string               // what the next call asks for beside, as "&own=1"; nil: nothing
 	Take   func(at string, m *M) error // a message. An error: it is of no use, and its watch is ended
 	Stands func()                      // once for each watch that was taken up and has no news
 	Says   func(at string, why error)
@@ -64,6 +65,7 @@
 type call struct {
 	at     string
 	from   int64
+	query  string
 	cancel context.CancelFunc
 	over   chan struct{}
 	told   bool // it has brought a line
@@ -205,6 +207,9 @@
 func (f *Follower[M]) begin(ctx context.Context, events chan<- event[M]) *call {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &call{at: f.At(), from: f.From(), cancel: cancel, over: make(chan struct{})}
+	if f.Query != nil {
+		c.query = f.Query()
+	}
 	go func() {
 		defer close(c.over)
 		f.read(ctx, c, events)
@@ -222,7 +227,7 @@
 		}
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet,
-		fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", c.at, c.from), nil)
+		fmt.Sprintf("http://%s/api/targets?watch=1&from=%d%s", c.at, c.from, c.query), nil)
 	if err != nil {
 		tell(event[M]{err: err})
 		return
