--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -38,7 +38,7 @@
 func (a *app) stateShow() *cobra.Command {
 	c := &cobra.Command{
 		Use:     "show DIR",
-		Short:   "Show what is kept: bans, the list, what was learnt, how the last process ended",
+		Short:   "Show what is kept: bans, the list, what was learnt, the service's settings, how the last process ended",
 		Example: "  mosslead state show /var/lib/orchiddrift\n  mosslead state show DIR -o json | jq .bans",
 		Args:    args(cobra.ExactArgs(1)),
 	}
@@ -57,6 +57,10 @@
 	fmt.Fprintf(w, "sidecar\t%s\nlast start\t%s\nits end\t%s\nearly ends in a row\t%d\n", s.Sidecar, s.Started, s.Ended, s.EarlyEnds)
 	fmt.Fprintf(w, "list\t%d upstreams, version %d of %s, %s old\n", s.Upstreams, s.ListIndex, s.ListSource, age(s.ListAgeS))
 	fmt.Fprintf(w, "learnt\tof %d upstreams, %s old\n", s.LearntOf, age(s.LearntAgeS))
+	if k := s.Settings; k != nil {
+		of := map[bool]string{true: ", deleted: those of the file are in force"}[k.Deleted]
+		fmt.Fprintf(w, "settings\tof %s, version %d of region %q%s, %s old\n", k.Service, k.Version, k.Region, of, age(k.AgeS))
+	}
 	fmt.Fprintf(w, "left out\t%s\n", strings.Join(s.Ejected, " "))
 	var bans []string
 	for id, since := range s.Bans {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
 	"mosslead/internal/settings"
 	"mosslead/internal/wire"
 )
@@ -22,6 +24,7 @@
 	Discovery string
 	Ops       string // where operators connect; empty: nowhere
 	State     string // directory of what outlives the process; empty: nothing does
+	Service   string // whose settings the list service tells; empty: those of the file are in force
 	Seed      uint64
 	Limits    Limits
 	Peers     *Peers   // nil: the sidecar shares nothing
@@ -79,7 +82,7 @@
 func parseConfig(text []byte) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
-		Ops, State                    string
+		Ops, State, Service           string
 		Peers                         *Peers
 		Limits                        *struct {
 			Cores    float64
@@ -96,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Config{keys: keys, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops, State: file.State, Peers: file.Peers}
+	c := &Config{keys: keys, Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops, State: file.State, Service: file.Service, Peers: file.Peers}
 	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"ops", c.Ops}} {
 		if a.key == "ops" && a.address == "" {
 			continue // no door
@@ -107,6 +110,14 @@
 			}
 		}
 	}
+	if named := c.keys["service"]; named && (c.Service == "" || len(c.Service) > api.MaxName) {
+		return nil, fmt.Errorf("service: 1 to %d bytes, or no such key", api.MaxName)
+	}
+	if c.Service != "" {
+		if _, err := client.Addresses(c.Discovery); err != nil {
+			return nil, fmt.Errorf("discovery: with service it is a list service, at one address or several: %w", err)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is not a 64-bit hexadecimal number", file.Seed)
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -32,12 +32,13 @@
 
 // watcher follows discovery. Each watch has a connection of its own, so that no library sends a call again by itself.
 type watcher struct {
-	dir    *directory
-	client *http.Client
-	index  int64
-	report func(balancer.Members)
-	asked  chan struct{} // holds one: the module asked for a watch
-	turned chan struct{} // holds one: discovery has moved while no watch was open
+	dir     *directory
+	service *service // nil: the list is all that is asked for
+	client  *http.Client
+	index   int64
+	report  func(balancer.Members)
+	asked   chan struct{} // holds one: the module asked for a watch
+	turned  chan struct{} // holds one: discovery has moved while no watch was open
 
 	mu      sync.Mutex
 	address string
@@ -117,7 +118,7 @@
 			return
 		}
 		address, at, end := w.here(ctx)
-		if several(address) {
+		if several(address) || w.service != nil {
 			w.follow(at, address)
 		} else {
 			w.watch(at, address, moduleAsks)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/state"
 	"mosslead/internal/watch"
 )
 
@@ -46,6 +47,8 @@
 	List   *listing
 	Banned []string
 	Learnt *balancer.Learnt `json:",omitempty"`
+	// Settings are those of the service; nil: none are followed, or none were told.
+	Settings *state.Settings `json:",omitempty"`
 }
 
 type call struct {
--- a/internal/sidecar/hollow.go
+++ b/internal/sidecar/hollow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mosslead/balancer"
+	"mosslead/internal/registry/api"
 )
 
 // Hollow is told what a sidecar without clients hears. Any of it may be nil; none of it may wait. Calls come one at a time from the
@@ -17,7 +18,8 @@
 	// Changed is called for each entry that a message names, and for those that a whole list does not name any more. Whoever wants
 	// it pays for a second table of names.
 	Changed func(name, status string, index int64)
-	// InForce is called with each document of the service that was taken in, or rejected and why; version 0: the file's settings.
+	// InForce is called with each document of the service that was taken in, or rejected and why; once it is deleted, the file's settings
+	// are in force.
 	InForce func(region string, version int64, rejected error, at time.Time)
 }
 
@@ -40,6 +42,9 @@
 		return reply{result: balancer.Moot, err: errors.New("nobody sends through a hollow sidecar")}
 	}
 	p.watch.report = h.heard(p)
+	if p.service != nil && h.InForce != nil {
+		p.service.told = func(d api.Document, rejected error) { h.InForce(d.Region, d.Version, rejected, time.Now()) }
+	}
 	known, _, err := p.begin()
 	if err != nil {
 		stop()
@@ -64,7 +69,14 @@
 		parts.Go(func() { p.lastResort(running) })
 	}
 	parts.Go(func() { p.keep.run(over) })
-	<-ctx.Done()
+	parts.Go(func() { p.service.acknowledge(running, p.watch.source) })
+	for ctx.Err() == nil {
+		select {
+		case <-p.service.news():
+			p.settle(false, p.loop.postNews)
+		case <-ctx.Done():
+		}
+	}
 	p.keep.end(over)
 	p.loop.shared.close()
 	stop()
--- a/internal/sidecar/keeper.go
+++ b/internal/sidecar/keeper.go
@@ -31,14 +31,17 @@
 // old one is gone. A nil keeper keeps nothing.
 type keeper struct {
 	store  *state.Store
-	bans   func() []string                 // those in force
-	adopt  func(id string)                 // takes a ban in that is on disk and not in force
-	list   func() (string, *listing)       // with its source
-	learnt func() (balancer.Learnt, bool)  // what the module knows
-	log    func(slog.Level, string, error) // about the disk
+	bans   func() []string                // those in force
+	adopt  func(id string)                // takes a ban in that is on disk and not in force
+	list   func() (string, *listing)      // with its source
+	learnt func() (balancer.Learnt, bool) // what the module knows
+	// settings are the service's, with a count of their changes; nil: none are followed.
+	settings func() (*state.Settings, int64)
+	log      func(slog.Level, string, error) // about the disk
 
 	source string // of the list that was written last, with its version
 	index  int64
+	tuned  int64 // count of the settings that were written last
 
 	marked bool // the directory says that this process has begun
 
@@ -84,6 +87,9 @@
 	if err == nil || errors.Is(err, durable.ErrLocked) {
 		kept, err = k.store.LoadFirst(time.Now())
 	}
+	if err == nil && c.Service != "" {
+		err = k.store.LoadSettings(&kept)
+	}
 	if err != nil {
 		k.fail(err)
 		return k, state.Kept{}, nil
@@ -156,6 +162,9 @@
 	}
 	if !k.marked { // what lies there is the other process's, which told what it knew
 		kept, err := k.store.LoadFirst(time.Now())
+		if err == nil && k.settings != nil {
+			err = k.store.LoadSettings(&kept)
+		}
 		if err != nil {
 			k.fail(err)
 			k.release(false)
@@ -190,7 +199,7 @@
 	}
 	k.done(err)
 	k.lifted = map[string]bool{}
-	k.source = "" // whatever lies there: it is written anew
+	k.source, k.tuned = "", 0 // whatever lies there: it is written anew
 	k.writes = true
 	close(k.writing)
 	return 0
@@ -248,6 +257,14 @@
 		}
 		k.source, k.index = source, *l.Index
 	}
+	if k.settings != nil {
+		if s, change := k.settings(); s != nil && change != k.tuned {
+			if !k.done(k.store.WriteSettings(*s, time.Now())) {
+				return
+			}
+			k.tuned = change
+		}
+	}
 	if l, ok := k.learnt(); ok {
 		if k.done(k.store.WriteLearnt(l, time.Now())) {
 			k.figures.Lock()
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -117,6 +117,9 @@
 		}
 		return p.watch.source(), l
 	}
+	if p.service != nil {
+		p.keep.settings = p.service.kept
+	}
 	p.keep.learnt = func() (balancer.Learnt, bool) {
 		if !p.loop.started.Load() {
 			return balancer.Learnt{}, false
--- a/internal/sidecar/replicas.go
+++ b/internal/sidecar/replicas.go
@@ -13,7 +13,7 @@
 // several tells whether discovery is a list service of several replicas.
 func several(addresses string) bool { return strings.Contains(addresses, ",") }
 
-// follow watches a list service of several replicas until ctx ends. Which replica is asked, when again, and what of a
+// follow watches a list service until ctx ends, one of several replicas or one that tells settings too. Which replica is asked, when again, and what of a
 // list is believed, is the client's to decide.
 func (w *watcher) follow(ctx context.Context, addresses string) {
 	all, err := client.Addresses(addresses)
@@ -24,7 +24,12 @@
 	}
 	c := client.New(all)
 	defer c.Close()
+	var query func() string
+	if w.service != nil {
+		query = w.service.query
+	}
 	c.Watch(ctx, w.inUse(), client.Watcher{
+		Query: query,
 		Take: func(l api.Listing) error {
 			own := &listing{Index: &l.Index, Snapshot: l.Snapshot}
 			for _, e := range l.Endpoints {
@@ -36,6 +41,7 @@
 			}
 			w.index = l.Index
 			w.report(w.dir.apply(own))
+			w.service.hear(l.Documents)
 			return nil
 		},
 		Stands: func() { w.report(balancer.Members{Kind: balancer.Change}) },
--- a/internal/sidecar/report.go
+++ b/internal/sidecar/report.go
@@ -35,6 +35,7 @@
 	ofReload    = "reload"
 	ofDecisions = "decisions"
 	ofState     = "state"
+	ofSettings  = "settings"
 )
 
 // note writes a line of the log.
--- /dev/null
+++ b/internal/sidecar/service.go
@@ -0,0 +1,270 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"strings"
+	"sync"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+	"mosslead/internal/settings"
+	"mosslead/internal/state"
+)
+
+const regionsMost = 64 // whose versions are remembered; a fleet has four
+
+// service follows the settings of the sidecar's service, which the list service tells with the list. The watch hands documents over, the
+// process takes the newest in, whole or not at all, and lays it over its file. A nil one follows none.
+type service struct {
+	name, node string
+	fresh      chan struct{}             // holds one: a document was heard
+	changed    chan struct{}             // holds one: there is something new to acknowledge
+	told       func(api.Document, error) // of each that was judged; nil: nobody wants to know
+	silent     func() bool               // another process of this sidecar speaks for it
+	file       *Config                   // as it was read last; the process's own
+
+	mu       sync.Mutex
+	seen     map[string]int64 // the highest version told, by region
+	heard    api.Document     // the newest told; Version 0: none
+	judged   bool             // that one was taken in or rejected
+	inForce  api.Document     // Version 0: none yet; the file's settings are, as they are once it is deleted
+	good     api.Document     // the same, or what the process before had: it stays on disk until another is in force
+	rejected error            // why heard is not in force
+	changes  int64            // of what is to be kept
+	aside    api.Document     // told below the highest version, last
+}
+
+// newService is nil where the configuration names no service.
+func newService(c *Config) *service {
+	if c.Service == "" {
+		return nil
+	}
+	return &service{name: c.Service, node: c.Name, file: c, fresh: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		silent: func() bool { return false }, seen: map[string]int64{}}
+}
+
+// news wakes the process once there is a document to judge.
+func (s *service) news() <-chan struct{} {
+	if s == nil {
+		return nil
+	}
+	return s.fresh
+}
+
+// query is what a watch asks for beside the list: whatever changes from the document that was told last, rejected or not.
+func (s *service) query() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return client.Service(s.name, s.heard)
+}
+
+// hear takes documents from the watch and never waits: of several the newest is judged, and one that is below what its region was heard
+// to have is none.
+func (s *service) hear(documents []api.Document) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range documents {
+		seen, known := s.seen[d.Region]
+		switch {
+		case d.Service != s.name || d.Version < 1 || same(d, s.heard):
+			continue
+		case d.Version < seen || !known && len(s.seen) >= regionsMost:
+			if !same(d, s.aside) { // each watch may tell it again
+				s.aside = d
+				note(slog.LevelWarn, ofSettings, "a document is not taken in, a newer was told", attrsOf(d, slog.Int64("seen", seen))...)
+			}
+			continue
+		}
+		if len(d.Settings) > api.MaxSettings {
+			d.Settings = nil // judged as what it is, and not kept
+		}
+		s.seen[d.Region] = d.Version
+		s.heard, s.judged = d, false
+		wake(s.fresh)
+	}
+}
+
+// wake leaves a word for whoever waits on c, which holds one.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// same tells whether two are one version of one document.
+func same(a, b api.Document) bool { return a.Region == b.Region && a.Version == b.Version }
+
+func attrsOf(d api.Document, more ...slog.Attr) []slog.Attr {
+	return append([]slog.Attr{slog.String("service", d.Service), slog.String("region", d.Region), slog.Int64("version", d.Version)}, more...)
+}
+
+// next is the document to judge, if there is any. again: also one that was rejected, as another file may have room for it.
+func (s *service) next(again bool) (d api.Document, any bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard, s.heard.Version > 0 && (!s.judged || again && s.rejected != nil)
+}
+
+// over lays the document in force over a file that was read anew.
+func (s *service) over(file *Config) (*Config, error) {
+	if s == nil {
+		return file, nil
+	}
+	s.mu.Lock()
+	d := s.inForce
+	s.mu.Unlock()
+	c, err := file.under(d)
+	if err != nil {
+		return nil, fmt.Errorf("under the settings of %s, version %d, which are in force: %w", d.Service, d.Version, err)
+	}
+	return c, nil
+}
+
+// under is the configuration with a document's settings in place of its own. Where the sidecar stands and how its list comes is the
+// file's to say: a document is for all of a service. It must name what the file names: a key that is absent reads like a limit that
+// was never set.
+func (c *Config) under(d api.Document) (*Config, error) {
+	if d.Version == 0 || d.Deleted {
+		return c, nil
+	}
+	if len(d.Settings) == 0 {
+		return nil, fmt.Errorf("no settings, or more than %d bytes of them", api.MaxSettings)
+	}
+	read, err := settings.Check(d.Schema, d.Settings)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := settings.DocumentKeys(d.Settings)
+	if err != nil {
+		return nil, err
+	}
+	ours := maps.Clone(c.keys)
+	maps.DeleteFunc(ours, func(key string, _ bool) bool { return !strings.HasPrefix(key, settings.Under) })
+	if key := keys.Lacks(ours, settings.Under+"Zone", settings.Under+"Discovery"); key != "" {
+		return nil, fmt.Errorf("lacks %s, which this sidecar's file has", key)
+	}
+	read.Zone, read.MustSubscribe = c.Settings.Zone, c.Settings.MustSubscribe
+	own := *c
+	own.Settings = c.complete(read)
+	return &own, nil
+}
+
+// judge notes what became of a document.
+func (s *service) judge(d api.Document, why error) {
+	s.mu.Lock()
+	again := same(d, s.heard) && s.judged && s.rejected != nil && why != nil // as after a file that was read anew
+	if same(d, s.heard) {
+		s.judged, s.rejected = true, why
+	}
+	if why == nil {
+		s.inForce, s.good = d, d
+	}
+	s.changes++
+	s.mu.Unlock()
+	wake(s.changed)
+	switch {
+	case again:
+	case why != nil:
+		note(slog.LevelWarn, ofSettings, "rejected, what was in force stays", attrsOf(d, slog.Any("err", why))...)
+	case d.Deleted:
+		note(slog.LevelInfo, ofSettings, "deleted, those of the file are in force", attrsOf(d)...)
+	default:
+		note(slog.LevelInfo, ofSettings, "in force", attrsOf(d)...)
+	}
+	if s.told != nil {
+		s.told(d, why)
+	}
+}
+
+// kept is what is to outlive the process, and the count of its changes; nil: nothing was told yet.
+func (s *service) kept() (*state.Settings, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changes == 0 {
+		return nil, 0
+	}
+	return &state.Settings{Service: s.name, Document: s.good, Seen: maps.Clone(s.seen)}, s.changes
+}
+
+// recall begins with what the process before had in force.
+func (s *service) recall(k *state.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for region, version := range k.Seen {
+		if len(s.seen) < regionsMost {
+			s.seen[region] = max(s.seen[region], version)
+		}
+	}
+	if d := k.Document; d.Version > 0 {
+		s.seen[d.Region] = max(s.seen[d.Region], d.Version)
+		s.heard, s.good = d, d
+	}
+}
+
+// ack is this sidecar's word on the document that it heard of last.
+func (s *service) ack() api.Ack {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := api.Ack{Node: s.node, Service: s.name, Region: s.inForce.Region}
+	if !s.inForce.Deleted {
+		a.Version = s.inForce.Version
+	}
+	if s.judged && s.rejected != nil {
+		why := s.rejected.Error()
+		if s.heard.Region != s.inForce.Region && a.Version > 0 { // versions of two regions can't stand beside each other
+			why = fmt.Sprintf("version %d of region %q is in force: %s", a.Version, a.Region, why)
+			a.Version = 0
+		}
+		a.Region, a.Rejected, a.Why = s.heard.Region, s.heard.Version, cutText(why, api.MaxWhy)
+	}
+	return a
+}
+
+// lines words the figures for operators.
+func (s *service) lines(d *directory) string {
+	if s == nil {
+		return ""
+	}
+	index, _ := d.size()
+	return fmt.Sprintf("gw.settings_version:%d|g\ngw.list_version:%d|g\n", s.ack().Version, index)
+}
+
+// settle takes the newest document in, whole or not at all; post hands the module its settings.
+func (p *process) settle(again bool, post func(any)) {
+	d, any := p.service.next(again)
+	if !any {
+		return
+	}
+	c, err := p.service.file.under(d)
+	if err == nil {
+		p.c = c
+		p.tune(post)
+	}
+	p.service.judge(d, err)
+}
+
+// settleFirst begins with the settings that the process before had in force, before anything runs; from the process itself, or from the
+// disk.
+func (p *process) settleFirst(before *state.Settings) {
+	if p.service == nil {
+		return
+	}
+	if before == nil {
+		before = p.kept.Settings
+	}
+	if before == nil {
+		return
+	}
+	if before.Service != p.service.name {
+		warn(ofSettings, "what was kept is not used", fmt.Errorf("it is of service %s", short(before.Service)))
+		return
+	}
+	p.service.recall(before)
+	p.settle(false, p.loop.urgent)
+}
--- /dev/null
+++ b/internal/sidecar/service_rig_test.go
@@ -0,0 +1,217 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+// fakeService is a list service of one replica as sidecars see it: its list never changes, the settings of one service do.
+type fakeService struct {
+	address string
+	srv     *http.Server
+
+	mu      sync.Mutex
+	list    string // the entries of its list
+	index   int64
+	told    api.Document // Version 0: there is none
+	again   chan struct{}
+	calls   []string // of watches, as they were asked
+	acks    []api.Ack
+	refuses bool // acks
+}
+
+func newListService(t testing.TB, entries ...string) *fakeService {
+	t.Helper()
+	s := &fakeService{list: strings.Join(entries, ","), index: 1, again: make(chan struct{})}
+	s.begin(t, "127.0.0.1:0")
+	return s
+}
+
+// begin answers at an address, until stop.
+func (s *fakeService) begin(t testing.TB, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = l.Addr().String()
+	stop, cancel := context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", func(w http.ResponseWriter, r *http.Request) {
+		ctx, end := context.WithCancel(r.Context())
+		defer end()
+		defer context.AfterFunc(stop, end)()
+		s.mu.Lock()
+		s.calls = append(s.calls, r.RequestURI)
+		s.mu.Unlock()
+		s.watch(ctx, w, r)
+	})
+	mux.HandleFunc("POST /v1/acks", func(w http.ResponseWriter, r *http.Request) {
+		var all api.Acks
+		err := json.NewDecoder(r.Body).Decode(&all)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err != nil || s.refuses {
+			http.Error(w, `{"code":"bad request","error":"refused"}`, http.StatusBadRequest)
+			return
+		}
+		s.acks = append(s.acks, all.Acks...)
+		_, _ = io.WriteString(w, "{}")
+	})
+	srv := &http.Server{ReadHeaderTimeout: patience, Handler: mux}
+	go func() { _ = srv.Serve(l) }()
+	s.srv = srv
+	t.Cleanup(func() { cancel(); srv.Close() })
+}
+
+func (s *fakeService) watch(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	line := func(l any) {
+		text, err := json.Marshal(l)
+		if err != nil {
+			panic(err)
+		}
+		_, _ = w.Write(append(text, '\n'))
+		_ = http.NewResponseController(w).Flush()
+	}
+	held, first := r.FormValue("held"), r.FormValue("from") != "1"
+	for {
+		s.mu.Lock()
+		d, index, again := s.told, s.index, s.again
+		text := fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, first, s.list)
+		s.mu.Unlock()
+		var l map[string]any
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			panic(err)
+		}
+		if !first {
+			l["endpoints"] = []any{}
+		}
+		now := fmt.Sprintf("%s@%d", d.Region, d.Version)
+		news := d.Version > 0 && d.Service == r.FormValue("service") && now != held
+		if news {
+			l["documents"], held = []api.Document{d}, now
+		}
+		if first || news {
+			line(l)
+		} else {
+			_, _ = io.WriteString(w, "\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		first = false
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		case <-time.After(time.Second): // a sign of life
+		}
+	}
+}
+
+// tell changes the settings.
+func (s *fakeService) tell(d api.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d.Service == "" {
+		d.Service = "orders"
+	}
+	if d.Schema == 0 {
+		d.Schema = 1
+	}
+	s.told = d
+	s.index++
+	close(s.again)
+	s.again = make(chan struct{})
+}
+
+func (s *fakeService) asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
+// said is the last ack; a zero one: there was none.
+func (s *fakeService) said() (last api.Ack) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.acks); n > 0 {
+		last = s.acks[n-1]
+	}
+	return last
+}
+
+func document(version int64, settings string) api.Document {
+	return api.Document{Region: "south", Version: version, Settings: json.RawMessage(settings)}
+}
+
+// ofService is testConfig for a sidecar of the service orders.
+func ofService(t testing.TB, discovery string, known ...string) *Config {
+	t.Helper()
+	return withService(t, discovery, testSettings, known...)
+}
+
+func withService(t testing.TB, discovery, settings string, known ...string) *Config {
+	t.Helper()
+	c, err := parseConfig(fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:9000","ops":"127.0.0.1:0","discovery":%q,"seed":"1f","service":"orders",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, discovery, list(1, true, known...), settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// probing are settings with one more class.
+var probing = strings.Replace(testSettings, `{"Name":"search"`, moreSettings, 1)
+
+// judged is what a hollow sidecar was told of a document.
+type judged struct {
+	region   string
+	version  int64
+	rejected string
+}
+
+// hollowOf is a hollow sidecar of the service, and what it says of documents.
+func hollowOf(t testing.TB, c *Config) (told chan judged, end func()) {
+	t.Helper()
+	told = make(chan judged, 64)
+	return told, hollow(t, c, Hollow{InForce: func(region string, version int64, rejected error, _ time.Time) {
+		j := judged{region: region, version: version}
+		if rejected != nil {
+			j.rejected = rejected.Error()
+		}
+		told <- j
+	}})
+}
+
+// hears waits for what a hollow sidecar says next, and compares; a rejection has to hold the words.
+func hears(t testing.TB, told chan judged, version int64, rejected string) {
+	t.Helper()
+	select {
+	case j := <-told:
+		if j.version != version || (j.rejected == "") != (rejected == "") || !strings.Contains(j.rejected, rejected) {
+			t.Errorf("told %+v, not version %d, rejected %q", j, version, rejected)
+		}
+	case <-time.After(patience):
+		t.Fatalf("nothing was said of version %d", version)
+	}
+}
+
+// quietly fails where anything more was said.
+func quietly(t testing.TB, told chan judged) {
+	t.Helper()
+	select {
+	case j := <-told:
+		t.Errorf("told %+v, too", j)
+	default:
+	}
+}
--- /dev/null
+++ b/internal/sidecar/service_test.go
@@ -0,0 +1,537 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mosslead/balancer"
+	"mosslead/internal/registry/api"
+)
+
+// Guards against settings that cost a request or a connection, that are taken in part, or that do not last: under load documents come, are
+// rejected, repaired, overtaken by an old one and deleted, with a SIGHUP between, while what is open stays open.
+func TestSettingsOfTheServiceUnderLoad(t *testing.T) {
+	u := newUpstream(t, says(ok200("done")))
+	svc := newListService(t, entry("s", u.address, "Ready"))
+	r := start(t, ofService(t, svc.address, entry("s", u.address, "Ready")), "127.0.0.1:0")
+	ctx, stop := context.WithCancel(t.Context())
+	var load sync.WaitGroup
+	var served, bad atomic.Int64
+	for range 4 {
+		load.Go(func() {
+			for ctx.Err() == nil {
+				if got := <-r.later(request(t, r.address, "confirm", "")); got == "200 done" {
+					served.Add(1)
+				} else {
+					bad.Add(1)
+					t.Errorf("answered %s", got)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	defer func() { stop(); load.Wait() }()
+	probe := func(want int) func() bool {
+		return func() bool {
+			resp, _ := r.do(t, request(t, r.address, "probe", ""))
+			return resp.StatusCode == want
+		}
+	}
+	acked := func(a api.Ack) func() bool {
+		return func() bool {
+			last := svc.said()
+			why := last.Why
+			last.Why = ""
+			return last == a && strings.Contains(why, a.Why)
+		}
+	}
+	word := func(version, rejected int64) api.Ack {
+		return api.Ack{Node: "n1", Service: "orders", Region: "south", Version: version, Rejected: rejected}
+	}
+	if !probe(404)() {
+		t.Fatal("a class that nobody has told of")
+	}
+	svc.tell(document(5, probing))
+	eventually(t, "the class of the document", probe(200))
+	eventually(t, "its ack", acked(word(5, 0)))
+
+	svc.tell(document(6, strings.Replace(testSettings, `"SecondCopies":true,`, ``, 1))) // valid in form
+	eventually(t, "a rejection", acked(word(5, 6)))
+	if why := svc.said().Why; !strings.Contains(why, "lacks settings.Limits.SecondCopies") {
+		t.Errorf("rejected since %q", why)
+	}
+	svc.tell(document(7, strings.Replace(testSettings, `"SendCap":5`, `"SendCap":0`, 1)))
+	svc.tell(document(8, strings.Replace(probing, `"probe"`, `"repaired"`, 1))) // within a moment
+	eventually(t, "the repair", acked(word(8, 0)))
+	if !probe(404)() {
+		t.Error("a class is left of what was repaired")
+	}
+	svc.tell(document(9, probing))
+	eventually(t, "the next", acked(word(9, 0)))
+	next := document(10, testSettings)
+	next.Schema = 2
+	svc.tell(next)
+	eventually(t, "the next schema rejected", acked(word(9, 10)))
+
+	// A file that was read anew has the document's settings above it, and one that the document does not fit is not taken.
+	file := ofService(t, svc.address, entry("s", u.address, "Ready"))
+	r.reloads <- Reload{Config: file}
+	more := withService(t, svc.address, strings.Replace(testSettings, `"Limits":{`, `"Limits":{"Probes":true,`, 1), entry("s", u.address, "Ready"))
+	r.reloads <- Reload{Config: more}
+	r.reloads <- Reload{Err: errors.New("not readable")} // the one before is through
+	if !probe(200)() {
+		t.Error("a file's settings are above the document's")
+	}
+	if figures := r.call(t, "STATS\n"); !strings.Contains(figures, "gw.reload_success:1|c") || !strings.Contains(figures, "gw.settings_version:9|g") ||
+		!strings.Contains(figures, "gw.list_version:") {
+		t.Errorf("figures %s", figures)
+	}
+
+	svc.tell(document(4, testSettings)) // an owner's old copy
+	deleted := api.Document{Region: "south", Version: 11, Deleted: true}
+	svc.tell(deleted)
+	eventually(t, "the file's settings", probe(404))
+	eventually(t, "their ack", func() bool { return svc.said() == api.Ack{Node: "n1", Service: "orders", Region: "south"} })
+	svc.tell(document(12, probing))
+	eventually(t, "settings anew", probe(200))
+	stop()
+	load.Wait()
+	if u.closed.Load() != 0 || bad.Load() > 0 || served.Load() == 0 {
+		t.Errorf("%d connections to the upstream were closed, %d requests served, %d not", u.closed.Load(), served.Load(), bad.Load())
+	}
+}
+
+// Guards against each way in which a sidecar could be left on settings that nobody wants: see the names.
+func TestSettingsFollowed(t *testing.T) {
+	for name, play := range map[string]func(t *testing.T, c *Config, svc *fakeService){
+		"stopped through five versions": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(1, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 1, "")
+			endKept(t, c, end)
+			for v := range int64(5) {
+				svc.tell(document(2+v, probing))
+			}
+			told, _ = hollowOf(t, c)
+			hears(t, told, 1, "") // from the disk
+			hears(t, told, 6, "")
+			quietly(t, told)
+		},
+		"the list service is down at the start": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(3, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 3, "")
+			endKept(t, c, end)
+			svc.srv.Close()
+			told, end = hollowOf(t, c)
+			hears(t, told, 3, "")
+			endKept(t, c, end)
+			svc.tell(document(4, probing))
+			svc.begin(t, svc.address)
+			told, _ = hollowOf(t, c)
+			hears(t, told, 3, "")
+			hears(t, told, 4, "")
+		},
+		"its owner is an old copy": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(9, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 9, "")
+			svc.tell(document(20, `{}`))
+			hears(t, told, 20, "Classes")
+			endKept(t, c, end)
+			svc.tell(document(12, probing)) // below 20, which it has seen
+			told, _ = hollowOf(t, c)
+			hears(t, told, 9, "")
+			eventually(t, "the watch", func() bool { return len(svc.asked()) >= 2 })
+			svc.tell(document(21, testSettings))
+			hears(t, told, 21, "")
+		},
+		"another region's": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(9, testSettings))
+			told, _ := hollowOf(t, c)
+			hears(t, told, 9, "")
+			other := document(2, probing)
+			other.Region = "north"
+			svc.tell(other)
+			hears(t, told, 2, "")
+		},
+		"deleted, and started again": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(9, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 9, "")
+			svc.tell(api.Document{Region: "south", Version: 10, Deleted: true})
+			hears(t, told, 10, "")
+			endKept(t, c, end)
+			svc.tell(document(9, testSettings))
+			told, _ = hollowOf(t, c)
+			hears(t, told, 10, "")
+			svc.tell(document(11, probing))
+			hears(t, told, 11, "")
+		},
+		"a service renamed": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(9, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 9, "")
+			endKept(t, c, end)
+			c.Service = "billing"
+			told, _ = hollowOf(t, c)
+			svc.tell(document(10, testSettings)) // of orders still
+			other := document(2, testSettings)
+			other.Service = "billing"
+			svc.tell(other)
+			hears(t, told, 2, "")
+		},
+		"rejected at the start, and kept": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(3, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 3, "")
+			endKept(t, c, end)
+			svc.srv.Close()
+			more := withService(t, c.Discovery, strings.Replace(testSettings, `"Limits":{`, `"Limits":{"Probes":true,`, 1))
+			more.State = c.State
+			told, end = hollowOf(t, more)
+			hears(t, told, 3, "lacks settings.Limits.Probes")
+			endKept(t, c, end)
+			told, _ = hollowOf(t, c)
+			hears(t, told, 3, "")
+		},
+		"damaged on disk": func(t *testing.T, c *Config, svc *fakeService) {
+			svc.tell(document(3, testSettings))
+			told, end := hollowOf(t, c)
+			hears(t, told, 3, "")
+			endKept(t, c, end)
+			svc.srv.Close()
+			for _, file := range keptFiles(t, c.State) {
+				text, err := os.ReadFile(file)
+				if err == nil {
+					text[len(text)/2] ^= 1
+					err = os.WriteFile(file, text, 0o600)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			told, end = hollowOf(t, c)
+			eventually(t, "the file put aside", func() bool { return len(keptFiles(t, c.State)) == 0 })
+			endKept(t, c, end)
+			quietly(t, told)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			svc := newListService(t, entry("a", "127.0.0.2:1", "Ready"))
+			c := ofService(t, svc.address)
+			c.State = t.TempDir()
+			play(t, c, svc)
+		})
+	}
+}
+
+// endKept ends a sidecar that has taken up its directory: what it has in force is then on disk.
+func endKept(t *testing.T, c *Config, end func()) {
+	t.Helper()
+	eventually(t, "the state directory taken up", func() bool {
+		tables, err := filepath.Glob(filepath.Join(c.State, "bans.*"))
+		return err == nil && len(tables) > 0
+	})
+	end()
+}
+
+// keptFiles are those of the settings.
+func keptFiles(t *testing.T, dir string) []string {
+	t.Helper()
+	all, err := filepath.Glob(filepath.Join(dir, "settings.*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+// Guards against a bad document that stays since its repair came too soon: whatever the order in which they are heard and judged, the
+// newest is judged last.
+func TestNewestSettingsWin(t *testing.T) {
+	c := ofService(t, "127.0.0.1:1")
+	s := newService(c)
+	bad, good := document(2, `{}`), document(3, probing)
+	bad.Service, good.Service, good.Schema, bad.Schema = "orders", "orders", 1, 1
+	s.hear([]api.Document{bad})
+	d, any := s.next(false)
+	if !any || d.Version != 2 {
+		t.Fatalf("to judge: %+v, %v", d, any)
+	}
+	s.hear([]api.Document{good}) // meanwhile
+	_, err := c.under(d)
+	s.judge(d, err)
+	if d, any = s.next(false); !any || d.Version != 3 {
+		t.Fatalf("to judge then: %+v, %v", d, any)
+	}
+	_, err = c.under(d)
+	s.judge(d, err)
+	if a := s.ack(); a.Version != 3 || a.Rejected != 0 {
+		t.Errorf("acknowledged %+v", a)
+	}
+	s.hear([]api.Document{bad, good}) // again, as a watch that begins may
+	if d, any = s.next(false); any {
+		t.Errorf("judged twice: %+v", d)
+	}
+}
+
+// Guards against settings that cost what was learnt.
+func TestSettingsKeepWhatWasLearnt(t *testing.T) {
+	stop := make(chan struct{})
+	defer close(stop)
+	p := &process{c: ofService(t, "127.0.0.1:1", entry("s", "127.0.0.2:1", "Ready")), s: &server{}, h: &handover{}, most: 8}
+	if err := p.assemble(stop); err != nil {
+		t.Fatal(err)
+	}
+	p.loop.send = func(context.Context, string, *clientRequest, time.Duration) reply { return reply{result: balancer.OK} }
+	known, _, err := p.begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go p.loop.run(known)
+	for i := range 20 {
+		r := p.loop.newRequest(fmt.Sprint(i), "search")
+		r.rules = p.c.Settings.Classes[0]
+		p.loop.post(arrival{r})
+		if a := <-r.answer; a.kind != served {
+			t.Fatalf("answered %+v", a)
+		}
+	}
+	learnt := func() (balancer.LearntUpstream, float64) {
+		l, ok := p.loop.learnt()
+		if !ok || l.Upstreams["s"].Estimate == 0 {
+			t.Fatalf("learnt %+v, %v", l, ok)
+		}
+		u := l.Upstreams["s"]
+		u.Age, u.UpFor = 0, 0
+		return u, l.Mean
+	}
+	before, mean := learnt()
+	d := document(2, probing)
+	d.Service, d.Schema = "orders", 1
+	p.service.hear([]api.Document{d})
+	p.settle(false, p.loop.postNews)
+	if len(p.c.Settings.Classes) != 4 {
+		t.Error("not taken in")
+	}
+	if after, m := learnt(); after != before || m != mean {
+		t.Errorf("learnt %+v and %v, before %+v and %v", after, m, before, mean)
+	}
+}
+
+// Guards against an upgrade after which the new process begins with its file's settings: it has those in force, the list service being down.
+func TestUpgradeBeginsWithTheSettingsInForce(t *testing.T) {
+	tmp, listeners := t.TempDir(), passed(t, 2)
+	u := newUpstream(t, says(ok200("done")))
+	svc := newListService(t, entry("s", u.address, "Ready"))
+	c := ofService(t, svc.address, entry("s", u.address, "Ready"))
+	old := startOn(t, c, listeners[0], tmp)
+	svc.tell(document(7, probing))
+	inForce := func(r *running) func() bool {
+		return func() bool { return strings.Contains(r.call(t, "STATS\n"), "gw.settings_version:7|g\n") }
+	}
+	eventually(t, "the settings in the old process", inForce(old))
+	eventually(t, "the socket", func() bool { _, err := os.Stat(filepath.Join(tmp, linkName)); return err == nil })
+	svc.srv.Close()
+	fresh := startOn(t, c, listeners[1], tmp)
+	fresh.awaitReady(t, "YES")
+	if !inForce(fresh)() {
+		t.Errorf("figures %s", fresh.call(t, "STATS\n"))
+	}
+	if resp, _ := fresh.do(t, request(t, fresh.address, "probe", "")); resp.StatusCode != 200 {
+		t.Errorf("a class of the settings: %s", resp.Status)
+	}
+}
+
+// counting is a log that counts lines by their text.
+type counting struct {
+	mu    sync.Mutex
+	lines map[string]int
+}
+
+func (c *counting) Enabled(context.Context, slog.Level) bool { return true }
+func (c *counting) WithAttrs([]slog.Attr) slog.Handler       { return c }
+func (c *counting) WithGroup(string) slog.Handler            { return c }
+func (c *counting) Handle(_ context.Context, r slog.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lines[r.Message]++
+	return nil
+}
+
+// Guards against words that wear the list service down or fill the log: one in 20 s and one after a change, whatever fails.
+func TestAcksArePaced(t *testing.T) {
+	log := &counting{lines: map[string]int{}}
+	old := slog.Default()
+	slog.SetDefault(slog.New(log))
+	defer slog.SetDefault(old)
+	synctest.Test(t, func(t *testing.T) {
+		s := newService(ofService(t, "127.0.0.1:1"))
+		ctx, stop := context.WithCancel(t.Context())
+		var said []time.Duration
+		begun, down := time.Now(), false
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			s.tell(ctx, func(ctx context.Context, a api.Ack) error {
+				said = append(said, time.Since(begun))
+				if down {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				return nil
+			})
+		}()
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		if n := len(said); n < 27 || n > 34 {
+			t.Errorf("%d words in 10 minutes", n)
+		}
+		for i := 1; i < len(said); i++ {
+			if gap := said[i] - said[i-1]; gap > 22*time.Second {
+				t.Errorf("nothing said for %v", gap)
+			}
+		}
+		before, at := len(said), time.Since(begun)
+		d := document(2, probing)
+		d.Service, d.Schema = "orders", 1
+		s.judge(d, nil)
+		s.judge(document(3, ""), errors.New("bad")) // both in one word
+		time.Sleep(ackSpread)
+		synctest.Wait()
+		if n := len(said); n < before+1 || n > before+2 || said[n-1]-at > ackSpread {
+			t.Errorf("said at %v after changes at %v", said[before:], at)
+		}
+		down = true
+		before = len(said)
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		if n := len(said) - before; n < 10 || n > 34 {
+			t.Errorf("%d tries in 10 minutes of an outage", n)
+		}
+		down = false
+		time.Sleep(time.Minute)
+		stop()
+		<-over
+	})
+	if n := log.lines["what is in force can't be told, settings go on"]; n != 1 {
+		t.Errorf("%d lines on the outage: %v", n, log.lines)
+	}
+	if n := log.lines["what is in force is told again"]; n != 1 {
+		t.Errorf("%d lines on its end: %v", n, log.lines)
+	}
+}
+
+// Guards against a word that the list service would turn down.
+func TestAckHasBounds(t *testing.T) {
+	s := newService(ofService(t, "127.0.0.1:1"))
+	north := document(4, "")
+	north.Service, north.Region = "orders", "north"
+	good := document(3, probing)
+	good.Service, good.Schema = "orders", 1
+	s.hear([]api.Document{good})
+	s.judge(good, nil)
+	s.hear([]api.Document{north})
+	s.judge(north, errors.New(strings.Repeat("ü", 300)))
+	a := s.ack()
+	if err := a.Check(); err != nil || a.Region != "north" || a.Version != 0 || a.Rejected != 4 || !strings.HasPrefix(a.Why, `version 3 of region "south" is in force`) {
+		t.Errorf("acknowledges %+v: %v", a, err)
+	}
+	large := document(5, `{"Comment":"`+strings.Repeat("x", api.MaxSettings)+`"}`)
+	large.Service, large.Schema = "orders", 1
+	s.hear([]api.Document{large})
+	d, _ := s.next(false)
+	if _, err := s.file.under(d); err == nil || !strings.Contains(err.Error(), "bytes") {
+		t.Errorf("too large: %v", err)
+	}
+}
+
+// Guards against what is new and not asked for: without a service the calls, the goroutines, the figures, the disk and the word to the next
+// process are those of before.
+func TestWithoutAServiceNothingIsNew(t *testing.T) {
+	u := newUpstream(t, says(ok200("done")))
+	svc := newListService(t, entry("s", u.address, "Ready"))
+	for _, addresses := range []string{svc.address, svc.address + "," + strings.Replace(svc.address, "127.0.0.1", "127.0.0.3", 1)} {
+		c := testConfig(t, addresses, entry("s", u.address, "Ready"))
+		c.Ops, c.State = "127.0.0.1:0", t.TempDir()
+		before := len(svc.asked())
+		r := start(t, c, "127.0.0.1:0")
+		eventually(t, "a watch", func() bool { return len(svc.asked()) > before })
+		svc.tell(document(9, probing))
+		if got := svc.asked()[before]; got != "/api/targets?watch=1&from=1" {
+			t.Errorf("asked %q", got)
+		}
+		if text := goroutines(); strings.Contains(text, "acknowledge") || strings.Contains(text, "(*service)") {
+			t.Errorf("goroutines of a service: %s", text)
+		}
+		if figures := r.call(t, "STATS\n"); strings.Contains(figures, "settings_version") || strings.Contains(figures, "list_version") {
+			t.Errorf("figures %s", figures)
+		}
+		r.stop()
+		<-r.ended
+		if files := keptFiles(t, c.State); len(files) > 0 {
+			t.Errorf("on disk: %v", files)
+		}
+		if last := svc.said(); last != (api.Ack{}) {
+			t.Errorf("acknowledged %+v", last)
+		}
+	}
+	text, err := json.Marshal(inherited{List: parsed(t, list(1, true)), Banned: []string{"a"}})
+	if want := `{"List":{"index":1,"snapshot":true,"endpoints":[]},"Banned":["a"]}`; err != nil || string(text) != want {
+		t.Errorf("tells the next process %s, not %s", text, want)
+	}
+	// The test above has to see what it looks for.
+	r := start(t, ofService(t, svc.address, entry("s", u.address, "Ready")), "127.0.0.1:0")
+	eventually(t, "goroutines of a service", func() bool { return strings.Contains(goroutines(), "(*service).acknowledge") })
+	if figures := r.call(t, "STATS\n"); !strings.Contains(figures, "gw.settings_version:") {
+		t.Errorf("figures %s", figures)
+	}
+	if got := svc.asked(); !strings.HasSuffix(got[len(got)-1], "&service=orders&held=") {
+		t.Errorf("asked %q", got)
+	}
+}
+
+// goroutines words the stacks of all.
+func goroutines() string {
+	text := make([]byte, 4<<20)
+	return string(text[:runtime.Stack(text, true)])
+}
+
+// Guards against a configuration that seems to follow settings and does not.
+func TestServiceInTheConfiguration(t *testing.T) {
+	good := `{"name":"n1","listen":"127.0.0.1:9000","discovery":"127.0.0.1:1","seed":"1f","service":"orders",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":` + testSettings + `}`
+	c, err := ParseConfig([]byte(good))
+	if err != nil || c.Service != "orders" {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	for name, bad := range map[string][2]string{
+		"no service":      {`"orders"`, `""`},
+		"null":            {`"orders"`, `null`},
+		"no text":         {`"orders"`, `7`},
+		"too long":        {`"orders"`, `"` + strings.Repeat("o", api.MaxName+1) + `"`},
+		"the same twice":  {`"127.0.0.1:1"`, `"127.0.0.1:1,127.0.0.1:1"`},
+		"no list service": {`"127.0.0.1:1"`, `""`},
+	} {
+		if _, err := ParseConfig([]byte(strings.Replace(good, bad[0], bad[1], 1))); err == nil || strings.Contains(err.Error(), "\n") ||
+			!strings.Contains(strings.ToLower(err.Error()), "service") && !strings.Contains(err.Error(), "discovery") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	none, err := ParseConfig([]byte(strings.Replace(good, `"service":"orders",`, ``, 1)))
+	if err != nil || none.follows(c) == nil {
+		t.Errorf("a file without the service takes the place of one with it: %v", err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -85,13 +85,15 @@
 	s     *server
 	conns *clientConns
 	h     *handover
-	keep  *keeper                    // nil: nothing outlives the process
-	kept  state.Kept                 // what it begins with
-	old   atomic.Pointer[state.List] // the list from disk, where one is used
-	most  int                        // connections to clients, and as many to upstreams
-	meets bool
-	heap  float64     // bytes that it may use alone
-	fresh atomic.Bool // a list has come since the start
+	// service is whose settings are followed; nil: the file's are in force.
+	service *service
+	keep    *keeper                    // nil: nothing outlives the process
+	kept    state.Kept                 // what it begins with
+	old     atomic.Pointer[state.List] // the list from disk, where one is used
+	most    int                        // connections to clients, and as many to upstreams
+	meets   bool
+	heap    float64     // bytes that it may use alone
+	fresh   atomic.Bool // a list has come since the start
 	// taking says that clients are taken: at once, or once the process before has yielded.
 	taking   atomic.Bool
 	draining atomic.Bool // told to end
@@ -139,12 +141,16 @@
 	}
 	go p.keep.run(over)
 	defer p.keep.end(over)
+	if p.service != nil {
+		p.service.silent = p.s.stopping.Load // the other process of an upgrade speaks
+		go p.service.acknowledge(running, p.watch.source)
+	}
 	if ops != nil {
 		d := newDoor(ops)
 		d.ready = func() bool { return p.s.ready() && !p.s.stopping.Load() }
 		d.figures = func() string {
 			now := p.loop.stats.snapshot()
-			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines()
+			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines() + p.service.lines(p.up.dir)
 		}
 		d.peers = p.loop.shared.view
 		d.ban = p.ban
@@ -166,6 +172,8 @@
 			return fmt.Errorf("serving: %w", err)
 		case r := <-reloads:
 			p.reload(r)
+		case <-p.service.news():
+			p.settle(false, p.loop.postNews)
 		case <-ctx.Done():
 		}
 	}
@@ -181,6 +189,9 @@
 	if c.State != "" {
 		own += keepSockets
 	}
+	if c.Service != "" {
+		own += ackSockets
+	}
 	if c.Peers != nil {
 		own += peerSockets
 		if c.Peers.Forward != "" {
@@ -235,7 +246,8 @@
 	l.ask, l.zone = w.ask, up.dir.zone
 	l.classes = classTable(c.Settings.Settings)
 	l.stats.name(slices.Collect(maps.Keys(l.classes)))
-	p.up, p.loop, p.watch = up, l, w
+	p.up, p.loop, p.watch, p.service = up, l, w, newService(c)
+	w.service = p.service
 	return nil
 }
 
@@ -243,13 +255,14 @@
 // tells it; where there is none, the disk does. An error: the disk is another process's.
 func (p *process) begin() (known balancer.Members, learnt *balancer.Learnt, err error) {
 	first, source, banned := p.c.Known, p.c.Discovery, []string(nil)
+	var settings *state.Settings
 	if p.meets {
 		before := p.h.find()
 		p.memory(p.h.peer != nil)
 		if list := before.List; list != nil && list.Index != nil && (first == nil || *list.Index >= *first.Index) {
 			first = list
 		}
-		learnt, banned = before.Learnt, before.Banned
+		learnt, banned, settings = before.Learnt, before.Banned, before.Settings
 	}
 	if p.keep, p.kept, err = openState(p.c, p.h.peer == nil); err != nil {
 		return known, nil, err
@@ -271,6 +284,7 @@
 			p.watch.index = *first.Index
 		}
 	}
+	p.settleFirst(settings)
 	known.Kind = balancer.Saved
 	return known, learnt, nil
 }
@@ -304,8 +318,12 @@
 
 // reload takes a configuration over whole, or not at all.
 func (p *process) reload(r Reload) {
+	file := r.Config
+	if r.Err == nil {
+		r.Err = file.follows(p.c)
+	}
 	if r.Err == nil {
-		r.Err = r.Config.follows(p.c)
+		r.Config, r.Err = p.service.over(file)
 	}
 	p.loop.stats.reload(r.Err == nil)
 	if r.Err != nil {
@@ -313,15 +331,26 @@
 		return
 	}
 	p.c = r.Config
+	classes := p.tune(p.loop.postNews)
+	note(slog.LevelInfo, ofReload, "taken", slog.Any("classes", slices.Sorted(maps.Keys(classes))), slog.String("discovery", p.c.Discovery))
+	p.watch.move(p.c.Discovery)
+	if p.service != nil {
+		p.service.file = file
+		p.settle(true, p.loop.postNews)
+	}
+}
+
+// tune puts the settings of the configuration in use into force; post hands the module its part. No connection is closed, and what was
+// learnt stays.
+func (p *process) tune(post func(any)) map[string]balancer.Class {
 	fresh := retune{p.c.Settings.Settings, make(chan struct{})}
-	p.loop.postNews(fresh)
+	post(fresh)
 	<-fresh.done // the module first: what the table admits must be known to it
 	classes := classTable(p.c.Settings.Settings)
 	p.loop.stats.name(slices.Collect(maps.Keys(classes)))
 	p.up.retune(p.c.Settings)
 	p.s.classes.Store(&classes)
-	note(slog.LevelInfo, ofReload, "taken", slog.Any("classes", slices.Sorted(maps.Keys(classes))), slog.String("discovery", p.c.Discovery))
-	p.watch.move(p.c.Discovery)
+	return classes
 }
 
 // memory bounds the heap, by half of what is allowed while two processes share it.
@@ -336,6 +365,9 @@
 // state is what the next process begins with.
 func (p *process) state() inherited {
 	s := inherited{List: p.up.dir.whole(), Banned: p.up.dir.bans()}
+	if p.service != nil {
+		s.Settings, _ = p.service.kept()
+	}
 	if learnt, ok := p.loop.learnt(); ok { // else the new process begins without
 		s.Learnt = &learnt
 	}
--- /dev/null
+++ b/internal/state/settings.go
@@ -0,0 +1,63 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+// Settings is the document with the settings of the sidecar's service that was in force last. However old it is, it is worth more than
+// what the file says: the list service tells what has changed since.
+type Settings struct {
+	SavedMs  int64
+	Service  string
+	Document api.Document     // Version 0: none was in force yet
+	Seen     map[string]int64 // the highest version that was told, by the region that owns it
+}
+
+// LoadSettings reads the settings into what LoadFirst has given, for a sidecar that follows those of its service. Whether they are of use
+// is for the reader of settings to say.
+func (s *Store) LoadSettings(k *Kept) error {
+	if k.SetAside || k.foreign {
+		return nil
+	}
+	text, err := read(s.settings, k)
+	if err != nil {
+		return err
+	}
+	var kept Settings
+	if understood(k, text, &kept) {
+		k.Settings = &kept
+	}
+	return nil
+}
+
+// WriteSettings keeps the settings.
+func (s *Store) WriteSettings(kept Settings, now time.Time) error {
+	kept.SavedMs = now.UnixMilli()
+	text, err := json.Marshal(kept)
+	if err != nil {
+		return fmt.Errorf("wording the settings: %w", err)
+	}
+	return s.settings.Write(text)
+}
+
+// SettingsSummary is what is kept of a service's settings.
+type SettingsSummary struct {
+	Service string  `json:"service"`
+	Region  string  `json:"region,omitempty"`
+	Version int64   `json:"version"` // 0: none was in force
+	Deleted bool    `json:"deleted,omitempty"`
+	AgeS    float64 `json:"age_s"`
+}
+
+func (k *Kept) settingsSummary(now time.Time) *SettingsSummary {
+	if k.Settings == nil {
+		return nil
+	}
+	d := k.Settings.Document
+	return &SettingsSummary{Service: k.Settings.Service, Region: d.Region, Version: d.Version, Deleted: d.Deleted,
+		AgeS: now.Sub(time.UnixMilli(k.Settings.SavedMs)).Seconds()}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,6 +1,6 @@
 // Package state owns what a sidecar keeps on disk: its form, what of it is believed, and for how long.
 //
-// A state directory holds bans (a table: none is lost once confirmed), the list, what was learnt, and the sidecar's own
+// A state directory holds bans (a table: none is lost once confirmed), the list, what was learnt, the settings of its service, and the sidecar's own
 // life (boxes: the newest whole value). Nothing in it is needed: without it, or with any part of it lost, a sidecar
 // starts as if it had none.
 package state
@@ -69,6 +69,7 @@
 	Bans     map[string]string // since when, by upstream
 	List     *List             // nil: none that is worth anything
 	Learnt   *Learnt           // the same
+	Settings *Settings         // nil: none, or not read
 	Life     Life              // of the process before
 	Crashed  bool              // that process ended unclean
 	Notes    []string          // what was not used, and why
@@ -87,6 +88,7 @@
 	bans      *durable.Table
 	list      *durable.Box
 	learnt    *durable.Box
+	settings  *durable.Box
 	lives     *durable.Box
 	life      Life
 }
@@ -95,7 +97,7 @@
 func New(dir, name string) *Store {
 	f := durable.OS(dir)
 	return &Store{dir: dir, name: name, list: durable.NewBox(f, "list", boxMost), learnt: durable.NewBox(f, "learnt", boxMost),
-		lives: durable.NewBox(f, "life", boxMost)}
+		settings: durable.NewBox(f, "settings", boxMost), lives: durable.NewBox(f, "life", boxMost)}
 }
 
 // Lock makes this process the one that writes. It waits for a moment, as the kernel takes its time with a process that
@@ -121,7 +123,7 @@
 	if err != nil {
 		return k, err
 	}
-	return k, s.LoadLearnt(&k, now)
+	return k, errors.Join(s.LoadSettings(&k), s.LoadLearnt(&k, now))
 }
 
 // LoadLearnt reads what was learnt into what LoadFirst has given: a start need not wait for it. It is safe beside any
@@ -225,9 +227,13 @@
 	var aside []string
 	if s.life.Early >= earlyEnds && !s.life.SetAside {
 		s.life.SetAside = true
-		k.List, k.Learnt, k.SetAside, k.Suspect = nil, nil, true, k.List
-		k.Notes = append(k.Notes, fmt.Sprintf("%d processes in a row ended soon after their start: list and learning are set aside, bans stay", s.life.Early))
-		aside = []string{"learnt.0", "learnt.1"} // the list stays: see Suspect
+		what := "list and learning"
+		if k.Settings != nil {
+			what = "list, learning and settings"
+		}
+		k.List, k.Learnt, k.Settings, k.SetAside, k.Suspect = nil, nil, nil, true, k.List
+		k.Notes = append(k.Notes, fmt.Sprintf("%d processes in a row ended soon after their start: %s are set aside, bans stay", s.life.Early, what))
+		aside = []string{"learnt.0", "learnt.1", "settings.0", "settings.1"} // the list stays: see Suspect
 	}
 	if k.Name != "" && k.Name != s.name {
 		names, err := durable.OS(s.dir).List()
@@ -348,6 +354,7 @@
 	LearntAgeS  float64           `json:"learnt_age_s,omitempty"`
 	LearntOf    int               `json:"learnt_of"`
 	Ejected     []string          `json:"ejected,omitempty"`
+	Settings    *SettingsSummary  `json:"settings,omitempty"`
 	Started     string            `json:"started,omitempty"`
 	Ended       string            `json:"ended"`
 	EarlyEnds   int               `json:"early_ends"`
@@ -384,6 +391,7 @@
 		s.ListSource, s.ListIndex, s.Upstreams = k.List.Source, l.Index, len(l.Endpoints)
 		s.ListAgeS = now.Sub(time.UnixMilli(k.List.SavedMs)).Seconds()
 	}
+	s.Settings = k.settingsSummary(now)
 	if k.Learnt != nil {
 		s.LearntAgeS = now.Sub(time.UnixMilli(k.Learnt.SavedMs)).Seconds()
 		s.LearntOf = len(k.Learnt.Learnt.Upstreams)
