--- a/internal/registry/client/watch.go
+++ b/internal/registry/client/watch.go
@@ -86,6 +86,25 @@
 	return q
 }
 
+// maxRegion bounds one message of a whole region: the most settings, each byte worded by six at the worst, and entries.
+const maxRegion = 64 << 20
+
+// Region follows what a service's own region writes, until ctx ends: from tells which version is held, or -1 for all of it. w.Take
+// judges alone what of it to believe; w.Query is not asked. heard is called for each sign of life.
+func (c *Client) Region(ctx context.Context, from func() int64, w Watcher, heard func()) {
+	var p pace
+	f := watch.Follower[api.Listing]{Client: c.http, Step: callMost, Most: maxRegion, At: c.at, Stands: w.Stands, From: from, Heard: heard,
+		Query: func() string { return "&own=1" },
+		Take:  func(_ string, l *api.Listing) error { return w.Take(*l) },
+		Says: func(at string, why error) {
+			w.Says(at, why)
+			c.next(at)
+		},
+		Wait: func() time.Duration { return watchWait(&p, time.Now(), rand.Float64()) },
+	}
+	_ = f.Follow(ctx) // ends with ctx alone
+}
+
 // watchWait is the wait after a watch that ended: a pace's, cut short by chance, so that a fleet stays spread over it.
 func watchWait(p *pace, now time.Time, chance float64) time.Duration {
 	return min(p.next(now, chance), time.Duration((1+chance)/2*float64(callMost)))
--- a/internal/registry/fsm.go
+++ b/internal/registry/fsm.go
@@ -18,6 +18,8 @@
 	list    *list.List
 	touched func(records []api.Record) // after a command, with the entries as they are now; not under mu
 	turned  func(r list.Result)        // after a command on duties, or one that voids them; not under mu
+
+	careless bool // see breakBack
 }
 
 func (m *machine) Apply(l *raft.Log) any {
@@ -27,10 +29,13 @@
 	}
 	c.Index = l.Index
 	m.mu.Lock()
+	if m.careless {
+		m.list.Careless()
+	}
 	result := m.list.Apply(c)
 	var now []api.Record
 	switch c.Op {
-	case list.Take, list.Renew, list.Release, list.Lapse: // no entry is touched
+	case list.Take, list.Renew, list.Release, list.Lapse, list.Put, list.Delete, list.Follow: // no own entry is touched
 	case list.Restore:
 		now = m.list.Records()
 	case list.Expire:
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -57,6 +57,7 @@
 	Query  func() string               // what the next call asks for beside, as "&own=1"; nil: nothing
 	Take   func(at string, m *M) error // a message. An error: it is of no use, and its watch is ended
 	Stands func()                      // once for each watch that was taken up and has no news
+	Heard  func()                      // for each line, before it is taken in; may be nil
 	Says   func(at string, why error)
 	Wait   func() time.Duration // after a watch that ended, until the next call; used where Tries is 0
 }
@@ -194,6 +195,9 @@
 func (f *Follower[M]) line(e event[M]) error {
 	first := !e.from.told
 	e.from.told, e.from.silent = true, false
+	if f.Heard != nil {
+		f.Heard()
+	}
 	switch {
 	case e.message != nil:
 		return f.Take(e.from.at, e.message)
