--- a/internal/sidecar/hollow.go
+++ b/internal/sidecar/hollow.go
@@ -73,7 +73,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-p.service.news():
-			p.settle(false, p.loop.postNews)
+			p.settle(p.loop.postNews)
 		case <-ctx.Done():
 		}
 	}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -104,11 +104,12 @@
 	return append([]slog.Attr{slog.String("service", d.Service), slog.String("region", d.Region), slog.Int64("version", d.Version)}, more...)
 }
 
-// next is the document to judge, if there is any. again: also one that was rejected, as another file may have room for it.
-func (s *service) next(again bool) (d api.Document, any bool) {
+// next is the document to judge, if there is any. One that was rejected stays so in this process: a file that is read anew lacks nothing
+// that the one before had, and asks no less of it.
+func (s *service) next() (d api.Document, any bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heard, s.heard.Version > 0 && (!s.judged || again && s.rejected != nil)
+	return s.heard, s.heard.Version > 0 && !s.judged
 }
 
 // over lays the document in force over a file that was read anew.
@@ -158,7 +159,6 @@
 // judge notes what became of a document.
 func (s *service) judge(d api.Document, why error) {
 	s.mu.Lock()
-	again := same(d, s.heard) && s.judged && s.rejected != nil && why != nil // as after a file that was read anew
 	if same(d, s.heard) {
 		s.judged, s.rejected = true, why
 	}
@@ -169,7 +169,6 @@
 	s.mu.Unlock()
 	wake(s.changed)
 	switch {
-	case again:
 	case why != nil:
 		note(slog.LevelWarn, ofSettings, "rejected, what was in force stays", attrsOf(d, slog.Any("err", why))...)
 	case d.Deleted:
@@ -236,8 +235,8 @@
 }
 
 // settle takes the newest document in, whole or not at all; post hands the module its settings.
-func (p *process) settle(again bool, post func(any)) {
-	d, any := p.service.next(again)
+func (p *process) settle(post func(any)) {
+	d, any := p.service.next()
 	if !any {
 		return
 	}
@@ -266,5 +265,5 @@
 		return
 	}
 	p.service.recall(before)
-	p.settle(false, p.loop.urgent)
+	p.settle(p.loop.urgent)
 }
--- /dev/null
+++ b/internal/sidecar/service_real_test.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+
+	"mosslead/internal/registry"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+// Guards against two sides that each work with what stands in for the other: a real list service, and a sidecar of each kind.
+func TestSettingsFromARealListService(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	l.Close()
+	n, err := registry.Open(registry.Dev(at), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	c := client.New([]string{at})
+	t.Cleanup(c.Close)
+	put := func(text string, on int64) int64 {
+		t.Helper()
+		version, err := c.Put(t.Context(), "orders", api.Put{Schema: 1, Settings: json.RawMessage(text), IfVersion: &on})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return version
+	}
+	// of is how far the document has come, once it is as far as wanted.
+	of := func(version int64, ok func(api.Rollout) bool) {
+		t.Helper()
+		eventually(t, "the rollout", func() bool {
+			all, err := c.Rollouts(t.Context())
+			return err == nil && len(all.Rollouts) == 1 && all.Rollouts[0].Version == version && ok(all.Rollouts[0])
+		})
+	}
+	inForce := func(r api.Rollout) bool { return r.InForce == 2 && r.Behind+r.Rejected+r.Unheard == 0 }
+
+	u := newUpstream(t, says(ok200("done")))
+	first := put(testSettings, 0)
+	own := ofService(t, at, entry("s", u.address, "Ready"))
+	own.Name = "n2"
+	r := start(t, own, "127.0.0.1:0")
+	told, _ := hollowOf(t, ofService(t, at))
+	hears(t, told, first, "")
+	of(first, inForce)
+
+	second := put(probing, first)
+	hears(t, told, second, "")
+	of(second, inForce)
+	if resp, _ := r.do(t, request(t, r.address, "probe", "")); resp.StatusCode == 404 {
+		t.Error("a class of the settings is unknown")
+	}
+	third := put(strings.Replace(probing, `"SecondCopies":true,`, ``, 1), second) // valid, and less than the files have
+	hears(t, told, third, "lacks settings.Limits.SecondCopies")
+	of(third, func(r api.Rollout) bool {
+		return r.Rejected == 2 && len(r.Others) == 2 && r.Others[0].Version == second && strings.Contains(r.Others[0].Why, "SecondCopies")
+	})
+	if _, err := c.Put(t.Context(), "orders", api.Put{Schema: 1, Settings: json.RawMessage(`{"Classes":[]}`), IfVersion: &third}); err == nil {
+		t.Error("the list service took settings that no sidecar can use")
+	}
+	last, err := c.Delete(t.Context(), "orders", third)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hears(t, told, last, "")
+	of(last, inForce)
+	if resp, _ := r.do(t, request(t, r.address, "probe", "")); resp.StatusCode != 404 {
+		t.Errorf("a class of deleted settings: %s", resp.Status)
+	}
+}
--- a/internal/sidecar/service_test.go
+++ b/internal/sidecar/service_test.go
@@ -266,14 +266,14 @@
 	bad, good := document(2, `{}`), document(3, probing)
 	bad.Service, good.Service, good.Schema, bad.Schema = "orders", "orders", 1, 1
 	s.hear([]api.Document{bad})
-	d, any := s.next(false)
+	d, any := s.next()
 	if !any || d.Version != 2 {
 		t.Fatalf("to judge: %+v, %v", d, any)
 	}
 	s.hear([]api.Document{good}) // meanwhile
 	_, err := c.under(d)
 	s.judge(d, err)
-	if d, any = s.next(false); !any || d.Version != 3 {
+	if d, any = s.next(); !any || d.Version != 3 {
 		t.Fatalf("to judge then: %+v, %v", d, any)
 	}
 	_, err = c.under(d)
@@ -282,7 +282,7 @@
 		t.Errorf("acknowledged %+v", a)
 	}
 	s.hear([]api.Document{bad, good}) // again, as a watch that begins may
-	if d, any = s.next(false); any {
+	if d, any = s.next(); any {
 		t.Errorf("judged twice: %+v", d)
 	}
 }
@@ -322,7 +322,7 @@
 	d := document(2, probing)
 	d.Service, d.Schema = "orders", 1
 	p.service.hear([]api.Document{d})
-	p.settle(false, p.loop.postNews)
+	p.settle(p.loop.postNews)
 	if len(p.c.Settings.Classes) != 4 {
 		t.Error("not taken in")
 	}
@@ -452,7 +452,7 @@
 	large := document(5, `{"Comment":"`+strings.Repeat("x", api.MaxSettings)+`"}`)
 	large.Service, large.Schema = "orders", 1
 	s.hear([]api.Document{large})
-	d, _ := s.next(false)
+	d, _ := s.next()
 	if _, err := s.file.under(d); err == nil || !strings.Contains(err.Error(), "bytes") {
 		t.Errorf("too large: %v", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -173,7 +173,7 @@
 		case r := <-reloads:
 			p.reload(r)
 		case <-p.service.news():
-			p.settle(false, p.loop.postNews)
+			p.settle(p.loop.postNews)
 		case <-ctx.Done():
 		}
 	}
@@ -336,7 +336,6 @@
 	p.watch.move(p.c.Discovery)
 	if p.service != nil {
 		p.service.file = file
-		p.settle(true, p.loop.postNews)
 	}
 }
 
