--- a/internal/sidecar/hollow_test.go
+++ b/internal/sidecar/hollow_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// Guards against a hollow sidecar that shares without an end, or that listens for requests which it has nobody to send.
+func TestHollowShares(t *testing.T) {
+	d := quiet(t)
+	before := goleak.IgnoreCurrent()
+	c := testConfig(t, d.address)
+	c.Peers = &Peers{Address: "127.0.0.1:0", Forward: d.address, Zone: "a"} // taken: whoever listens there fails
+	listed := make(chan struct{})
+	end := hollow(t, c, Hollow{Listed: func(int64, int, time.Time) { close(listed) }})
+	select {
+	case <-listed:
+	case <-time.After(patience):
+		t.Fatal("the list was not followed")
+	}
+	end()
+	goleak.VerifyNone(t, before)
+}
+
 // What a hollow one costs among others: go test -run '^$' -bench Hollow -benchtime 200x ./internal/sidecar
 func BenchmarkHollow(b *testing.B) {
 	for _, size := range []int{100, 1800} {
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -66,29 +66,40 @@
 	if s == nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, d := range documents {
-		seen, known := s.seen[d.Region]
-		switch {
-		case d.Service != s.name || d.Version < 1 || same(d, s.heard):
-			continue
-		case d.Version < seen || !known && len(s.seen) >= regionsMost:
-			if !same(d, s.aside) { // each watch may tell it again
-				s.aside = d
-				note(slog.LevelWarn, ofSettings, "a document is not taken in, a newer was told", attrsOf(d, slog.Int64("seen", seen))...)
-			}
+		if d.Service != s.name || d.Version < 1 {
 			continue
 		}
-		if len(d.Settings) > api.MaxSettings {
-			d.Settings = nil // judged as what it is, and not kept
+		if why, seen := s.take(d); why != "" {
+			note(slog.LevelWarn, ofSettings, why, attrsOf(d, slog.Int64("seen", seen))...)
 		}
-		s.seen[d.Region] = d.Version
-		s.heard, s.judged = d, false
-		wake(s.fresh)
 	}
 }
 
+// take is hear for one document; why it is not taken in is said once, as each watch may tell it again.
+func (s *service) take(d api.Document) (why string, seen int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen, known := s.seen[d.Region]
+	switch {
+	case same(d, s.heard) || same(d, s.aside):
+		return "", seen
+	case d.Version < seen:
+		s.aside = d
+		return "a document is not taken in, a newer one was told", seen
+	case !known && len(s.seen) >= regionsMost:
+		s.aside = d
+		return "a document is not taken in, there are too many regions", seen
+	}
+	if len(d.Settings) > api.MaxSettings {
+		d.Settings = nil // judged as what it is, and not kept
+	}
+	s.seen[d.Region] = d.Version
+	s.heard, s.judged = d, false
+	wake(s.fresh)
+	return "", seen
+}
+
 // wake leaves a word for whoever waits on c, which holds one.
 func wake(c chan struct{}) {
 	select {
--- a/internal/sidecar/service_test.go
+++ b/internal/sidecar/service_test.go
@@ -302,6 +302,14 @@
 	if d, any = s.next(); any {
 		t.Errorf("judged twice: %+v", d)
 	}
+	for i := range int64(2 * regionsMost) { // of a service gone mad
+		d := document(1, `{}`)
+		d.Service, d.Region = "orders", fmt.Sprint("region-", i)
+		s.hear([]api.Document{d})
+	}
+	if n := len(s.seen); n != regionsMost {
+		t.Errorf("the versions of %d regions are remembered", n)
+	}
 }
 
 // Guards against settings that cost what was learnt.
