--- /dev/null
+++ b/internal/registry/config_test.go
@@ -0,0 +1,39 @@
+package registry
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestRegionsInAConfiguration(t *testing.T) {
+	const base = "name = \"a\"\ndir = \"d\"\n"
+	const replica = "[[replica]]\nname = \"a\"\nraft = \"127.0.0.1:1\"\napi = \"127.0.0.1:2\"\n"
+	follow := func(region, api string) string {
+		return "[[follow]]\nregion = \"" + region + "\"\napi = [" + api + "]\n"
+	}
+	for _, x := range []struct{ name, top, tables, wrong string }{
+		{"one region", "", "", ""},
+		{"two", "region = \"south\"\n", follow("north", `"127.0.0.1:3", "127.0.0.1:4"`), ""},
+		{"a region without others", "region = \"south\"\n", "", ""},
+		{"others without an own name", "", follow("north", `"127.0.0.1:3"`), "region: absent"},
+		{"itself", "region = \"south\"\n", follow("south", `"127.0.0.1:3"`), "this one"},
+		{"twice", "region = \"south\"\n", follow("north", `"127.0.0.1:3"`) + follow("north", `"127.0.0.1:3"`), "twice"},
+		{"no name", "region = \"south\"\n", follow("", `"127.0.0.1:3"`), "absent"},
+		{"nowhere", "region = \"south\"\n", follow("north", ``), "follow.api of north: absent"},
+		{"no address", "region = \"south\"\n", follow("north", `"north"`), `host:port, not "north"`},
+		{"unknown key", "region = \"south\"\n", follow("north", `"127.0.0.1:3"`) + "name = \"n\"\n", "unknown key follow.name"},
+		{"a long name", "region = \"" + strings.Repeat("r", 65) + "\"\n", "", "at most 64"},
+		{"too many", "region = \"south\"\n", strings.Repeat(follow("north", `"127.0.0.1:3"`), MaxFollow+1), "are the most"},
+	} {
+		path := filepath.Join(t.TempDir(), "replica.toml")
+		if err := os.WriteFile(path, []byte(base+x.top+replica+x.tables), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadConfig(path)
+		if (x.wrong == "") != (err == nil) || err != nil && (!strings.Contains(err.Error(), x.wrong) || !strings.Contains(err.Error(), path)) {
+			t.Errorf("%s: %v, want %q", x.name, err, x.wrong)
+		}
+	}
+}
--- a/internal/registry/list/documents_test.go
+++ b/internal/registry/list/documents_test.go
@@ -124,3 +124,32 @@
 		t.Errorf("too many entries: %+v", r)
 	}
 }
+
+// A backup brings back what this region wrote; of the others, what was heard since stays.
+func TestARestoreKeepsWhatOthersSaid(t *testing.T) {
+	l := New(History)
+	on := func(to int64, name string) {
+		from := l.Held("north").Version
+		if r := l.Apply(Command{Op: Follow, Region: "south", Piece: &Piece{Region: "north", From: from, To: to, Last: true,
+			Entries:   []api.Entry{{Name: name, Status: api.Ready}},
+			Documents: []api.Document{{Service: "s", Version: to, Schema: 1, Settings: json.RawMessage(`{}`)}}}}); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+	on(5, "early")
+	backup := l.State()
+	on(9, "late")
+	l.Apply(Command{Op: Restore, State: &backup})
+	empty := New(History)
+	empty.Apply(Command{Op: Restore, State: &backup})
+	for _, x := range []struct {
+		l       *List
+		version int64
+		entries int
+	}{{l, 9, 2}, {empty, 5, 1}} {
+		d, _ := x.l.Document("s")
+		if h := x.l.Held("north"); h.Version != x.version || h.Seen != x.version || len(x.l.Whole().Endpoints) != x.entries || d.Version != x.version || d.Region != "north" {
+			t.Errorf("held at %d, seen %d; told %+v and %+v", h.Version, h.Seen, x.l.Whole(), d)
+		}
+	}
+}
--- a/internal/registry/node.go
+++ b/internal/registry/node.go
@@ -422,19 +422,26 @@
 	n.watches.news()
 }
 
-// keepFresh finds out how old the list here may be.
+// keepFresh finds out how old the list here may be. What this replica's log holds at its start is the list of before, and the engine
+// hears of a leader before it hears how much is committed: so nothing is fresh until this start itself is in the list, which the
+// quorum has committed behind all else that it had; or, for one that leads, until all of that is in.
 func (n *Node) keepFresh(ctx context.Context, r *raft.Raft) {
 	tick := time.NewTicker(freshEvery)
 	defer tick.Stop()
+	known := false // this start
 	for {
 		began := n.now()
 		switch r.State() {
 		case raft.Leader:
-			if r.VerifyLeader().Error() == nil {
+			if n.leads() && r.VerifyLeader().Error() == nil {
 				n.freshAt.Store(int64(began))
 			}
 		case raft.Follower:
-			if at := r.LastContact(); !at.IsZero() && r.AppliedIndex() >= r.CommitIndex() {
+			if !known {
+				m := n.members()[n.me.Name]
+				known = m.Disk == n.me.Disk && m.Starts == n.me.Starts
+			}
+			if at := r.LastContact(); known && !at.IsZero() && r.AppliedIndex() >= r.CommitIndex() {
 				n.freshAt.Store(int64(at.Sub(n.start)))
 			}
 		}
--- a/internal/registry/plays_test.go
+++ b/internal/registry/plays_test.go
@@ -41,7 +41,7 @@
 	}
 	var over []string
 	for i, target := range at(f.north) {
-		l, err := relay.New("south", fmt.Sprint("north ", i), "127.0.0.1:0", target, nil)
+		l, err := relay.New("south", fmt.Sprint("north ", i), address(t), target, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -191,8 +191,8 @@
 			run := f.write(ctx, seed)
 			what := f.befall(rand.New(rand.NewPCG(seed, 28)))
 			stop()
-			found, n := run.EndDocuments()
 			took := f.caughtUp()
+			found, n := run.EndDocuments()
 			t.Logf("%v: %d calls, %d without an answer, %d told, %d watches; caught up in %v", what, n.Calls, n.Unknown, n.Messages, n.Restarts, took.Round(time.Millisecond))
 			if took > 7*time.Second {
 				t.Errorf("south had it %v after the last change", took)
@@ -212,6 +212,7 @@
 func TestAnOwnerOfBefore(t *testing.T) {
 	for _, breaks := range []string{"", "follow-back"} {
 		t.Run("breaks "+breaks, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, 1, 1, breaks)
 			q, old := f.north, filepath.Join(f.north.dir, "old")
 			disk := filepath.Join(q.dir, "r0")
--- a/internal/registry/processes_test.go
+++ b/internal/registry/processes_test.go
@@ -13,6 +13,8 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -57,14 +59,32 @@
 	all   *client.Client
 }
 
+// part is 127.N.0.0/16, which this process holds as laboratories do: a port that the kernel gave out and took back could be another's
+// by the time that it is listened on, and a replica that restarts has to find its own again.
+var part struct {
+	sync.Once
+	n     int
+	claim net.Listener
+	given atomic.Int32
+}
+
+// address is one that nobody else on this machine has.
 func address(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	part.Do(func() {
+		for i := range 235 {
+			n := 16 + (os.Getpid()+i)%235
+			if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:9999", n)); err == nil {
+				part.n, part.claim = n, l
+				return
+			}
+		}
+	})
+	if part.claim == nil {
+		t.Fatal("no part of the loopback range is free")
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	i := int(part.given.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:7600", part.n, 1+i/250, 1+i%250)
 }
 
 func newQuorum(t *testing.T, n int) *quorum {
@@ -433,3 +453,52 @@
 		t.Errorf("renewed under an old epoch: %+v", late)
 	}
 }
+
+// A replica that starts again tells no list before it has all that was committed until then: what its own log holds is the list of
+// before, and it hears from the leader that there is one before it hears how much of that is committed.
+func TestAReplicaThatStartsAgainTellsNothingOld(t *testing.T) {
+	q := newQuorum(t, 3)
+	const entries = 200
+	for i := range entries {
+		q.register(fmt.Sprint("u", i))
+	}
+	leader, name := q.serving(3), "r0"
+	if leader == name {
+		name = "r1"
+	}
+	at := ""
+	for _, p := range q.peers {
+		if p["name"] == name {
+			at = p["api"].(string)
+		}
+	}
+	for range 3 {
+		q.kill(name)
+		q.start(name, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		for {
+			var l api.Listing
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/api/targets", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if ctx.Err() != nil {
+				t.Fatal("it never tells a list")
+			}
+			if err != nil {
+				continue // it does not listen yet
+			}
+			err = api.ReadAnswer(resp, &l)
+			resp.Body.Close()
+			if api.IsCode(err, api.CodeStale) {
+				continue
+			}
+			if err != nil || len(l.Endpoints) != entries {
+				t.Errorf("its first list has %d entries of %d, %v", len(l.Endpoints), entries, err)
+			}
+			break
+		}
+		cancel()
+	}
+}
--- a/internal/registry/regions.go
+++ b/internal/registry/regions.go
@@ -104,18 +104,8 @@
 		}
 		pieces, odd, refused = follow.Pieces(f.region, held, l)
 	})
-	f.mu.Lock()
-	if refused == "" {
-		f.whole = f.whole || l.Snapshot
-		if l.Snapshot || odd != "" {
-			f.odd = odd
-		}
-	} else {
-		f.whole = false
-	}
-	f.refused = refused
-	f.mu.Unlock()
 	if refused != "" {
+		f.stands(l.Snapshot, "", refused)
 		return fmt.Errorf("set aside: %s", refused)
 	}
 	for _, p := range pieces {
@@ -123,15 +113,29 @@
 			return context.Cause(ctx)
 		}
 		if _, err := f.n.documentCommand(list.Command{Op: list.Follow, Piece: &p}); err != nil {
-			f.mu.Lock()
-			f.refused = err.Error()
-			f.mu.Unlock()
+			f.stands(l.Snapshot, "", err.Error())
 			return fmt.Errorf("version %d, piece %d of %d: %w", p.To, p.Part+1, len(pieces), err)
 		}
 	}
+	f.stands(l.Snapshot, odd, "")
 	return nil
 }
 
+// stands notes what came of a listing. After one that was not taken in, or not all of it, the whole list is asked for.
+func (f *follower) stands(snapshot bool, odd, refused string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = refused
+	switch {
+	case refused != "":
+		f.whole = false
+	case snapshot:
+		f.whole, f.odd = true, odd
+	case odd != "":
+		f.odd = odd
+	}
+}
+
 // following is how far this replica has followed others, as the leader; nil elsewhere.
 func (n *Node) following() (all []api.Following) {
 	n.mu.Lock()
--- a/internal/registry/regions_test.go
+++ b/internal/registry/regions_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	r := &twoRegions{t: t, at: map[string]string{"north": address(t), "south": address(t)}, all: map[string]*client.Client{}, link: map[string]*relay.Link{}}
 	for name, other := range map[string]string{"north": "south", "south": "north"} {
-		l, err := relay.New(name, other, "127.0.0.1:0", r.at[other], nil)
+		l, err := relay.New(name, other, address(t), r.at[other], nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -139,6 +139,9 @@
 			t.Fatal(err)
 		}
 	}
+	if _, err := r.all["south"].Register(ctx, "dies", api.Registration{Address: "127.0.0.1:1", Weight: 1, LeaseMs: api.MinLeaseMs}); err != nil {
+		t.Fatal(err)
+	}
 	r.register("south", "s2")
 	r.register("north", "n2")
 	list.hears(`"name":"s2"`)
@@ -156,6 +159,7 @@
 	repaired := r.put("north", "orders", 4, bad)
 	r.put("south", "late", 5, 0) // both, while neither hears of the other
 	r.put("north", "late", 6, 0)
+	list.hears(`"name":"dies"`, `"Gone"`)
 	r.following("south", "north is unheard", func(f api.Following) bool { return f.AgeMs > 2500 })
 	whole := watchBare(t, r.at["south"], "from=-1")
 	if line := whole.next(); !strings.Contains(line, `"name":"n1"`) || strings.Contains(line, `"name":"n2"`) {
--- a/internal/registry/settings_test.go
+++ b/internal/registry/settings_test.go
@@ -92,15 +92,13 @@
 			t.Errorf("got %s\nwant %s", got, want)
 		}
 	}
-	put("other", form(0), 0)
+	put("other", form(0), 0) // told by itself, since changes that come together are told together
+	if got, want := own.next(), `{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"other","version":2,"schema":1,"settings":`+form(0)+`}]}`; got != want {
+		t.Errorf("got %s\nwant %s", got, want)
+	}
 	put("orders", form(0), 0)
-	for b, want := range map[*bare]string{
-		orders: `{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":` + form(0) + `}]}`,
-		own:    `{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"other","version":2,"schema":1,"settings":` + form(0) + `}]}`,
-	} {
-		if got := b.next(); got != want {
-			t.Errorf("got %s\nwant %s", got, want)
-		}
+	if got, want := orders.next(), `{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":`+form(0)+`}]}`; got != want {
+		t.Errorf("got %s\nwant %s", got, want)
 	}
 	// Someone who holds it is told nothing of it, and someone who holds another is told at once.
 	holds := watchBare(t, at, "from=3&service=orders&held="+"@3")
@@ -191,3 +189,47 @@
 		}
 	}
 }
+
+// While a replica of the quorum runs an earlier program, settings are not taken in; what that program knows goes on.
+func TestSettingsBesideAnEarlierReplica(t *testing.T) {
+	at := dev(t)
+	c := client.New([]string{at})
+	defer c.Close()
+	ctx := t.Context()
+	zero := int64(0)
+	was := (&quorum{t: t, all: c}).until("it said what it understands", func(said map[string]api.Status) bool {
+		return said[at].Members["dev"].Schema == 3
+	})[at].Replica
+	announce := func(schema int) {
+		t.Helper()
+		m := was
+		m.Schema = schema
+		text, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.Post("http://"+at+"/v1/announce", "application/json", bytes.NewReader(text))
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		resp.Body.Close()
+	}
+	put := func() error {
+		_, err := c.Put(ctx, "orders", api.Put{Schema: 1, Settings: json.RawMessage(form(0)), IfVersion: &zero})
+		return err
+	}
+	announce(2)
+	if err := put(); !api.IsCode(err, api.CodeOldPeer) || !strings.Contains(err.Error(), "settings") {
+		t.Errorf("beside schema 2: %v", err)
+	}
+	if g, err := c.Take(ctx, api.Claim{Name: "d", Holder: "h", LeaseMs: 1000}); err != nil || g.Holder != "h" {
+		t.Errorf("a duty beside schema 2: %+v, %v", g, err)
+	}
+	if all, err := c.Documents(ctx, true); err != nil || len(all.Documents) != 0 {
+		t.Errorf("%+v, %v", all, err)
+	}
+	announce(3)
+	if err := put(); err != nil {
+		t.Errorf("once all speak schema 3: %v", err)
+	}
+}
--- a/internal/sidecar/hollow_test.go
+++ b/internal/sidecar/hollow_test.go
@@ -118,30 +118,46 @@
 // What a hollow one costs among others: go test -run '^$' -bench Hollow -benchtime 200x ./internal/sidecar
 func BenchmarkHollow(b *testing.B) {
 	for _, size := range []int{100, 1800} {
+		var entries []string
+		for i := range size {
+			entries = append(entries, entry(fmt.Sprintf("orders-%04d", i), fmt.Sprintf("127.0.%d.%d:7000", i/250, 1+i%250), "Ready"))
+		}
+		text := list(5, true, entries...)
 		b.Run(fmt.Sprint(size, " entries"), func(b *testing.B) {
-			var entries []string
-			for i := range size {
-				entries = append(entries, entry(fmt.Sprintf("orders-%04d", i), fmt.Sprintf("127.0.%d.%d:7000", i/250, 1+i%250), "Ready"))
-			}
-			text := list(5, true, entries...)
 			d := newDiscovery(b, func(_ int, send func(string), done <-chan struct{}) {
 				send(text)
 				<-done
 			})
-			before := footprintNow()
-			var listed sync.WaitGroup
-			for range b.N {
-				listed.Add(1)
-				hollow(b, testConfig(b, d.address+",127.0.0.2:1"), Hollow{Listed: func(int64, int, time.Time) { listed.Done() }})
-			}
-			listed.Wait()
-			b.StopTimer()
-			now := footprintNow()
-			// The fake's side of each watch is in the figure: a connection and its goroutines.
-			b.ReportMetric(float64(now.bytes-before.bytes)/float64(b.N)/1024, "KB/hollow")
-			b.ReportMetric(float64(now.goroutines-before.goroutines)/float64(b.N), "goroutines/hollow")
+			costs(b, func(ready *sync.WaitGroup) {
+				hollow(b, testConfig(b, d.address+",127.0.0.2:1"), Hollow{Listed: func(int64, int, time.Time) { ready.Done() }})
+			})
 		})
+		b.Run(fmt.Sprint(size, " entries and settings"), func(b *testing.B) {
+			svc := newListService(b, entries...)
+			svc.tell(document(5, probing))
+			costs(b, func(ready *sync.WaitGroup) {
+				c := ofService(b, svc.address)
+				c.Known = nil
+				hollow(b, c, Hollow{InForce: func(string, int64, error, time.Time) { ready.Done() }})
+			})
+		})
+	}
+}
+
+// costs tells what each of b.N holds. The fake's side of each watch is in the figure: a connection and its goroutines.
+func costs(b *testing.B, begin func(ready *sync.WaitGroup)) {
+	b.Helper()
+	before := footprintNow()
+	var ready sync.WaitGroup
+	for range b.N {
+		ready.Add(1)
+		begin(&ready)
 	}
+	ready.Wait()
+	b.StopTimer()
+	now := footprintNow()
+	b.ReportMetric(float64(now.bytes-before.bytes)/float64(b.N)/1024, "KB/hollow")
+	b.ReportMetric(float64(now.goroutines-before.goroutines)/float64(b.N), "goroutines/hollow")
 }
 
 type footprint struct{ bytes, goroutines int64 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -225,3 +226,38 @@
 		}
 	}
 }
+
+// What is asked for beside the list is asked anew for each call; without, a call is what it always was. Each line is a sign of life.
+func TestWhatIsAskedForBeside(t *testing.T) {
+	for _, x := range []struct {
+		query func() string
+		want  string
+	}{
+		{nil, "watch=1&from=7"},
+		{func() string { return "&own=1" }, "watch=1&from=7&own=1"},
+	} {
+		asked := make(chan string, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.RawQuery
+			fmt.Fprint(rw, lineA+"\n"+lineB)
+		}))
+		ctx, stop := context.WithCancel(t.Context())
+		var taken []int
+		heard := 0
+		f := Follower[version]{Client: server.Client(), Most: 1 << 10, At: func() string { return server.Listener.Addr().String() },
+			From: func() int64 { return 7 }, Query: x.query, Heard: func() { heard++ }, Says: func(string, error) {},
+			Take: func(_ string, v *version) error {
+				if taken = append(taken, v.Index); v.Index == 2 {
+					stop()
+				}
+				return nil
+			}, Wait: func() time.Duration { return time.Hour }}
+		if err := f.Follow(ctx); !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		server.Close()
+		if got := <-asked; got != x.want || !slices.Equal(taken, []int{1, 2}) || heard < 2 {
+			t.Errorf("asked %q, want %q; took %v, heard %d", got, x.want, taken, heard)
+		}
+	}
+}
