settings: where in a file the setting is that the check turns down

An operator's put has to name file, line and key; the check's errors name the balancer's setting, which a file words differently (Aim: Classes.AimMs). Locate finds it; Check and its errors stay as they are.

--- /dev/null
+++ b/internal/settings/locate.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"regexp"
+	"strings"
+)
+
+// Place is where in a text an error of Check is: line and column count from 1, the latter in bytes. A Line of 0: it can't be told.
+// Key is the path of the key, in the words of the file; empty: the error names it itself, or there is none.
+type Place struct {
+	Line, Column int
+	Key          string
+}
+
+// keyOf is what a file calls the settings that the balancer's errors name.
+var keyOf = map[string]string{"Tick": "TickMs", "MaxRetryAfter": "Limits.MaxRetryAfterMs", "ConnectTimeout": "Limits.ConnectTimeoutMs",
+	"WarmUp": "Rules.WarmUpMs", "FallTime": "Rules.FallMs", "FallMultiple": "Rules.FallMultiple", "ColdFrom": "Rules.ColdFrom",
+	"MaxAttempts": "Limits.SendCap", "PriceCrossZone": "Prices.CrossZone", "Balancers": "Balancers", "OverShareWorth": "OverShareWorth",
+	"Classes": "Classes", "Tenants": "Tenants",
+	"Classes.Name": "Name", "Classes.Aim": "AimMs", "Classes.Deadline": "DeadlineMs", "Classes.Effect": "Semantics",
+	"Classes.Group": "KeyScope", "Classes.Worth": "Importance", "Classes.LateShare": "LateShare", "Classes.AimStretch": "AimStretch",
+	"Classes.Window": "DedupWindowMs", "Tenants.Fraction": "Fraction"}
+
+// named is how the balancer words what it can't use: a setting, and in a list's object its name and field.
+var named = regexp.MustCompile(`setting (\w+): (?:(.*): (\w+) (?:.* )?is not (?:usable|a share)$|Name "(.*)" empty or repeated$)?`)
+
+// Locate says where in text an error of Check is.
+func Locate(text []byte, err error) Place {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return at(text, int(syntax.Offset)-1, "")
+	case errors.As(err, &kind):
+		return at(text, int(kind.Offset)-1, kind.Field)
+	}
+	m := named.FindStringSubmatch(err.Error())
+	if m == nil || keyOf[m[1]] == "" {
+		return Place{}
+	}
+	top, object, field := keyOf[m[1]], m[2], keyOf[m[1]+"."+m[3]]
+	if field == "" && strings.HasSuffix(m[0], "empty or repeated") {
+		object, field = m[4], "Name"
+	}
+	f := finder{text: text, d: json.NewDecoder(bytes.NewReader(text))}
+	f.walk("")
+	best := Place{Key: top}
+	for _, p := range f.found {
+		if strings.EqualFold(p.path, top) {
+			best = at(text, p.offset, top)
+		}
+	}
+	if field == "" {
+		return best
+	}
+	best.Key = top + "." + field
+	for i, p := range f.found { // the last of that name: one that is repeated is the later
+		if !strings.EqualFold(p.path, top+".Name") || p.value != object {
+			continue
+		}
+		best = at(text, p.offset, best.Key) // the object's name stands for a field that it lacks
+		for _, q := range f.found {
+			if q.object == f.found[i].object && strings.EqualFold(q.path, top+"."+field) {
+				best = at(text, q.offset, best.Key)
+			}
+		}
+	}
+	return best
+}
+
+func at(text []byte, offset int, key string) Place {
+	before := text[:max(0, min(offset, len(text)))]
+	return Place{1 + bytes.Count(before, []byte("\n")), len(before) - bytes.LastIndexByte(before, '\n'), key}
+}
+
+// finder lists the keys of a text that is proper JSON, with their paths. Objects in lists have the path of the list.
+type finder struct {
+	text    []byte
+	d       *json.Decoder
+	objects int
+	found   []found
+}
+
+type found struct {
+	path   string
+	offset int // of the key's first byte
+	object int // the same number for keys of one object
+	value  any // a word's, or nil
+}
+
+// walk takes one value in, and gives it back where it is a word or number.
+func (f *finder) walk(path string) any {
+	token, err := f.d.Token()
+	if err != nil {
+		return nil
+	}
+	switch token {
+	case json.Delim('['):
+		for f.d.More() {
+			f.walk(path)
+		}
+		_, _ = f.d.Token()
+	case json.Delim('{'):
+		f.objects++
+		object := f.objects
+		for f.d.More() {
+			before := int(f.d.InputOffset())
+			key, err := f.d.Token()
+			if err != nil {
+				return nil
+			}
+			word, _ := key.(string)
+			one := found{path: strings.TrimPrefix(path+"."+word, "."), offset: before + max(0, bytes.IndexByte(f.text[before:], '"')), object: object}
+			i := len(f.found)
+			f.found = append(f.found, one)
+			f.found[i].value = f.walk(one.path)
+		}
+		_, _ = f.d.Token()
+	default:
+		return token
+	}
+	return nil
+}
