cli: mosslead config put, get, status, back and delete

Settings of a service are changed by a call to the region that owns them; operators need a command that checks the file first, puts only what is based on the version that there is, tells the truth where an answer is lost, and shows where a version is in force, and why not. A lost answer is looked up among the versions that the service remembers (client.Outcome): done under a version, not done, or unknown. A document's answer names the earlier versions for that, and for 'back' without --to.

Not yet against the list service itself.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -82,7 +82,7 @@
 	})
 	root.PersistentFlags().BoolVarP(&a.verbose, "verbose", "v", false, "log what happens, not only what goes wrong")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(a.lab(), a.state(), a.registry(), a.list())
+	root.AddCommand(a.lab(), a.state(), a.registry(), a.list(), a.config())
 	return root
 }
 
--- /dev/null
+++ b/internal/cli/config_test.go
@@ -0,0 +1,336 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mosslead/internal/registry/api"
+)
+
+const orders = `{"Balancers":1,"Zone":"a","TickMs":5,
+ "Classes":[{"Name":"search","Semantics":"retryable","AimMs":5000,"DeadlineMs":10000,"Importance":1,"LateShare":0.5}],
+ "Limits":{"SendCap":5},"Rules":{"ColdFrom":0.3}}`
+
+// otherOrders are settings that pass too.
+var otherOrders = strings.Replace(orders, `"SendCap":5`, `"SendCap":3`, 1)
+
+// service stands in for a region's list service, of which it has the settings of one service, and is as unkind as a test wants.
+type standIn struct {
+	mu       sync.Mutex
+	versions []api.Document
+	rollouts api.Rollouts
+	lose     func(s *standIn, done func()) // what becomes of the next change, instead of an answer
+	asked    []string
+}
+
+func (s *standIn) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, r.Method+" "+r.URL.RequestURI())
+	var now api.Document
+	if n := len(s.versions); n > 0 {
+		now = s.versions[n-1]
+		for _, d := range s.versions[max(0, n-1-api.MaxEarlier) : n-1] {
+			now.Earlier = append(now.Earlier, d.Version)
+		}
+	}
+	say := func(x any) { _ = json.NewEncoder(rw).Encode(x) }
+	fail := func(status int, f *api.Failure) {
+		rw.WriteHeader(status)
+		say(f)
+	}
+	switch path := r.URL.Path; {
+	case path == "/v1/rollouts":
+		say(s.rollouts)
+	case path == "/v1/settings":
+		now.Settings = nil
+		say(api.Documents{Version: now.Version, Documents: []api.Document{now}})
+	case strings.Contains(path, "/versions/"):
+		for _, d := range s.versions {
+			if strings.HasSuffix(path, "/"+versionWord(d.Version)) {
+				say(d)
+				return
+			}
+		}
+		fail(http.StatusNotFound, api.Fail(api.CodeNone, "it is remembered no more"))
+	case r.Method == http.MethodGet && now.Version == 0:
+		fail(http.StatusNotFound, api.Fail(api.CodeNone, "none"))
+	case r.Method == http.MethodGet:
+		say(now)
+	default:
+		var p api.Put
+		if err := json.NewDecoder(r.Body).Decode(&p); err != nil || p.IfVersion == nil {
+			fail(http.StatusBadRequest, api.Fail(api.CodeBad, "%v", err))
+			return
+		}
+		if *p.IfVersion != now.Version && !(*p.IfVersion == 0 && now.Deleted) {
+			fail(http.StatusConflict, api.Fail(api.CodeConflict, "the settings are at version %d", now.Version))
+			return
+		}
+		done := func() {
+			s.versions = append(s.versions, api.Document{Service: "orders", Version: now.Version + 7, Schema: max(p.Schema, 1),
+				Deleted: r.Method == http.MethodPost, Settings: p.Settings})
+		}
+		if lose := s.lose; lose != nil {
+			s.lose = nil
+			lose(s, done)
+			panic(http.ErrAbortHandler) // the connection breaks
+		}
+		done()
+		say(api.Done{Version: now.Version + 7})
+	}
+}
+
+// standsIn starts a stand-in, and gives its address.
+func standsIn(t *testing.T, texts ...string) (*standIn, string) {
+	t.Helper()
+	s := &standIn{}
+	for i, text := range texts {
+		s.versions = append(s.versions, api.Document{Service: "orders", Version: int64(7 * (i + 1)), Schema: 1, Settings: json.RawMessage(text)})
+	}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server.Listener.Addr().String()
+}
+
+func ordersFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "orders.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a mistake in a file, a flag or an argument that gets as far as a service, or is said in more than a line.
+func TestMistakesInSettingsAreFoundBeforeAnybodyIsAsked(t *testing.T) {
+	s, at := standsIn(t, orders)
+	good := ordersFile(t, orders)
+	bad := func(old, new string) string { return ordersFile(t, strings.Replace(orders, old, new, 1)) }
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"fly"}, `no command is called "fly"`},
+		{[]string{"put"}, "accepts 1 arg"},
+		{[]string{"put", "orders"}, "--file FILE"},
+		{[]string{"put", "orders", "--file", good + ".missing"}, "no such file"},
+		{[]string{"put", "orders", "--file", t.TempDir()}, "is a directory"},
+		{[]string{"put", "orders", "--file", good, "--if-version", "x"}, "invalid argument"},
+		{[]string{"put", "orders", "--file", good, "--if-version", "-3"}, "--if-version: at least 0"},
+		{[]string{"put", "orders", "--file", good, "-o", "xml"}, "--output: table or json"},
+		{[]string{"put", "orders", "--file", bad(`"TickMs":5,`, `"TickMs":5`)}, "orders.json:2:2: not start-up parameters: invalid character"},
+		{[]string{"put", "orders", "--file", bad(`"SendCap":5`, `"SendCap":"5"`)}, "orders.json:3:"},
+		{[]string{"put", "orders", "--file", bad(`"SendCap":5`, `"SendCap":"5"`)}, "Limits.SendCap: "},
+		{[]string{"put", "orders", "--file", bad(`"DeadlineMs":10000`, `"DeadlineMs":-1`)}, "orders.json:2:67: Classes.DeadlineMs: setting Classes: search: Deadline is not usable"},
+		{[]string{"put", "orders", "--file", ordersFile(t, "Zone = \"a\"\n")}, "orders.json:1:1: not start-up parameters: invalid character 'Z'"},
+		{[]string{"put", "orders", "--file", ordersFile(t, "")}, "unexpected end of JSON input"},
+		{[]string{"put", "orders", "--file", ordersFile(t, `{"Pad":"`+strings.Repeat("x", api.MaxSettings)+`"}`)}, "over 65536 bytes"},
+		{[]string{"get", "--version", "3"}, "of which SERVICE"},
+		{[]string{"get", "orders", "--version", "-1"}, "--version: at least 0"},
+		{[]string{"get", "orders", "more"}, "accepts at most 1 arg"},
+		{[]string{"back", "orders", "--to", "-1"}, "--to: at least 0"},
+		{[]string{"back"}, "accepts 1 arg"},
+		{[]string{"delete"}, "accepts 1 arg"},
+		{[]string{"delete", "orders", "--if-version", "0"}, "--if-version: at least 1"},
+		{[]string{"delete", "orders", "-o", "xml"}, "--output: table or json"},
+		{[]string{"status", "-o", "xml"}, "--output: table or json"},
+		{[]string{"status", "--region", "north"}, "--region: NAME=host:port,host:port"},
+		{[]string{"status", "--region", "north=nowhere"}, "--region north: host:port"},
+		{[]string{"status", "--region", "north=127.0.0.1:1", "--region", "north=127.0.0.1:2"}, "north is there twice"},
+		{[]string{"status", "--registry", "nowhere"}, "--registry: host:port"},
+	} {
+		args := append([]string{"config"}, c.args...)
+		if !strings.Contains(strings.Join(args, " "), "--registry") {
+			args = append(args, "--registry", at)
+		}
+		status, out, said := call(t, args...)
+		if status != usage || out != "" || !strings.Contains(said, c.want) || strings.Count(said, "\n") != 1 {
+			t.Errorf("%v: status %d, printed %q, said %q; want %q", c.args, status, out, said, c.want)
+		}
+	}
+	if len(s.asked) > 0 {
+		t.Errorf("asked for: %v", s.asked)
+	}
+}
+
+func TestEveryCommandForSettingsHasHelpWithAnExample(t *testing.T) {
+	for _, name := range []string{"", "put", "get", "status", "back", "delete"} {
+		status, out, _ := call(t, strings.Fields("config "+name+" --help")...)
+		if status != done || !strings.Contains(out, "Examples:\n  mosslead config ") {
+			t.Errorf("config %s --help: status %d, %q", name, status, out)
+		}
+	}
+}
+
+// What is put can be read again, gone back from and deleted; each is a new version, based on the one that there was.
+func TestSettingsArePutReadAndTakenBack(t *testing.T) {
+	s, at := standsIn(t)
+	first, second := ordersFile(t, orders), ordersFile(t, otherOrders)
+	for _, c := range []struct {
+		line, out, said string
+		status          int
+	}{
+		{"get orders", "", "there are no settings of orders", failed},
+		{"delete orders", "", "there are no settings of orders", failed},
+		{"back orders", "", "there are no settings of orders", failed},
+		{"put orders --file " + first, "orders   done     7        0", "", done},
+		{"back orders", "", "no earlier version", failed},
+		{"put orders --file " + second + " --if-version 0", "", "conflict: the settings are at version 7", failed},
+		{"put orders --file " + second + " -o json", `"version": 14`, "", done},
+		{"get", "orders   -       14       1       7", "", done},
+		{"get orders", `"SendCap": 3`, "", done},
+		{"get orders --version 7 -o json", `"SendCap": 5`, "", done},
+		{"get orders --version 8", "", "version 8 of the settings of orders is not remembered", failed},
+		{"back orders --to 14", "", "version 14 is the present one", failed},
+		{"back orders", "orders   done     21       14", "", done},
+		{"get orders", `"SendCap": 5`, "", done},
+		{"delete orders", "orders   done     28       21", "", done},
+		{"get orders", "deleted", "", done},
+		{"delete orders", "", "there are no settings of orders", failed},
+		{"back orders -o json", `"version": 35`, "", done},
+		{"back orders", "", "version 28 is a deletion", failed},
+		{"back orders --to 14", "orders   done     42       35", "", done},
+	} {
+		status, out, said := call(t, append(strings.Fields("config "+c.line), "--registry", at)...)
+		if status != c.status || !strings.Contains(out, c.out) || c.out == "" && out != "" || !strings.Contains(said, c.said) || c.said == "" && said != "" {
+			t.Fatalf("%s: status %d, printed %q, said %q", c.line, status, out, said)
+		}
+	}
+	if len(s.versions) != 6 {
+		t.Errorf("%d versions", len(s.versions))
+	}
+}
+
+// Guards against an outcome that is not the true one: where the answer to a change is lost, what became of it is looked up.
+func TestTheOutcomeOfAPutWhoseAnswerIsLostIsTheTrueOne(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		before  int // versions that there are
+		lose    func(s *standIn, done func())
+		delete  bool
+		outcome string
+		version int64
+		status  int
+		says    string
+	}{
+		{"carried out", 1, func(_ *standIn, done func()) { done() }, false, outcomeDone, 14, done, "looked up: the put was done under version 14"},
+		{"the first", 0, func(_ *standIn, done func()) { done() }, false, outcomeDone, 7, done, "done under version 7"},
+		{"never arrived", 1, func(*standIn, func()) {}, false, outcomeNot, 7, failed, "Do it again with --if-version 7"},
+		{"never arrived, the first", 0, func(*standIn, func()) {}, false, outcomeNot, 0, failed, "Do it again with --if-version 0"},
+		{"another came first", 1, func(s *standIn, _ func()) { s.add(orders) }, false, outcomeNot, 14, failed, "another change came first; version 14"},
+		{"carried out, and another since", 1, func(s *standIn, done func()) { done(); s.add(orders) }, false, outcomeDone, 14, done, "and version 21 has followed"},
+		{"carried out, and many since", 1, func(s *standIn, done func()) {
+			done()
+			for range api.MaxEarlier + 1 {
+				s.add(orders)
+			}
+		}, false, outcomeUnknown, 49, failed, "remembered no more"},
+		{"went back", 1, func(s *standIn, done func()) { done(); s.versions = s.versions[:0] }, false, outcomeUnknown, 0, failed, "it is unknown"},
+		{"deleted", 2, func(_ *standIn, done func()) { done() }, true, outcomeDone, 21, done, "the delete was done under version 21"},
+		{"not deleted", 2, func(*standIn, func()) {}, true, outcomeNot, 14, failed, "the delete was not done up to now"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, at := standsIn(t, []string{orders, orders}[:c.before]...)
+			s.lose = c.lose
+			args := []string{"config", "put", "orders", "--file", ordersFile(t, otherOrders), "-o", "json", "--registry", at}
+			if c.delete {
+				args = []string{"config", "delete", "orders", "-o", "json", "--registry", at}
+			}
+			status, out, said := call(t, args...)
+			var got changed
+			if err := json.Unmarshal([]byte(out), &got); err != nil {
+				t.Fatalf("%v: %q, %q", err, out, said)
+			}
+			if status != c.status || got.Outcome != c.outcome || got.Version != c.version || !got.Lost || !strings.Contains(said, c.says) {
+				t.Errorf("status %d, %+v, said %q; want %d, %s, version %d, %q", status, got, said, c.status, c.outcome, c.version, c.says)
+			}
+		})
+	}
+}
+
+// add puts a text, as another operator.
+func (s *standIn) add(text string) {
+	last := int64(0)
+	if n := len(s.versions); n > 0 {
+		last = s.versions[n-1].Version
+	}
+	s.versions = append(s.versions, api.Document{Service: "orders", Version: last + 7, Schema: 1, Settings: json.RawMessage(text)})
+}
+
+// briefly is call with little time: nobody answers.
+func briefly(t *testing.T, args ...string) (status int, out, said string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	var o, e bytes.Buffer
+	status = (&app{out: &o, err: &e}).run(ctx, args)
+	return status, o.String(), e.String()
+}
+
+// A service that can't be reached is an error in one line, and what it says is not claimed: nothing was asked, so nothing was done.
+func TestAServiceThatCantBeReachedIsSaid(t *testing.T) {
+	path := ordersFile(t, orders)
+	for _, line := range []string{"put orders --file " + path, "put orders --if-version 3 --file " + path, "get orders", "get", "back orders", "delete orders", "status"} {
+		status, out, said := briefly(t, append(strings.Fields("config "+line), "--registry", "127.0.0.1:1")...)
+		if status != failed || !strings.Contains(said, "connection refused") || strings.Count(said, "\n") != 1 || strings.Contains(out, outcomeDone) {
+			t.Errorf("%s: status %d, printed %q, said %q", line, status, out, said)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("<html>")) }))
+	defer server.Close()
+	if status, out, said := briefly(t, "config", "get", "orders", "--registry", server.Listener.Addr().String()); status != failed || out != "" ||
+		!strings.Contains(said, "invalid character") {
+		t.Errorf("an answer that is none: status %d, %q, %q", status, out, said)
+	}
+}
+
+// Each region's counts are its own, those in whom settings are not in force are named with why, and a region that says nothing is named
+// and fails the command, after all that the others say.
+func TestStatusTellsRegionsApart(t *testing.T) {
+	south, at := standsIn(t)
+	north, northAt := standsIn(t)
+	document := api.Document{Service: "orders", Region: "south", Version: 41, Schema: 1}
+	south.rollouts = api.Rollouts{Region: "south", Rollouts: []api.Rollout{
+		{Document: document, InForce: 7, Behind: 1, Rejected: 1, Unheard: 25, Others: []api.Ack{
+			{Node: "n3", Service: "orders", Region: "south", Version: 40, Rejected: 41, Why: "setting Classes: none\ngiven"}, {Node: "n9", Service: "orders"}}},
+		{Document: api.Document{Service: "fares", Region: "south", Version: 3, Deleted: true}}}}
+	for range namedMost {
+		south.rollouts.Rollouts[0].Others = append(south.rollouts.Rollouts[0].Others, api.Ack{Node: "n0", Region: "north", Version: 9})
+	}
+	north.rollouts = api.Rollouts{Region: "north", Rollouts: []api.Rollout{{Document: document, InForce: 5}}}
+	status, out, said := call(t, "config", "status", "--registry", at, "--region", "north="+northAt)
+	for _, want := range []string{"orders   south  41         south        7         1       1         25", "orders   south  41         north        5",
+		"fares    south  3 deleted", "orders version 41 is not in force in south at:", "rejected 41: setting Classes: none given", "has its file's settings",
+		"has version 9 of north", "and 7 more"} {
+		if status != done || !strings.Contains(out, want) || said != "" {
+			t.Errorf("status %d, said %q, lacks %q:\n%s", status, said, want, out)
+		}
+	}
+	if status, out, _ := call(t, "config", "status", "fares", "--registry", at, "--region", "north="+northAt); status != done || strings.Contains(out, "orders") {
+		t.Errorf("fares: status %d:\n%s", status, out)
+	}
+	if status, _, said := call(t, "config", "status", "nothing", "--registry", at); status != failed || !strings.Contains(said, "there are no settings of nothing") {
+		t.Errorf("nothing: status %d, %q", status, said)
+	}
+	status, out, said = briefly(t, "config", "status", "--registry", at, "--region", "west=127.0.0.1:1", "--region", "east="+northAt)
+	if status != failed || !strings.Contains(said, "no answer from west, east") || !strings.Contains(out, "connection refused") ||
+		!strings.Contains(out, `east: region "north" answers there`) || !strings.Contains(out, "orders   south  41") {
+		t.Errorf("west and east: status %d, said %q:\n%s", status, said, out)
+	}
+	status, out, _ = briefly(t, "config", "status", "-o", "json", "--registry", at, "--region", "west=127.0.0.1:1")
+	var all struct{ Regions []regionStatus }
+	if err := json.Unmarshal([]byte(out), &all); status != failed || err != nil || len(all.Regions) != 2 || all.Regions[0].Rollouts[0].InForce != 7 ||
+		all.Regions[1].Region != "west" || all.Regions[1].Failed == "" {
+		t.Errorf("-o json: status %d, %v:\n%s", status, err, out)
+	}
+}
--- a/internal/registry/api/settings.go
+++ b/internal/registry/api/settings.go
@@ -14,6 +14,8 @@
 	Schema   int             `json:"schema"`           // of Settings, see package settings
 	Deleted  bool            `json:"deleted,omitempty"`
 	Settings json.RawMessage `json:"settings,omitempty"` // the object that a sidecar's file has under "settings"; absent once deleted
+	// Earlier are the versions before this one that are remembered, rising; only in the answer to a call for this document.
+	Earlier []int64 `json:"earlier,omitempty"`
 }
 
 // Documents are all that a region knows, its own and others'.
@@ -47,7 +49,7 @@
 // Rollout is how far a document has come among the sidecars that speak to this region. Counts are of those heard within HeardMs;
 // Unheard of those that were heard once, and are not any more.
 type Rollout struct {
-	Document          // without Settings
+	Document       // without Settings
 	InForce  int   `json:"in_force"`
 	Behind   int   `json:"behind"`
 	Rejected int   `json:"rejected"`
@@ -78,6 +80,7 @@
 	MaxDocuments = 1024     // of one region, deleted ones too
 	MaxWhy       = 256
 	MaxOthers    = 100
+	MaxEarlier   = 4 // versions of one document that are remembered beside the present one
 	HeardMs      = 60_000
 )
 
