--- a/internal/registry/api/settings.go
+++ b/internal/registry/api/settings.go
@@ -76,12 +76,13 @@
 
 // The bounds on documents.
 const (
-	MaxSettings  = 64 << 10 // bytes of one
-	MaxDocuments = 1024     // of one region, deleted ones too
-	MaxWhy       = 256
-	MaxOthers    = 100
-	MaxEarlier   = 4 // versions of one document that are remembered beside the present one
-	HeardMs      = 60_000
+	MaxSettings    = 64 << 10 // bytes of one
+	MaxAllSettings = 8 << 20  // bytes of all of one region
+	MaxDocuments   = 1024     // of one region, deleted ones too
+	MaxWhy         = 256
+	MaxOthers      = 100
+	MaxEarlier     = 4 // versions of one document that are remembered beside the present one
+	HeardMs        = 60_000
 )
 
 // Check names what is wrong with a wish in form; nil: nothing. What the settings say is checked by package settings.
