cli, registry: a lost put is looked up among the versions that the service remembers

The answer for one document names its remembered versions (list.EarlierOf), which a look-up and 'config back' need.

--- a/internal/registry/documents.go
+++ b/internal/registry/documents.go
@@ -79,8 +79,8 @@
 	n.machine.read(func(l *list.List) {
 		if version > 0 {
 			d, found = l.DocumentAt(service, version)
-		} else {
-			d, found = l.Document(service)
+		} else if d, found = l.Document(service); d.Region == l.Region() {
+			d.Earlier = l.EarlierOf(service)
 		}
 	})
 	switch {
--- a/internal/registry/list/documents.go
+++ b/internal/registry/list/documents.go
@@ -21,7 +21,7 @@
 const DocumentSchema = 3
 
 // Earlier is how many versions of a document are remembered beside the present one.
-const Earlier = 4
+const Earlier = api.MaxEarlier
 
 // Document is an own one. Its Region is left empty: it is the list's.
 type Document struct {
@@ -147,6 +147,16 @@
 	return api.Document{}, false
 }
 
+// EarlierOf are the versions of an own document that are remembered, rising, the present one left out.
+func (l *List) EarlierOf(service string) (versions []int64) {
+	if own := l.documents[service]; own != nil {
+		for _, d := range own.Earlier {
+			versions = append(versions, d.Version)
+		}
+	}
+	return versions
+}
+
 // Documents are all that are known, by service and region: also those of which sidecars are not told, and deleted ones.
 func (l *List) Documents() []api.Document {
 	all := []api.Document{}
--- a/internal/settings/locate.go
+++ b/internal/settings/locate.go
@@ -27,6 +27,9 @@
 // named is how the balancer words what it can't use: a setting, and in a list's object its name and field.
 var named = regexp.MustCompile(`setting (\w+): (?:(.*): (\w+) (?:.* )?is not (?:usable|a share)$|Name "(.*)" empty or repeated$)?`)
 
+// inFile is how this package words what it turns down itself: by the key as a file has it.
+var inFile = regexp.MustCompile(`^(\w+(?:\.\w+)*): .* is not above 0$`)
+
 // Locate says where in text an error of Check is.
 func Locate(text []byte, err error) Place {
 	var syntax *json.SyntaxError
@@ -37,13 +40,17 @@
 	case errors.As(err, &kind):
 		return at(text, int(kind.Offset)-1, kind.Field)
 	}
-	m := named.FindStringSubmatch(err.Error())
-	if m == nil || keyOf[m[1]] == "" {
-		return Place{}
+	var top, object, field string
+	if m := named.FindStringSubmatch(err.Error()); m != nil {
+		top, object, field = keyOf[m[1]], m[2], keyOf[m[1]+"."+m[3]]
+		if field == "" && strings.HasSuffix(m[0], "empty or repeated") {
+			object, field = m[4], "Name"
+		}
+	} else if m := inFile.FindStringSubmatch(err.Error()); m != nil {
+		top = m[1]
 	}
-	top, object, field := keyOf[m[1]], m[2], keyOf[m[1]+"."+m[3]]
-	if field == "" && strings.HasSuffix(m[0], "empty or repeated") {
-		object, field = m[4], "Name"
+	if top == "" {
+		return Place{}
 	}
 	f := finder{text: text, d: json.NewDecoder(bytes.NewReader(text))}
 	f.walk("")
