--- a/internal/cli/registry.go
+++ b/internal/cli/registry.go
@@ -155,6 +155,9 @@
 						fmt.Fprintln(w, "If they are gone: mosslead registry overrule")
 					}
 				}
+				for _, address := range slices.Sorted(maps.Keys(said)) {
+					followingTable(w, said[address])
+				}
 				for _, address := range slices.Sorted(maps.Keys(failures)) {
 					fmt.Fprintf(w, "\n%s: %s\n", address, failures[address])
 				}
@@ -168,6 +171,21 @@
 	return c
 }
 
+// followingTable shows how far other regions are followed, as the leader says it.
+func followingTable(w io.Writer, s api.Status) {
+	if len(s.Following) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nregion %s follows\tversion\tbegun\theard\tentries\tset aside\n", s.Region)
+	for _, f := range s.Following {
+		heard := "not yet"
+		if f.AgeMs >= 0 {
+			heard = (time.Duration(f.AgeMs) * time.Millisecond).String() + " ago"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\t%s\n", f.Region, f.Version, f.Seen, heard, f.Entries, oneLine(f.Aside))
+	}
+}
+
 func (a *app) registryAdd(at *string) *cobra.Command {
 	var m api.Replica
 	c := &cobra.Command{
