registry: a restored list has its region's name at once

A new quorum knows its region only once a command names it; a backup that was restored there told its documents under no region until the next put, so that sidecars would have taken them for another region's. Found and shown by the transcript 'region-given-up' (a region lost with its disks, and built anew from its backup).

--- a/internal/cli/transcript_test.go
+++ b/internal/cli/transcript_test.go
@@ -131,17 +131,21 @@
 	x.must(os.WriteFile(filepath.Join(x.dir, name), []byte(text), 0o600))
 }
 
-// operator has the operator give a command to a region, and writes down what it prints. More words go to the command, not into the step.
+// operator has the operator give a command to a region, one of config unless it is one of list, and writes down what it prints. More words
+// go to the command, not into the step.
 func (x *exchange) operator(at *region, want int, line string, more ...string) {
 	x.Helper()
-	x.record.Step("mosslead config %s", line)
+	if !strings.HasPrefix(line, "list ") {
+		line = "config " + line
+	}
+	x.record.Step("mosslead %s", line)
 	x.again(at, want, line, more...)
 }
 
 // again is operator within the same step.
 func (x *exchange) again(at *region, want int, line string, more ...string) {
 	x.Helper()
-	args := append([]string{"config"}, strings.Fields(line)...)
+	args := strings.Fields(line)
 	for i, arg := range args {
 		if strings.HasSuffix(arg, ".json") {
 			args[i] = filepath.Join(x.dir, arg)
@@ -157,7 +161,7 @@
 	}
 	x.record.Say("operator", "operator", "exit status %d", status)
 	if status != want {
-		x.Errorf("mosslead config %s: status %d, want %d", line, status, want)
+		x.Errorf("mosslead %s: status %d, want %d", line, status, want)
 	}
 }
 
@@ -293,7 +297,7 @@
 			}
 			return way, false
 		})
-		x.again(s, failed, "put orders --file other.json")
+		x.again(s, failed, "config put orders --file other.json")
 	}},
 	{"delete", `"version":2,"schema":0,"deleted":true`, func(x *exchange) {
 		s := x.region("")
@@ -422,7 +426,7 @@
 		x.between("north", "south").Cut(true)
 		south.end()
 		south.start()
-		x.again(south, done, "put orders --file older.json")
+		x.again(south, done, "config put orders --file older.json")
 		x.record.Step("north hears of it, and keeps what it has")
 		x.between("north", "south").Only(1, false)
 		x.between("north", "south").Cut(false)
@@ -435,6 +439,42 @@
 		x.follows(north, "south", upTo(4))
 		x.operator(north, done, "get orders")
 	}},
+	{"region-given-up", `"name":"s-1","address":"10.0.0.18:9000","zone":"","type":"","group":0,"status":"Gone"`, func(x *exchange) {
+		south := x.region("south")
+		x.file("orders.json", with(100))
+		x.file("other.json", with(200))
+		x.operator(south, done, "list register s-1 --address 10.0.0.18:9000")
+		x.operator(south, done, "put orders --file orders.json")
+		x.record.Step("north begins to follow, and a sidecar of orders watches there")
+		north := x.region("north", south)
+		x.hears(south, "north", `"version":2`)
+		x.follows(north, "south", upTo(2))
+		x.watch("n1", north, "from=-1&service=orders&held=", `"version":2`)
+		x.record.Step("a backup is made in south")
+		backup, err := south.direct().Backup(x.Context())
+		x.must(err)
+		x.operator(south, done, "put orders --file other.json")
+		x.hears(north, "n1", `"version":3`)
+		x.follows(north, "south", upTo(3))
+		x.record.Step("south is lost, with all of its disks")
+		x.between("north", "south").Cut(true)
+		south.end()
+		x.operator(north, failed, "put orders --file orders.json")
+		x.operator(north, done, "list ban s-1") // alone it changes nothing
+		x.operator(north, done, "list register s-1 --address 10.0.0.18:9000")
+		x.hears(north, "n1", `"status":"Gone"`)
+		x.operator(north, done, "list remove s-1")
+		x.hears(north, "n1", `"status":"Ready"`)
+		x.record.Step("new replicas of south begin with nothing, and the backup is restored there before north reaches them")
+		south.start()
+		x.must(south.direct().Restore(x.Context(), backup))
+		x.between("north", "south").Only(1, true)
+		x.between("north", "south").Cut(false)
+		x.follows(north, "south", func(f api.Following) bool { return f.Version > 3 && f.Aside == "" })
+		x.hears(north, "n1", `"DeadlineMs":100`)
+		x.operator(south, done, "put orders --file other.json")
+		x.hears(north, "n1", `"DeadlineMs":200`)
+	}},
 	{"newer-schema", "schema 2, and this program understands 1 to 1", func(x *exchange) {
 		s := x.region("")
 		x.record.Step("a newer program puts settings of a newer schema")
--- a/internal/registry/list/list.go
+++ b/internal/registry/list/list.go
@@ -248,6 +248,9 @@
 		delete(l.replicas, c.Name)
 		return Result{Version: l.version}
 	case Restore:
+		if c.Region != "" { // a new quorum does not know its name yet, and its documents are told under it at once
+			l.call(c.Region)
+		}
 		l.restore(c.State)
 		return Result{Version: l.version}
 	}
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -431,5 +431,9 @@
 	if err := n.speaks(s.Schema()); err != nil {
 		return nil, err
 	}
-	return n.done(list.Command{Op: list.Restore, State: s})
+	c := list.Command{Op: list.Restore, State: s}
+	if s.Schema() >= list.DocumentSchema {
+		c.Region = n.c.Region
+	}
+	return n.done(c)
 }
