registry, cli: who was not heard is told from who is behind

A rollout counts both and names them in one list, where an operator could not tell a sidecar that was stopped from one that has an older version.

--- a/internal/cli/config_status.go
+++ b/internal/cli/config_status.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -176,6 +177,8 @@
 		}
 		why := ""
 		switch {
+		case x.SilentMs > 0:
+			why = fmt.Sprintf("not heard for %s", (time.Duration(x.SilentMs) * time.Millisecond).Round(time.Second))
 		case x.Rejected > 0:
 			why = fmt.Sprintf("rejected %d: %s", x.Rejected, x.Why)
 		case x.Why != "":
--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -317,7 +317,7 @@
 	document := api.Document{Service: "orders", Region: "south", Version: 41, Schema: 1}
 	south.rollouts = api.Rollouts{Region: "south", Rollouts: []api.Rollout{
 		{Document: document, InForce: 7, Behind: 1, Rejected: 1, Unheard: 25, Others: []api.Ack{
-			{Node: "n3", Service: "orders", Region: "south", Version: 40, Rejected: 41, Why: "setting Classes: none\ngiven"}, {Node: "n9", Service: "orders"}}},
+			{Node: "n3", Service: "orders", Region: "south", Version: 40, Rejected: 41, Why: "setting Classes: none\ngiven"}, {Node: "n9", Service: "orders", SilentMs: 181_000}}},
 		{Document: api.Document{Service: "fares", Region: "south", Version: 3, Deleted: true}}}}
 	for range namedMost {
 		south.rollouts.Rollouts[0].Others = append(south.rollouts.Rollouts[0].Others, api.Ack{Node: "n0", Region: "north", Version: 9})
@@ -325,7 +325,7 @@
 	north.rollouts = api.Rollouts{Region: "north", Rollouts: []api.Rollout{{Document: document, InForce: 5}}}
 	status, out, said := call(t, "config", "status", "--registry", at, "--region", "north="+northAt)
 	for _, want := range []string{"orders   south  41         south        7         1       1         25", "orders   south  41         north        5",
-		"fares    south  3 deleted", "orders version 41 is not in force in south at:", "rejected 41: setting Classes: none given", "has its file's settings",
+		"fares    south  3 deleted", "orders version 41 is not in force in south at:", "rejected 41: setting Classes: none given", "has its file's settings", "not heard for 3m1s",
 		"has version 9 of north", "and 7 more"} {
 		if status != done || !strings.Contains(out, want) || said != "" {
 			t.Errorf("status %d, said %q, lacks %q:\n%s", status, said, want, out)
--- a/internal/registry/acks.go
+++ b/internal/registry/acks.go
@@ -33,6 +33,7 @@
 
 // take keeps a word; false: there is no room for another sidecar.
 func (a *acks) take(now time.Duration, said api.Ack) bool {
+	said.SilentMs = 0
 	of := ackOf{said.Node, said.Service}
 	if _, known := a.last[of]; !known && len(a.last) >= acksMost {
 		if a.forget(now); len(a.last) >= acksMost {
@@ -66,6 +67,7 @@
 			switch {
 			case now-x.at > ackHeard:
 				r.Unheard++
+				x.SilentMs = (now - x.at).Milliseconds()
 			case inForce(x.Ack, d):
 				r.InForce++
 				continue
--- a/internal/registry/api/settings.go
+++ b/internal/registry/api/settings.go
@@ -39,6 +39,8 @@
 	Version  int64  `json:"version"`          // in force; 0: its file's settings are
 	Rejected int64  `json:"rejected,omitempty"`
 	Why      string `json:"why,omitempty"` // the rejected version is not in force
+	// SilentMs is how long it was not heard, where that is over HeardMs; only in a Rollout.
+	SilentMs int64 `json:"silent_ms,omitempty"`
 }
 
 // Acks are the words of several.
