cli: transcripts of a sidecar that rejects settings and is repaired, and of a newer schema

The sidecar is a hollow one with the program's own watch, settings and acknowledgements, behind a tap. What it says by chance (a word before it has heard of anything, a watch opened again) is left out of the record.

--- a/internal/cli/transcript_test.go
+++ b/internal/cli/transcript_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,6 +22,7 @@
 	"mosslead/internal/registry"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
+	"mosslead/internal/sidecar"
 )
 
 // exchange is what one script plays in: regions of one replica each, in this process, and an operator with the real command.
@@ -200,6 +202,62 @@
 	x.hears(at, name, part)
 }
 
+// sidecar runs a hollow one of orders, whose file has settings, behind a tap of its own; at is where its list service answers. What it says by
+// chance is left out: words before it has heard of settings, and watches that it opens again.
+func (x *exchange) sidecar(name, named, at, settings string) {
+	x.Helper()
+	t := x.tap(name, named, at)
+	watches := 0
+	t.Skip(func(call, body string) bool {
+		if strings.HasSuffix(call, "/api/targets") {
+			watches++
+			return watches > 1
+		}
+		return strings.Contains(body, `"version":0}`)
+	})
+	c, err := sidecar.ParseConfig(fmt.Appendf(nil, `{"name":%q,"listen":"127.0.0.1:9000","discovery":%q,"service":"orders","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, name, t.Address(), settings))
+	x.must(err)
+	ctx, cancel := context.WithCancel(x.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- sidecar.RunHollow(ctx, c, sidecar.Hollow{}) }()
+	x.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			x.Error(err)
+		}
+	})
+}
+
+// acknowledges waits until a sidecar's word has arrived.
+func (x *exchange) acknowledges(name, named, part string) {
+	x.Helper()
+	x.must(x.record.Await(x.Context(), name, named, part))
+	x.must(x.record.Await(x.Context(), named, name, "200 "))
+}
+
+// newerService is a list service of a newer program, which tells watchers line by line.
+func (x *exchange) newerService(lines <-chan string) (address string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/acks", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "{}\n") })
+	mux.HandleFunc("GET /api/targets", func(rw http.ResponseWriter, r *http.Request) {
+		for line := ""; ; {
+			_, _ = io.WriteString(rw, line+"\n")
+			_ = http.NewResponseController(rw).Flush()
+			select {
+			case line = <-lines:
+			case <-time.After(time.Second):
+				line = ""
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	s := httptest.NewServer(mux)
+	x.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 // hears waits until a party has heard something in this step.
 func (x *exchange) hears(at *region, name, part string) {
 	x.Helper()
@@ -231,6 +289,9 @@
 	return fmt.Sprintf(`{"Classes":[{"Name":"read","Semantics":"retryable","DeadlineMs":%d}]}`+"\n", deadline)
 }
 
+// share adds a key.
+func share(settings string) string { return strings.Replace(settings, "}]", `,"LateShare":0.5}]`, 1) }
+
 var approved = []struct {
 	name, shows string // shows is the line that it is about
 	script      func(*exchange)
@@ -475,10 +536,49 @@
 		x.operator(south, done, "put orders --file other.json")
 		x.hears(north, "n1", `"DeadlineMs":200`)
 	}},
-	{"newer-schema", "schema 2, and this program understands 1 to 1", func(x *exchange) {
+	{"rejected-and-repaired", "rejected 2: lacks settings.Classes.LateShare, which this sidecar's file has", func(x *exchange) {
+		s := x.region("")
+		x.file("orders.json", share(with(100)))
+		x.file("without.json", with(200))
+		x.file("repaired.json", share(with(200)))
+		x.operator(s, done, "put orders --file orders.json")
+		x.record.Step("a sidecar starts, whose file has a LateShare")
+		x.sidecar("n1", "service", s.address, share(with(50)))
+		x.hears(s, "n1", `"version":1`)
+		x.acknowledges("n1", "service", `"version":1`)
+		x.operator(s, done, "status orders")
+		x.operator(s, done, "put orders --file without.json")
+		x.hears(s, "n1", `"version":2`)
+		x.acknowledges("n1", "service", `"rejected":2`)
+		x.operator(s, done, "status orders")
+		x.operator(s, done, "put orders --file repaired.json")
+		x.hears(s, "n1", `"version":3`)
+		x.acknowledges("n1", "service", `"version":3`)
+		x.operator(s, done, "status orders -o json")
+		x.operator(s, done, "delete orders")
+		x.hears(s, "n1", `"deleted":true`)
+		x.must(transcript.Eventually(x.Context(), "the file's settings are in force", func() bool {
+			all, err := s.direct().Rollouts(x.Context())
+			return err == nil && all.Rollouts[0].InForce == 1
+		}))
+		x.operator(s, done, "status orders")
+	}},
+	{"newer-schema", `"rejected":2,"why":"schema 2, and this program understands 1 to 1"`, func(x *exchange) {
 		s := x.region("")
 		x.record.Step("a newer program puts settings of a newer schema")
 		x.asks(s, http.MethodPut, "/v1/settings/orders", `{"schema":2,"settings":`+strings.TrimSpace(with(100))+`,"if_version":0}`)
+		x.record.Step("a sidecar hears of some from a newer list service")
+		lines := make(chan string, 1)
+		at := x.newerService(lines)
+		lines <- `{"index":1,"snapshot":true,"endpoints":[],"documents":[{"service":"orders","version":1,"schema":1,"settings":` + strings.TrimSpace(with(100)) + `}]}`
+		x.sidecar("n1", "newer service", at, with(50))
+		x.acknowledges("n1", "newer service", `"version":1`)
+		x.record.Step("of a newer schema")
+		lines <- `{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":2,"schema":2,"settings":{"Classes":{"read":"1 s"}}}]}`
+		x.acknowledges("n1", "newer service", `"rejected":2`)
+		x.record.Step("and of this one again")
+		lines <- `{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":` + strings.TrimSpace(with(200)) + `}]}`
+		x.acknowledges("n1", "newer service", `"version":3`)
 	}},
 }
 
--- a/internal/lab/transcript/tap.go
+++ b/internal/lab/transcript/tap.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex
 	target string
 	cut    bool
+	skip   func(call, body string) bool       // calls that are not written down either
 	left   int                                // calls that are still written down; below 0: all
 	news   bool                               // of the others: lines that are new
 	told   map[string]bool                    // lines of watches
@@ -81,6 +82,13 @@
 	t.left, t.news = calls, news
 }
 
+// Skip leaves calls out, such as those that come by chance or again and again; of watches among them news is written down, as by Only.
+func (t *Tap) Skip(skip func(call, body string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.skip, t.news = skip, true
+}
+
 // tell writes down a line of a watch.
 func (t *Tap) tell(quiet bool, line string) {
 	t.mu.Lock()
@@ -108,7 +116,7 @@
 }
 
 // begin counts a call in; false: it meets a cut.
-func (t *Tap) begin(r *http.Request) (c call, ok bool) {
+func (t *Tap) begin(r *http.Request, body string) (c call, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cut {
@@ -127,35 +135,39 @@
 	if t.left > 0 {
 		t.left--
 	}
+	what := r.Method + " " + r.URL.Path
+	if t.skip != nil && t.skip(what, body) {
+		c.quiet = true
+	}
 	if t.lose != nil {
-		c.way, c.back = t.lose(r.Method + " " + r.URL.Path)
+		c.way, c.back = t.lose(what)
 	}
 	return c, true
 }
 
 // ServeHTTP passes one call on.
 func (t *Tap) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	c, ok := t.begin(r)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c, ok := t.begin(r, string(body))
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
 	defer c.end()
-	if t.pass(rw, r, c) != nil {
+	if t.pass(rw, r, c, body) != nil {
 		panic(http.ErrAbortHandler) // breaks the connection
 	}
 }
 
 var errLost = errors.New("lost")
 
-func (t *Tap) pass(rw http.ResponseWriter, r *http.Request, c call) error {
+func (t *Tap) pass(rw http.ResponseWriter, r *http.Request, c call, body []byte) error {
 	say := t.record.Say
 	if c.quiet {
 		say = func(string, string, string, ...any) {}
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return err
-	}
 	say(t.from, t.to, "%s", strings.TrimSpace(r.Method+" "+r.URL.RequestURI()+" "+string(body)))
 	if c.way {
 		say(t.to, t.from, "(the call is lost)")
