--- a/internal/sidecar/service_test.go
+++ b/internal/sidecar/service_test.go
@@ -238,14 +238,24 @@
 	}
 }
 
-// endKept ends a sidecar that has taken up its directory: what it has in force is then on disk.
+// endKept ends a sidecar that has taken up its directory: what it has in force is then on disk. The table of bans, of which there are none,
+// is what tells; the next sidecar has to write it anew.
 func endKept(t *testing.T, c *Config, end func()) {
 	t.Helper()
-	eventually(t, "the state directory taken up", func() bool {
-		tables, err := filepath.Glob(filepath.Join(c.State, "bans.*"))
-		return err == nil && len(tables) > 0
-	})
+	tables := func() []string {
+		all, err := filepath.Glob(filepath.Join(c.State, "bans.*"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return all
+	}
+	eventually(t, "the state directory taken up", func() bool { return len(tables()) > 0 })
 	end()
+	for _, file := range tables() {
+		if err := os.Remove(file); err != nil {
+			t.Fatal(err)
+		}
+	}
 }
 
 // keptFiles are those of the settings.
@@ -265,15 +275,21 @@
 	s := newService(c)
 	bad, good := document(2, `{}`), document(3, probing)
 	bad.Service, good.Service, good.Schema, bad.Schema = "orders", "orders", 1, 1
+	none, others := api.Document{Service: "orders"}, document(7, probing)
+	others.Service = "billing"
+	s.hear([]api.Document{none, others})
+	if d, any := s.next(); any {
+		t.Errorf("to judge: %+v", d)
+	}
 	s.hear([]api.Document{bad})
-	d, any := s.next(false)
+	d, any := s.next()
 	if !any || d.Version != 2 {
 		t.Fatalf("to judge: %+v, %v", d, any)
 	}
 	s.hear([]api.Document{good}) // meanwhile
 	_, err := c.under(d)
 	s.judge(d, err)
-	if d, any = s.next(false); !any || d.Version != 3 {
+	if d, any = s.next(); !any || d.Version != 3 {
 		t.Fatalf("to judge then: %+v, %v", d, any)
 	}
 	_, err = c.under(d)
@@ -282,7 +298,7 @@
 		t.Errorf("acknowledged %+v", a)
 	}
 	s.hear([]api.Document{bad, good}) // again, as a watch that begins may
-	if d, any = s.next(false); any {
+	if d, any = s.next(); any {
 		t.Errorf("judged twice: %+v", d)
 	}
 }
@@ -322,7 +338,7 @@
 	d := document(2, probing)
 	d.Service, d.Schema = "orders", 1
 	p.service.hear([]api.Document{d})
-	p.settle(false, p.loop.postNews)
+	p.settle(p.loop.postNews)
 	if len(p.c.Settings.Classes) != 4 {
 		t.Error("not taken in")
 	}
@@ -452,7 +468,7 @@
 	large := document(5, `{"Comment":"`+strings.Repeat("x", api.MaxSettings)+`"}`)
 	large.Service, large.Schema = "orders", 1
 	s.hear([]api.Document{large})
-	d, _ := s.next(false)
+	d, _ := s.next()
 	if _, err := s.file.under(d); err == nil || !strings.Contains(err.Error(), "bytes") {
 		t.Errorf("too large: %v", err)
 	}
