cli: the stand-in of a newer list service tells each watch what it lacks

With little processor time a sidecar opened its watch again, and the next line went to the one that was over: newer-schema failed once in 24 runs with -race, GOMAXPROCS 2, beside other load.

--- a/internal/cli/transcript_test.go
+++ b/internal/cli/transcript_test.go
@@ -12,6 +12,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -236,26 +238,48 @@
 	x.must(x.record.Await(x.Context(), named, name, "200 "))
 }
 
-// newerService is a list service of a newer program, which tells watchers line by line.
-func (x *exchange) newerService(lines <-chan string) (address string) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/acks", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "{}\n") })
-	mux.HandleFunc("GET /api/targets", func(rw http.ResponseWriter, r *http.Request) {
-		for line := ""; ; {
-			_, _ = io.WriteString(rw, line+"\n")
-			_ = http.NewResponseController(rw).Flush()
-			select {
-			case line = <-lines:
-			case <-time.After(time.Second):
-				line = ""
-			case <-r.Context().Done():
-				return
-			}
+// newerService is a list service of a newer program. Its lines have the versions 1, 2 and so on; each watch is told those that it lacks.
+type newerService struct {
+	mu      sync.Mutex
+	lines   []string
+	changed chan struct{} // closed with the next line
+}
+
+// says adds a line.
+func (s *newerService) says(line string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, line)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *newerService) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost { // what is in force
+		_, _ = io.WriteString(rw, "{}\n")
+		return
+	}
+	has, err := strconv.Atoi(r.FormValue("from"))
+	if err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for has = max(0, has); r.Context().Err() == nil; {
+		s.mu.Lock()
+		more, changed := slices.Clone(s.lines[min(has, len(s.lines)):]), s.changed
+		s.mu.Unlock()
+		has += len(more)
+		_, _ = io.WriteString(rw, strings.Join(append(more, ""), "\n"))
+		if len(more) == 0 {
+			_, _ = io.WriteString(rw, "\n")
 		}
-	})
-	s := httptest.NewServer(mux)
-	x.Cleanup(s.Close)
-	return s.Listener.Addr().String()
+		_ = http.NewResponseController(rw).Flush()
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+		}
+	}
 }
 
 // hears waits until a party has heard something in this step.
@@ -568,16 +592,17 @@
 		x.record.Step("a newer program puts settings of a newer schema")
 		x.asks(s, http.MethodPut, "/v1/settings/orders", `{"schema":2,"settings":`+strings.TrimSpace(with(100))+`,"if_version":0}`)
 		x.record.Step("a sidecar hears of some from a newer list service")
-		lines := make(chan string, 1)
-		at := x.newerService(lines)
-		lines <- `{"index":1,"snapshot":true,"endpoints":[],"documents":[{"service":"orders","version":1,"schema":1,"settings":` + strings.TrimSpace(with(100)) + `}]}`
-		x.sidecar("n1", "newer service", at, with(50))
+		newer := &newerService{changed: make(chan struct{})}
+		server := httptest.NewServer(newer)
+		x.Cleanup(server.Close)
+		newer.says(`{"index":1,"snapshot":true,"endpoints":[],"documents":[{"service":"orders","version":1,"schema":1,"settings":` + strings.TrimSpace(with(100)) + `}]}`)
+		x.sidecar("n1", "newer service", server.Listener.Addr().String(), with(50))
 		x.acknowledges("n1", "newer service", `"version":1`)
 		x.record.Step("of a newer schema")
-		lines <- `{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":2,"schema":2,"settings":{"Classes":{"read":"1 s"}}}]}`
+		newer.says(`{"index":2,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":2,"schema":2,"settings":{"Classes":{"read":"1 s"}}}]}`)
 		x.acknowledges("n1", "newer service", `"rejected":2`)
 		x.record.Step("and of this one again")
-		lines <- `{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":` + strings.TrimSpace(with(200)) + `}]}`
+		newer.says(`{"index":3,"snapshot":false,"endpoints":[],"documents":[{"service":"orders","version":3,"schema":1,"settings":` + strings.TrimSpace(with(200)) + `}]}`)
 		x.acknowledges("n1", "newer service", `"version":3`)
 	}},
 }
