--- a/internal/registry/api/settings.go
+++ b/internal/registry/api/settings.go
@@ -14,6 +14,8 @@
 	Schema   int             `json:"schema"`           // of Settings, see package settings
 	Deleted  bool            `json:"deleted,omitempty"`
 	Settings json.RawMessage `json:"settings,omitempty"` // the object that a sidecar's file has under "settings"; absent once deleted
+	// Earlier are the versions before this one that are remembered, rising; only in the answer to a call for this document.
+	Earlier []int64 `json:"earlier,omitempty"`
 }
 
 // Documents are all that a region knows, its own and others'.
@@ -37,6 +39,8 @@
 	Version  int64  `json:"version"`          // in force; 0: its file's settings are
 	Rejected int64  `json:"rejected,omitempty"`
 	Why      string `json:"why,omitempty"` // the rejected version is not in force
+	// SilentMs is how long it was not heard, where that is over HeardMs; only in a Rollout.
+	SilentMs int64 `json:"silent_ms,omitempty"`
 }
 
 // Acks are the words of several.
@@ -79,6 +83,7 @@
 	MaxDocuments   = 1024     // of one region, deleted ones too
 	MaxWhy         = 256
 	MaxOthers      = 100
+	MaxEarlier     = 4 // versions of one document that are remembered beside the present one
 	HeardMs        = 60_000
 )
 
