client: a call that ends with its time says what failed before, not that it ended

Cause: where a call's time ends in the middle of a try, that try's own end hid why the earlier ones failed: a service that refuses connections read as one that is slow. TestAServiceThatCantBeReachedIsSaid failed on it on a busy machine, with 150 ms for each call.

--- a/internal/registry/client/client_test.go
+++ b/internal/registry/client/client_test.go
@@ -242,3 +242,25 @@
 		}
 	}
 }
+
+// Guards against a call that ends with its time and does not say why it failed: the try that was cut short knows nothing.
+func TestACallThatIsCutShortSaysWhatFailedBefore(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	tries := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tries++; tries == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(api.Fail(api.CodeNoLeader, "nobody leads"))
+			return
+		}
+		cancel()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	c := New([]string{s.Listener.Addr().String()})
+	defer c.Close()
+	if _, err := c.Record(ctx, "u", false); !errors.Is(err, context.Canceled) || !api.IsCode(err, api.CodeNoLeader) {
+		t.Errorf("%v", err)
+	}
+}
