sidecar: a 200 that comes within the next request is not taken for its answer

Need: an upstream's second answer may come some milliseconds late. Cause: a connection rests 10 ms and is looked at until a request's first byte goes out, and not after that; the library takes what comes while it writes for the answer. Change: where the answer's first byte comes while some of the body has not even been handed to the writer, so that no upstream can have the request whole, and the connection carried a request before, a 200 counts as a broken connection: the request may have run, and its connection is closed. Other answers, and the first request's on a connection, are taken as before: upstreams turn away early, and may answer so. Test: TestASecondAnswerWithinTheNextRequestIsNobodys, 20 times under -race; without the check it fails ("behind another").

--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -124,11 +125,25 @@
 	b    *clientBody
 	turn int
 	kept []byte
+	gave atomic.Int64 // bytes
+	over atomic.Bool  // no more are to come
 }
 
 func (r *bodyReader) Close() error { return nil }
 
+// owes tells whether some of the body has not gone to the writer yet, so that no upstream can have it whole.
+func (r *bodyReader) owes() bool { return !r.over.Load() && r.gave.Load() != r.b.length }
+
 func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.next(p)
+	r.gave.Add(int64(n))
+	if err != nil {
+		r.over.Store(true)
+	}
+	return n, err
+}
+
+func (r *bodyReader) next(p []byte) (int, error) {
 	if r.turn == 0 {
 		return 0, errBodyCut
 	}
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -188,6 +190,76 @@
 	}
 }
 
+// Guards against an answer that nobody gave: a second one, which comes as the next request is being written, is not taken for that
+// one's. It is not sent again either, since upstreams may answer early. A connection's first request has none before it, and one
+// whose body has gone out is answered as ever.
+func TestASecondAnswerWithinTheNextRequestIsNobodys(t *testing.T) {
+	for name, x := range map[string]struct {
+		before, whole bool // a request came before on the connection; the body has come from its client
+		want          balancer.Result
+	}{
+		"behind another": {true, false, balancer.Reset},
+		"alone":          {false, false, balancer.OK},
+		"whole":          {true, true, balancer.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					in := bufio.NewReader(c)
+					for { // ends with the connection
+						req, err := http.ReadRequest(in)
+						if err != nil {
+							break
+						}
+						if n := int64(8); x.whole || req.ContentLength < n {
+							_, _ = io.Copy(io.Discard, req.Body)
+						} else {
+							_, _ = io.CopyN(io.Discard, req.Body, n)
+						}
+						_, _ = io.WriteString(c, ok200("done"))
+					}
+				}
+			}()
+			u := testUpstreams(t, 4, entry("s", l.Addr().String(), "Ready"))
+			if x.before {
+				if rep := u.attempt(t.Context(), "s", testRequest("POST", "1"), 0); rep.result != balancer.OK {
+					t.Fatalf("the one before: %d", rep.result)
+				}
+				u.awaitRest(t)
+			}
+			rest, client := io.Pipe()
+			defer client.Close()
+			r := testRequest("POST", "what is kept")
+			r.body.length, r.body.from = 1<<20, rest
+			r.body.whole, r.body.broke, r.body.budget = func() {}, func(error) {}, &budget{}
+			go func() {
+				_, _ = client.Write(make([]byte, 4<<10)) // some more has come
+				if x.whole {
+					_, _ = client.Write(make([]byte, 1<<20-4<<10-len(r.body.kept)))
+					client.Close()
+				}
+			}()
+			rep := u.attempt(t.Context(), "s", r, 0)
+			defer rep.drop()
+			if rep.result != x.want {
+				t.Errorf("ended with %d, %v; want %d", rep.result, rep.err, x.want)
+			}
+			if uses := rep.use.nth; uses > 1 != x.before {
+				t.Errorf("it was the connection's request number %d", uses)
+			}
+		})
+	}
+}
+
 // Guards against the library taking what came on a resting connection for the next request's answer, before it has looked
 // itself, and against an unsafe request that is lost to a connection which the upstream has closed: neither is used.
 func TestASpentConnectionIsNotUsed(t *testing.T) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -279,13 +279,19 @@
 	c.allowed = func() error { return u.mayBegin(ctx, c, r, before) }
 	c.begun.Store(false)
 	c.encoded.Store(false)
+	var req *http.Request
+	var early atomic.Bool // the answer came while some of the body had not gone to the writer
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		c.encoded.Store(i.Err == nil)
 		if i.Err == nil && !c.writeErr.Load() {
 			u.dispatched()
 		}
+	}, GotFirstResponseByte: func() {
+		if body, ok := req.Body.(*bodyReader); ok {
+			early.Store(body.owes())
+		}
 	}}
-	req := r.outgoing(httptrace.WithClientTrace(life, trace), c.at.address)
+	req = r.outgoing(httptrace.WithClientTrace(life, trace), c.at.address)
 	left := r.timeout.Microseconds()
 	if deadline, ok := ctx.Deadline(); ok {
 		left = max(time.Until(deadline).Microseconds(), 1)
@@ -322,6 +328,9 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols { // asked for by nobody; its body has no end
 		return reply{result: balancer.ServerError}, false
 	}
+	if resp.StatusCode == http.StatusOK && early.Load() && c.uses > 1 { // most likely another answer to the request before
+		return broken(errSpent), false
+	}
 	if resp.StatusCode == http.StatusOK {
 		body, held, whole, err := u.readAnswer(resp)
 		if err != nil {
