sidecar: the second that a client is owed among idle ones is held to on a fake clock

Cause: not the descriptors. The request is sent in the moment of discovery's return, and on a busy machine it may overtake the list: it is sent to an upstream that hangs, and a second later to the other. The process's test stays as it was, with the cause.

--- a/internal/sidecar/room_test.go
+++ b/internal/sidecar/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"mosslead/internal/lab/memnet"
 )
 
 // Guards against a flood that holds the descriptors: each of many peers that connect at once, with a house that takes few, gets an
@@ -277,3 +280,106 @@
 		}
 	})
 }
+
+// Guards against clients that are held up by idle ones, which take all descriptors that clients may have and come again whenever
+// they are ended: each client that comes from discovery's return on is served within the second that is owed to it. The clock is
+// a fake one, so that a busy machine takes nothing of it; `orchiddrift`'s TestIdleClientsTakeEveryDescriptor has the processes.
+func TestIdleClientsHoldUpNobody(t *testing.T) {
+	hush(t)
+	const most, idle, owed = 20, 120, time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(func(memnet.Event) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		back, returns := context.WithCancel(ctx)
+		var all sync.WaitGroup
+		host := n.Host("sidecar", "10.0.0.1", 0)
+		listens := func(name, ip string, port int, answers http.HandlerFunc) {
+			l, err := n.Host(name, ip, time.Millisecond).Listen(port)
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv := &http.Server{Handler: answers}
+			all.Go(func() { _ = srv.Serve(l) }) // ends with srv
+			context.AfterFunc(ctx, func() { srv.Close() })
+		}
+		listens("up-1", "10.0.0.11", 8000, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		listens("up-2", "10.0.0.12", 8000, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		listens("discovery", "10.0.0.9", 7000, func(w http.ResponseWriter, r *http.Request) { // silent until it is back
+			for at := back; ; at = ctx {
+				select {
+				case <-at.Done():
+					if ctx.Err() != nil {
+						return
+					}
+					fmt.Fprintln(w, list(2, true, entry("serves", up2, "Ready")))
+					_ = http.NewResponseController(w).Flush()
+				case <-r.Context().Done():
+					return
+				}
+			}
+		})
+		c := testConfig(t, "10.0.0.9:7000", entry("hangs", up1, "Ready"))
+		c.Limits.Sockets, c.Settings.MustSubscribe = ownSockets+2*most, false
+		c.dial = host.Dial
+		l, err := host.Listen(9000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run, stop := context.WithCancel(ctx)
+		all.Go(func() {
+			if err := serve(run, c, l, nil, "", nil); err != nil {
+				t.Error(err)
+			}
+		})
+		clients := n.Host("clients", "10.0.0.2", time.Millisecond)
+		for range idle {
+			all.Go(func() {
+				for ctx.Err() == nil {
+					if conn, err := clients.Dial(ctx, "tcp", "10.0.0.1:9000"); err == nil {
+						over := context.AfterFunc(ctx, func() { conn.Close() })
+						_, _ = io.Copy(io.Discard, conn) // until it is ended
+						over()
+						conn.Close()
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		returns()
+		returned := time.Now()
+		var asked sync.WaitGroup
+		took := make(chan time.Duration, 30)
+		for range cap(took) { // as many moments of what the others do
+			asked.Go(func() {
+				begun := time.Now()
+				conn, err := clients.Dial(ctx, "tcp", "10.0.0.1:9000")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_ = conn.SetDeadline(begun.Add(patience)) // a read shows it
+				_, _ = io.WriteString(conn, text("search"))
+				line, err := bufio.NewReader(conn).ReadString('\n')
+				if !strings.HasPrefix(line, "HTTP/1.1 200") || time.Since(begun) > owed {
+					t.Errorf("asked %v after the return: %q, %v, after %v", begun.Sub(returned), line, err, time.Since(begun))
+				}
+				took <- time.Since(begun)
+			})
+			time.Sleep(7 * time.Millisecond)
+		}
+		asked.Wait()
+		close(took)
+		longest := time.Duration(0)
+		for one := range took {
+			longest = max(longest, one)
+		}
+		t.Logf("the longest was served after %v", longest)
+		stop()
+		time.Sleep(killWait)
+		cancel()
+		n.Close()
+		all.Wait()
+	})
+}
