--- a/internal/sidecar/replicas.go
+++ b/internal/sidecar/replicas.go
@@ -13,8 +13,8 @@
 // several tells whether discovery is a list service of several replicas.
 func several(addresses string) bool { return strings.Contains(addresses, ",") }
 
-// follow watches a list service until ctx ends, one of several replicas or one that tells settings too. Which replica is asked, when again, and what of a
-// list is believed, is the client's to decide.
+// follow watches a list service until ctx ends, one of several replicas or one that tells settings too. Which replica is asked, when
+// again, and what of a list is believed, is the client's to decide.
 func (w *watcher) follow(ctx context.Context, addresses string) {
 	all, err := client.Addresses(addresses)
 	if err != nil { // the configuration was checked
