--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,10 +15,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mosslead/balancer"
@@ -51,6 +53,9 @@
 // over the settings and where discovery is; the rest is for the next start.
 func Run(ctx context.Context, c *Config, reloads <-chan Reload) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	if c.State != "" {
+		signal.Ignore(syscall.SIGXFSZ) // a bound on files is an error of the write, and no reason to end
+	}
 	listener, err := passedListener()
 	if err != nil {
 		return err
@@ -80,13 +85,15 @@
 	s     *server
 	conns *clientConns
 	h     *handover
-	keep  *keeper                    // nil: nothing outlives the process
-	kept  state.Kept                 // what it begins with
-	old   atomic.Pointer[state.List] // the list from disk, where one is used
-	most  int                        // connections to clients, and as many to upstreams
-	meets bool
-	heap  float64     // bytes that it may use alone
-	fresh atomic.Bool // a list has come since the start
+	// service is whose settings are followed; nil: the file's are in force.
+	service *service
+	keep    *keeper                    // nil: nothing outlives the process
+	kept    state.Kept                 // what it begins with
+	old     atomic.Pointer[state.List] // the list from disk, where one is used
+	most    int                        // connections to clients, and as many to upstreams
+	meets   bool
+	heap    float64     // bytes that it may use alone
+	fresh   atomic.Bool // a list has come since the start
 	// taking says that clients are taken: at once, or once the process before has yielded.
 	taking   atomic.Bool
 	draining atomic.Bool // told to end
@@ -134,12 +141,16 @@
 	}
 	go p.keep.run(over)
 	defer p.keep.end(over)
+	if p.service != nil {
+		p.service.silent = p.s.stopping.Load // the other process of an upgrade speaks
+		go p.service.acknowledge(running, p.watch.source)
+	}
 	if ops != nil {
 		d := newDoor(ops)
 		d.ready = func() bool { return p.s.ready() && !p.s.stopping.Load() }
 		d.figures = func() string {
 			now := p.loop.stats.snapshot()
-			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines()
+			return now.lines() + p.keep.lines(p.onKept()) + p.loop.shared.lines() + p.service.lines(p.up.dir)
 		}
 		d.peers = p.loop.shared.view
 		d.ban = p.ban
@@ -161,6 +172,8 @@
 			return fmt.Errorf("serving: %w", err)
 		case r := <-reloads:
 			p.reload(r)
+		case <-p.service.news():
+			p.settle(p.loop.postNews)
 		case <-ctx.Done():
 		}
 	}
@@ -169,10 +182,6 @@
 
 // newProcess puts the parts together; nothing runs yet.
 func newProcess(c *Config, listener net.Listener, door bool, tmp string, stop <-chan struct{}) (*process, error) {
-	b, err := balancer.New(c.Settings.Settings, c.Seed)
-	if err != nil {
-		return nil, err
-	}
 	own := ownSockets
 	if door {
 		own += doorConns + 2 // the listener, and the caller that another gives way to
@@ -180,6 +189,9 @@
 	if c.State != "" {
 		own += keepSockets
 	}
+	if c.Service != "" {
+		own += ackSockets
+	}
 	if c.Peers != nil {
 		own += peerSockets
 		if c.Peers.Forward != "" {
@@ -194,25 +206,17 @@
 	}
 	p := &process{c: c, most: (c.Limits.Sockets - own) / 2, meets: tmp != "",
 		heap: c.Limits.MemoryMB * memoryPart * (1 << 20)}
-	clk := newClock()
-	up := newUpstreams(c, clk, p.most)
-	l := newLoop(b, clk, stop)
-	w := newWatcher(c, up.dir, func(m balancer.Members) {
-		if m.Kind == balancer.Change || m.Kind == balancer.Full {
-			p.fresh.Store(true)
-		}
-		l.postList(m)
-	})
-	l.send, l.ask, l.sockets, l.zone = up.attempt, w.ask, up.sockets, up.dir.zone
-	classes := classTable(c.Settings.Settings)
-	l.classes = classes
+	if err := p.assemble(stop); err != nil {
+		return nil, err
+	}
+	up, l := p.up, p.loop
+	l.send, l.sockets = up.attempt, up.sockets
+	classes := l.classes
 	up.dispatched = l.stats.dispatched
-	l.stats.name(slices.Collect(maps.Keys(classes)))
 	if door {
 		l.look = func(ejected []string) { l.stats.upstreams(up.dir.avoided(ejected)) }
 	}
-	p.up, p.loop, p.watch = up, l, w
-	p.s = &server{clock: clk, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
+	p.s = &server{clock: l.clock, post: l.post, stop: stop, bad: l.bad, stats: l.stats, budget: up.budget,
 		ready: p.ready, sends: func() bool { return !up.dir.empty() }}
 	p.s.classes.Store(&classes)
 	p.conns = newClientConns(listener, p.most)
@@ -223,17 +227,42 @@
 	return p, nil
 }
 
+// assemble puts together what decides and what it hears, with clients or without; nothing runs yet.
+func (p *process) assemble(stop <-chan struct{}) error {
+	c := p.c
+	b, err := balancer.New(c.Settings.Settings, c.Seed)
+	if err != nil {
+		return err
+	}
+	clk := newClock()
+	up := newUpstreams(c, clk, p.most)
+	l := newLoop(b, clk, stop)
+	w := newWatcher(c, up.dir, func(m balancer.Members) {
+		if m.Kind == balancer.Change || m.Kind == balancer.Full {
+			p.fresh.Store(true)
+		}
+		l.postList(m)
+	})
+	l.ask, l.zone = w.ask, up.dir.zone
+	l.classes = classTable(c.Settings.Settings)
+	l.stats.name(slices.Collect(maps.Keys(l.classes)))
+	p.up, p.loop, p.watch, p.service = up, l, w, newService(c)
+	w.service = p.service
+	return nil
+}
+
 // begin finds what this process begins with: the list, with the bans in already, and what was learnt. The process before
 // tells it; where there is none, the disk does. An error: the disk is another process's.
 func (p *process) begin() (known balancer.Members, learnt *balancer.Learnt, err error) {
 	first, source, banned := p.c.Known, p.c.Discovery, []string(nil)
+	var settings *state.Settings
 	if p.meets {
 		before := p.h.find()
 		p.memory(p.h.peer != nil)
 		if list := before.List; list != nil && list.Index != nil && (first == nil || *list.Index >= *first.Index) {
 			first = list
 		}
-		learnt, banned = before.Learnt, before.Banned
+		learnt, banned, settings = before.Learnt, before.Banned, before.Settings
 	}
 	if p.keep, p.kept, err = openState(p.c, p.h.peer == nil); err != nil {
 		return known, nil, err
@@ -255,6 +284,7 @@
 			p.watch.index = *first.Index
 		}
 	}
+	p.settleFirst(settings)
 	known.Kind = balancer.Saved
 	return known, learnt, nil
 }
@@ -288,8 +318,12 @@
 
 // reload takes a configuration over whole, or not at all.
 func (p *process) reload(r Reload) {
+	file := r.Config
 	if r.Err == nil {
-		r.Err = r.Config.follows(p.c)
+		r.Err = file.follows(p.c)
+	}
+	if r.Err == nil {
+		r.Config, r.Err = p.service.over(file)
 	}
 	p.loop.stats.reload(r.Err == nil)
 	if r.Err != nil {
@@ -297,15 +331,25 @@
 		return
 	}
 	p.c = r.Config
+	classes := p.tune(p.loop.postNews)
+	note(slog.LevelInfo, ofReload, "taken", slog.Any("classes", slices.Sorted(maps.Keys(classes))), slog.String("discovery", p.c.Discovery))
+	p.watch.move(p.c.Discovery)
+	if p.service != nil {
+		p.service.file = file
+	}
+}
+
+// tune puts the settings of the configuration in use into force; post hands the module its part. No connection is closed, and what was
+// learnt stays.
+func (p *process) tune(post func(any)) map[string]balancer.Class {
 	fresh := retune{p.c.Settings.Settings, make(chan struct{})}
-	p.loop.postNews(fresh)
+	post(fresh)
 	<-fresh.done // the module first: what the table admits must be known to it
 	classes := classTable(p.c.Settings.Settings)
 	p.loop.stats.name(slices.Collect(maps.Keys(classes)))
 	p.up.retune(p.c.Settings)
 	p.s.classes.Store(&classes)
-	note(slog.LevelInfo, ofReload, "taken", slog.Any("classes", slices.Sorted(maps.Keys(classes))), slog.String("discovery", p.c.Discovery))
-	p.watch.move(p.c.Discovery)
+	return classes
 }
 
 // memory bounds the heap, by half of what is allowed while two processes share it.
@@ -320,6 +364,9 @@
 // state is what the next process begins with.
 func (p *process) state() inherited {
 	s := inherited{List: p.up.dir.whole(), Banned: p.up.dir.bans()}
+	if p.service != nil {
+		s.Settings, _ = p.service.kept()
+	}
 	if learnt, ok := p.loop.learnt(); ok { // else the new process begins without
 		s.Learnt = &learnt
 	}
