--- /dev/null
+++ b/internal/cli/capacity.go
@@ -0,0 +1,185 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mosslead/internal/lab/build"
+	"mosslead/internal/lab/capacity"
+	"mosslead/internal/lab/capacity/plays"
+)
+
+// capacityFleet is where the fleet ahead is, relative to the repository's root, as its measures are.
+const (
+	capacityFleet    = "experiments/capacity.toml"
+	capacityMeasures = "docs/capacity"
+)
+
+func (a *app) labCapacity() *cobra.Command {
+	var fleet, measures, page string
+	c := &cobra.Command{
+		Use:   "capacity",
+		Short: "Work out what a fleet asks of each role, and what is left of each budget",
+		Long: "Works the load of a fleet and the table of docs/CAPACITY.md out of the fleet's figures and of measures at smaller sizes. What was\n" +
+			"not measured is said so. --page renews what is worked out in a page, and leaves the rest of it.",
+		Example: "  mosslead lab capacity\n  mosslead lab capacity --fleet mine.toml -o json\n  mosslead lab capacity --page docs/CAPACITY.md\n  mosslead lab capacity measure watchers",
+		Args:    args(cobra.NoArgs),
+	}
+	format := outputFlag(c)
+	c.Flags().StringVar(&fleet, "fleet", capacityFleet, "the fleet's figures and what is assumed")
+	c.Flags().StringVar(&measures, "measures", capacityMeasures, "directory of measures")
+	c.Flags().StringVar(&page, "page", "", "a Markdown page whose worked out parts are to be renewed")
+	c.RunE = func(*cobra.Command, []string) error {
+		f, err := capacity.LoadFleet(fleet)
+		if err != nil {
+			return usageError{err}
+		}
+		m, err := capacity.ReadMeasures(measures)
+		if err != nil {
+			return usageError{err}
+		}
+		t, err := capacity.Build(f, m)
+		if err != nil {
+			return err
+		}
+		if page == "" {
+			return a.print(*format, t, func(w io.Writer) { writeCapacity(w, t) })
+		}
+		old, err := os.ReadFile(page)
+		if err != nil {
+			return usageError{fmt.Errorf("--page: %w", err)}
+		}
+		text, err := t.Renew(string(old))
+		if err != nil {
+			return usageError{fmt.Errorf("--page: %s: %w", page, err)}
+		}
+		return os.WriteFile(page, []byte(text), 0o644)
+	}
+	c.AddCommand(a.labCapacityMeasure())
+	return c
+}
+
+// writeCapacity is the table for people.
+func writeCapacity(w io.Writer, t *capacity.Table) {
+	fmt.Fprintln(w, "load\tvalue\tunit")
+	for _, q := range t.Load {
+		fmt.Fprintf(w, "%s\t%.4g\t%s\n", q.What, q.Value, q.Unit)
+	}
+	for _, part := range []struct {
+		name string
+		rows []capacity.Row
+	}{{"before", t.Rows}, {"after", t.After}} {
+		if len(part.rows) == 0 {
+			continue
+		}
+		fmt.Fprintf(w, "\nrole (%s)\twhat\tday\tfigure\t95%%\tunit\tbudget\tbudget/figure\tcarried\n", part.name)
+		for _, r := range part.rows {
+			figure, interval, budget, left := "not measured", "-", "-", "-"
+			if r.Figure != nil {
+				figure, interval = fmt.Sprintf("%.4g", r.Figure.Value), fmt.Sprintf("%.4g to %.4g", r.Figure.Low, r.Figure.High)
+			}
+			if r.Budget > 0 {
+				budget = fmt.Sprintf("%.4g", r.Budget)
+			}
+			if r.Left() > 0 {
+				left = fmt.Sprintf("%.3g", r.Left())
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%v\n", r.Role, r.What, r.Day, figure, interval, r.Unit, budget, left, r.Carried)
+		}
+	}
+	fmt.Fprintln(w, "\nmissing first\twhat\twhy\ta year\tfigure/budget")
+	for _, c := range t.Missing {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%.3g\n", c.Row.Role, c.Row.What, c.Why, c.PerYear, c.Over)
+	}
+}
+
+func (a *app) labCapacityMeasure() *cobra.Command {
+	var measures, out string
+	var check bool
+	c := &cobra.Command{
+		Use:   "measure NAME",
+		Short: "Play a measure at several sizes and predict the next, or play what was predicted",
+		Long: "Plays a measure at several sizes on this machine, each for some seconds, and writes NAME.json with what they say of a size that was\n" +
+			"not played. With --check that size is played, and what came is written beside the prediction. Measures: " + strings.Join(plays.Names(), ", ") + ".",
+		Example: "  mosslead lab capacity measure watchers\n  mosslead lab capacity measure watchers --check",
+		Args:    args(cobra.ExactArgs(1)),
+	}
+	format := outputFlag(c)
+	c.Flags().StringVar(&measures, "measures", capacityMeasures, "directory of measures")
+	c.Flags().StringVar(&out, "out", "", "directory of programs and logs (logs/lab/capacity-TIME)")
+	c.Flags().BoolVar(&check, "check", false, "play the size that was predicted")
+	c.RunE = func(c *cobra.Command, given []string) error {
+		var m *capacity.Measure
+		var err error
+		if check {
+			if m, err = capacity.ReadMeasure(filepath.Join(measures, given[0]+".json")); err != nil {
+				return usageError{err}
+			}
+			if m.Prediction == nil {
+				return usageError{fmt.Errorf("%s: nothing was predicted", given[0])}
+			}
+		}
+		if out == "" {
+			out = filepath.Join("logs", "lab", "capacity-"+time.Now().Format("20060102-150405"))
+		}
+		if out, err = filepath.Abs(out); err != nil {
+			return err
+		}
+		if err := os.MkdirAll(out, 0o755); err != nil {
+			return fmt.Errorf("directory of the result: %w", err)
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("finding this program: %w", err)
+		}
+		root, err := build.Root(".")
+		if err != nil {
+			return usageError{err}
+		}
+		program, from, err := build.Sidecar(c.Context(), root, out, build.Source{})
+		if err != nil {
+			return err
+		}
+		p := &plays.Player{Service: []string{self, "registry", "serve"}, Sidecar: []string{program}, Dir: out, Revision: from, Progress: a.progress}
+		if check {
+			err = p.Check(c.Context(), m)
+		} else {
+			m, err = p.Measure(c.Context(), given[0])
+		}
+		if errors.Is(err, plays.ErrUnknown) {
+			return usageError{err}
+		}
+		if err != nil {
+			return err
+		}
+		if err := m.Write(measures); err != nil {
+			return err
+		}
+		return a.print(*format, m, func(w io.Writer) {
+			fmt.Fprintln(w, "series\tunit\tstraight in\tslope\t95%\tpredicted\tcame")
+			for _, s := range m.Series {
+				_, l, err := m.Line(s.Name)
+				if err != nil {
+					continue // Write has checked it
+				}
+				says, came := m.Prediction.Says[s.Name], "-"
+				if len(m.Checks) > 0 {
+					sum := 0.0
+					for _, x := range m.Checks {
+						sum += x.Got[s.Name]
+					}
+					came = fmt.Sprintf("%.4g", sum/float64(len(m.Checks)))
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%.4g to %.4g\t%.4g (%.4g to %.4g)\t%s\n", s.Name, s.Unit, s.Form, l.Slope.Value, l.Slope.Low, l.Slope.High, says.Value, says.Low, says.High, came)
+			}
+		})
+	}
+	return c
+}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"mosslead/internal/lab/campaign"
+	"mosslead/internal/lab/capacity"
 	"mosslead/internal/lab/experiment"
 	"mosslead/internal/lab/report"
 	"mosslead/internal/lab/standin"
@@ -30,7 +31,7 @@
 			"discovery, clients whose load is drawn from a seed, and faults on a timeline.",
 		Example: "  mosslead lab list\n  mosslead lab run experiments/crash.toml\n  mosslead lab faults",
 	})
-	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labService(), a.labDuties(), a.labCandidate(), a.labNaive())
+	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labService(), a.labCapacity(), a.labDuties(), a.labCandidate(), a.labNaive())
 	return c
 }
 
@@ -195,6 +196,10 @@
 			w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
 			for _, path := range paths {
 				e, err := experiment.LoadFile(path)
+				if f, wrong := capacity.LoadFleet(path); err != nil && wrong == nil { // figures to work with, and nothing to play
+					fmt.Fprintf(w, "%s\t%s\n", path, f.Question)
+					continue
+				}
 				if err != nil {
 					fmt.Fprintf(w, "%s\t%v\n", path, err)
 					continue
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -225,7 +225,8 @@
 	Failed   int     `json:"failed"`
 	Lost     int     `json:"lost"` // leases that the service did not hold
 	P99Ms    float64 `json:"p99_ms"`
-	Cores    float64 `json:"cores"`     // of all replicas together
+	Cores    float64 `json:"cores"` // of all replicas together
+	Leader   float64 `json:"leader_cores"`
 	OwnCores float64 `json:"own_cores"` // of those who call
 }
 
@@ -261,7 +262,15 @@
 		}
 		return sum
 	}
-	before, ownBefore, begun := use(), ownCPU(), time.Now()
+	leads := leader(ctx, c)
+	ofLeader := func() time.Duration {
+		if leads < 0 {
+			return 0
+		}
+		u, _ := children[leads].Use() // one that has ended is seen by its failures
+		return u.CPU
+	}
+	before, leaderBefore, ownBefore, begun := use(), ofLeader(), ownCPU(), time.Now()
 	var mu sync.Mutex
 	var lags []time.Duration
 	var all sync.WaitGroup
@@ -291,11 +300,24 @@
 	all.Wait()
 	took := time.Since(begun).Seconds()
 	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (ownCPU()-ownBefore).Seconds()/took
+	m.Leader = (ofLeader() - leaderBefore).Seconds() / took
 	m.Took = float64(len(lags)-m.Failed) / took
 	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
+// leader is the number of the replica that leads; -1: none says so.
+func leader(ctx context.Context, c *client.Client) int {
+	said, _ := c.Status(ctx)
+	for _, s := range said {
+		var n int
+		if _, err := fmt.Sscanf(s.Replica.Name, "r%d", &n); err == nil && s.State == "leader" {
+			return n
+		}
+	}
+	return -1
+}
+
 func renewOne(c *http.Client, at, name string) (lost int, err error) {
 	text, err := json.Marshal(api.Renewals{Leases: []api.Lease{{Name: name, Incarnation: 1}}})
 	if err != nil {
--- a/internal/lab/burden/rush.go
+++ b/internal/lab/burden/rush.go
@@ -121,6 +121,8 @@
 	Failed   int     `json:"failed"`
 	P99Ms    float64 `json:"p99_ms"` // from a watcher's try to its first line
 	MemoryMB float64 `json:"memory_mb"`
+	CPUMs    float64 `json:"cpu_ms"` // of the replica, over all of it
+	Bytes    int64   `json:"bytes"`  // that watchers read up to the end of their first line
 }
 
 // MeasureReturn has so many watchers open within a time, each with a version ten changes old, or with none.
@@ -137,6 +139,10 @@
 	if whole {
 		version = -1
 	}
+	before, err := b.child.Use()
+	if err != nil {
+		return m, err
+	}
 	begun := time.Now()
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -149,10 +155,11 @@
 			}
 			from := time.Now()
 			conn, err := watchFrom(ctx, b.at, version)
+			read := 0
 			if err == nil {
 				got := false
 				stop := time.AfterFunc(hearWithin, func() { conn.Close() })
-				readLines(ctx, conn, func([]byte) bool { got = true; return false })
+				readLines(ctx, conn, func(line []byte) bool { got, read = true, len(watchHeader)+len(line); return false })
 				stop.Stop()
 				if !got {
 					err = errUnheard
@@ -164,18 +171,22 @@
 				m.Failed++
 				return
 			}
+			m.Bytes += int64(read)
 			lags = append(lags, time.Since(from))
 		})
 	}
 	all.Wait()
 	m.AllBack = time.Since(begun).Seconds()
 	if u, err := b.child.Use(); err == nil {
-		m.MemoryMB = u.MemoryMB
+		m.MemoryMB, m.CPUMs = u.MemoryMB, float64((u.CPU-before.CPU).Microseconds())/1e3
 	}
 	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
+// watchHeader is about what an answer's head takes besides.
+const watchHeader = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\nTrailer: X-Registry-End\r\nConnection: close\r\n\r\n"
+
 var errUnheard = fmt.Errorf("no line within %v", hearWithin)
 
 // watchFrom opens a watch.
--- /dev/null
+++ b/internal/lab/burden/writes.go
@@ -0,0 +1,201 @@
+package burden
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"mosslead/internal/lab/proc"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+// Writes is what changes of a list were found to cost a quorum of three.
+type Writes struct {
+	Asked         float64 `json:"asked_per_s"`
+	Took          float64 `json:"took_per_s"`
+	Failed        int     `json:"failed"`
+	P99Ms         float64 `json:"p99_ms"`
+	Leader        float64 `json:"leader_cores"`
+	Follower      float64 `json:"follower_cores"` // of one, on the mean
+	LeaderBytes   float64 `json:"leader_bytes"`   // a second, read and written: files and streams
+	FollowerBytes float64 `json:"follower_bytes"`
+	LeaderMB      float64 `json:"leader_mb"`
+	FollowerMB    float64 `json:"follower_mb"`
+}
+
+// MeasureWrites has a list of so many entries changed at a rate; 0: it stands still.
+func (r Runner) MeasureWrites(ctx context.Context, entries int, rate float64, length time.Duration) (m Writes, err error) {
+	m.Asked = rate
+	at, children, err := r.Quorum(3)
+	defer func() {
+		for _, c := range children {
+			_ = c.Kill() // whatever came of it
+		}
+	}()
+	if err != nil {
+		return m, err
+	}
+	c := client.New(at)
+	defer c.Close()
+	if err := Await(ctx, c, len(at)); err != nil {
+		return m, err
+	}
+	for i := range entries {
+		if _, err := c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return m, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	leads := leader(ctx, c)
+	if leads < 0 {
+		return m, errors.New("nobody leads")
+	}
+	before, err := counts(children)
+	if err != nil {
+		return m, err
+	}
+	begun := time.Now()
+	var lags []time.Duration
+	for i := 0; rate > 0; i++ {
+		due := begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		if due.Sub(begun) >= length || !sleep(ctx, time.Until(due)) {
+			break
+		}
+		if _, err := c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
+			m.Failed++
+			continue
+		}
+		lags = append(lags, time.Since(due))
+	}
+	if !sleep(ctx, time.Until(begun.Add(length))) {
+		return m, ctx.Err()
+	}
+	after, err := counts(children)
+	if err != nil {
+		return m, err
+	}
+	took := time.Since(begun).Seconds()
+	if leader(ctx, c) != leads {
+		return m, errors.New("another replica leads by now")
+	}
+	for i := range children {
+		cores := (after[i].CPU - before[i].CPU).Seconds() / took
+		bytes := float64(after[i].Read+after[i].Written-before[i].Read-before[i].Written) / took
+		if i == leads {
+			m.Leader, m.LeaderBytes, m.LeaderMB = cores, bytes, after[i].MemoryMB
+			continue
+		}
+		others := float64(len(children) - 1)
+		m.Follower, m.FollowerBytes, m.FollowerMB = m.Follower+cores/others, m.FollowerBytes+bytes/others, m.FollowerMB+after[i].MemoryMB/others
+	}
+	m.Took, m.P99Ms = float64(len(lags))/took, quantile(lags, 99)
+	return m, nil
+}
+
+type count struct {
+	proc.Use
+	proc.IO
+}
+
+func counts(children []*proc.Child) (all []count, err error) {
+	for _, c := range children {
+		var x count
+		if x.Use, err = c.Use(); err == nil {
+			x.IO, err = c.IO()
+		}
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, x)
+	}
+	return all, nil
+}
+
+// Cut is what was found on the side of a cut that has no majority.
+type Cut struct {
+	Watchers int     `json:"watchers"`
+	Ended    int     `json:"ended"`         // watches, within the length
+	AfterS   float64 `json:"ended_after_s"` // the last of them, from the cut on
+	Asked    int     `json:"asked"`         // registrations of servers that were listed, one every 100 ms
+	Refused  int     `json:"refused"`
+}
+
+// MeasureCut has so many watch one replica of three, and stops the other two: for the one that is left it is as if they were cut off.
+func (r Runner) MeasureCut(ctx context.Context, watchers int, length time.Duration) (m Cut, err error) {
+	m.Watchers = watchers
+	at, children, err := r.Quorum(3)
+	defer func() {
+		for _, c := range children {
+			_ = c.Kill() // whatever came of it
+		}
+	}()
+	if err != nil {
+		return m, err
+	}
+	c := client.New(at)
+	defer c.Close()
+	if err := Await(ctx, c, len(at)); err != nil {
+		return m, err
+	}
+	var version int64
+	for i := range watchers {
+		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return m, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	left := (leader(ctx, c) + 1) % len(at) // whoever leads is on the other side
+	if !sleep(ctx, time.Second) {          // the replica that is left has it all, too
+		return m, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var ended atomic.Int64
+	ends := make(chan time.Time, watchers)
+	for range watchers {
+		conn, err := watchFrom(ctx, at[left], version)
+		if err != nil {
+			return m, err
+		}
+		go func() {
+			readLines(ctx, conn, func([]byte) bool { return true })
+			ended.Add(1)
+			ends <- time.Now()
+		}()
+	}
+	if !sleep(ctx, time.Second) {
+		return m, ctx.Err()
+	}
+	if n := ended.Load(); n > 0 {
+		return m, fmt.Errorf("%d watches ended before the cut", n)
+	}
+	cut := time.Now()
+	for i, child := range children {
+		if i != left {
+			if err := child.Signal(syscall.SIGSTOP); err != nil {
+				return m, err
+			}
+		}
+	}
+	alone := client.New(at[left : left+1])
+	defer alone.Close()
+	for time.Since(cut) < length {
+		one, stop := context.WithTimeout(ctx, time.Second)
+		_, err := alone.Register(one, "u0", registration(0))
+		stop()
+		m.Asked++
+		if err != nil {
+			m.Refused++
+		}
+		if !sleep(ctx, 100*time.Millisecond) {
+			return m, ctx.Err()
+		}
+	}
+	m.Ended = int(ended.Load())
+	for range m.Ended {
+		m.AfterS = max(m.AfterS, (<-ends).Sub(cut).Seconds())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,300 @@
+package capacity
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	theFleet    = "../../../experiments/capacity.toml"
+	theMeasures = "../../../docs/capacity"
+	thePage     = "../../../docs/CAPACITY.md"
+)
+
+func table(t *testing.T) *Table {
+	t.Helper()
+	f, err := LoadFleet(theFleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := ReadMeasures(theMeasures)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := Build(f, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// TestThePageIsWhatIsWorkedOut holds the page to its fleet and its measures, and sees a number that was changed by hand.
+func TestThePageIsWhatIsWorkedOut(t *testing.T) {
+	text, err := os.ReadFile(thePage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := table(t)
+	page := string(text)
+	want, err := x.Renew(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if page != want {
+		at := 0
+		for at < min(len(page), len(want)) && page[at] == want[at] {
+			at++
+		}
+		t.Fatalf("docs/CAPACITY.md is not what is worked out: run `mosslead lab capacity --page docs/CAPACITY.md`. It differs at\n%.200s\nand is to be\n%.200s", page[at:], want[at:])
+	}
+	for _, s := range sections {
+		section, err := x.Section(s.name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		digit := strings.LastIndexAny(section, "123456789")
+		if digit < 0 {
+			continue // nothing was measured for it yet
+		}
+		at := strings.Index(page, section) + digit
+		planted := page[:at] + string('1'+(page[at]-'0')%9) + page[at+1:]
+		if planted == page {
+			t.Fatalf("%s: nothing was changed", s.name)
+		}
+		if again, err := x.Renew(planted); err != nil || again == planted {
+			t.Errorf("%s: a changed number is not seen (%v)", s.name, err)
+		}
+	}
+	if _, err := x.Renew(strings.Replace(page, beginMark("table"), "", 1)); err == nil {
+		t.Error("a page without one of its parts is taken")
+	}
+	if _, err := x.Renew(strings.Replace(page, endMark, "", 1)); err == nil {
+		t.Error("a part without an end is taken")
+	}
+}
+
+// TestFleetsAreReadStrictly has each mistake named with its line or key.
+func TestFleetsAreReadStrictly(t *testing.T) {
+	text, err := os.ReadFile(theFleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(text)
+	for _, c := range []struct{ old, new, want string }{
+		{"[operators]\n", "[operators]\nupstream = { value = 1, from = \"x\" }\n", "unknown key operators.upstream"},
+		{"value = 1800,", "value = \"many\",", "operators.upstreams"},
+		{"value = 1800,", "value = 0,", "operators.upstreams: 0"},
+		{"value = 1800,", "value = -3,", "operators.upstreams: -3"},
+		{"value = 1800,", "value = nan,", "operators.upstreams"},
+		{"value = 1800,", "worth = 1800,", "line 8: unknown key operators.worth"},
+		{"from = \"operators: 1,800 upstreams, each with its sidecar\"", "from = \"\"", "operators.upstreams: from is missing"},
+		{"value = 160,", "value = 1801,", "operators.services"},
+		{"regions               = { value = 4,", "regions               = { value = 15,", "operators.regions"},
+		{"[assumed]", "[assumed", "line"},
+	} {
+		bad := strings.Replace(good, c.old, c.new, 1)
+		if bad == good {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		if _, err := ParseFleet([]byte(bad)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.new, err, c.want)
+		}
+	}
+	if _, err := ParseFleet(nil); err == nil {
+		t.Error("an empty fleet is taken")
+	}
+	if _, err := LoadFleet(filepath.Join(t.TempDir(), "none.toml")); err == nil {
+		t.Error("a file that is not there is taken")
+	}
+}
+
+// TestTheLoadFollowsTheFleet changes a figure and looks at what depends on it.
+func TestTheLoadFollowsTheFleet(t *testing.T) {
+	f, err := LoadFleet(theFleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := f.Work()
+	near := func(name string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 1e-9*math.Abs(want) {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+	near("calls", l.CallsMean, 170000.0/1800)
+	near("zone", l.ZoneSidecars, 1800.0/14)
+	near("region", l.RegionSidecars, 450)
+	near("chain", l.ChainSlow, 1-math.Pow(0.99, 22))
+	f.Operators.Upstreams.Value = 3600
+	twice := f.Work()
+	near("calls of twice as many", twice.CallsMean, l.CallsMean/2)
+	near("renewals of twice as many", twice.Renewals, 2*l.Renewals)
+	if len(twice.Quantities) != len(l.Quantities) || len(l.Quantities) < 20 {
+		t.Errorf("%d quantities", len(l.Quantities))
+	}
+}
+
+// made is a measure on a line, with noise.
+func made(name string, constant, slope, noise float64, at ...float64) *Measure {
+	rng := rand.New(rand.NewPCG(1, 2))
+	m := &Measure{Name: name, Command: "none", Revision: "none", Series: []Series{{Name: "y", Unit: "MB", Form: "x"}}}
+	for _, x := range at {
+		m.Samples = append(m.Samples, Sample{Sizes: map[string]float64{"x": x}, Got: map[string]float64{"y": constant + slope*x + noise*rng.NormFloat64()}})
+	}
+	return m
+}
+
+// TestLinesAreFitted has intervals hold what they promise: of 400 made lines about 380 slopes and as many next plays.
+func TestLinesAreFitted(t *testing.T) {
+	m := made("exact", 3, 2, 0, 1, 2, 3, 4)
+	_, l, err := m.Line("y")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := l.At(10); math.Abs(got.Value-23) > 1e-9 || math.Abs(got.High-got.Low) > 1e-6 {
+		t.Errorf("an exact line: %+v", got)
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	slopes, plays := 0, 0
+	const lines = 400
+	for range lines {
+		m := made("noisy", 0, 0, 0, 1, 2, 4, 8, 16)
+		for i := range m.Samples {
+			m.Samples[i].Got["y"] = 5 + 0.5*m.Samples[i].Sizes["x"] + rng.NormFloat64()
+		}
+		_, l, err := m.Line("y")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l.Slope.Holds(0.5) {
+			slopes++
+		}
+		if l.At(32).Holds(5 + 0.5*32 + rng.NormFloat64()) {
+			plays++
+		}
+	}
+	for what, held := range map[string]int{"slopes": slopes, "plays": plays} {
+		if held < lines*92/100 || held > lines*98/100 {
+			t.Errorf("%d of %d %s lie in their intervals", held, lines, what)
+		}
+	}
+	if _, _, err := made("few", 1, 1, 0, 1, 2, 3, 3).Line("y"); err == nil || !strings.Contains(err.Error(), "3 sizes") {
+		t.Errorf("a slope from three sizes: %v", err)
+	}
+	for form, want := range map[string]float64{"x": 8, "x*z": 24, "log2(x)": 3} {
+		if got, err := formAt(form, map[string]float64{"x": 8, "z": 3}); err != nil || got != want {
+			t.Errorf("%s: %v, %v", form, got, err)
+		}
+	}
+	for _, form := range []string{"w", "x*w", "log2(w)", "log2(zero)"} {
+		if _, err := formAt(form, map[string]float64{"x": 8, "zero": 0}); err == nil {
+			t.Errorf("%s is taken", form)
+		}
+	}
+}
+
+// TestMeasuresAreKept writes one, reads it again, and has files that can't be right refused.
+func TestMeasuresAreKept(t *testing.T) {
+	dir := t.TempDir()
+	m := made("one", 3, 2, 0.1, 1, 2, 3, 4)
+	if err := m.Predict(map[string]float64{"x": 4}, "none"); err == nil {
+		t.Error("a size that was played is predicted")
+	}
+	if err := m.Predict(map[string]float64{"x": 8}, "none"); err != nil {
+		t.Fatal(err)
+	}
+	m.Checks = []Sample{{Sizes: map[string]float64{"x": 8}, Got: map[string]float64{"y": 19}}}
+	if err := m.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	all, err := ReadMeasures(dir)
+	if err != nil || len(all) != 1 {
+		t.Fatalf("%v, %v", all, err)
+	}
+	checked, err := all["one"].checked()
+	if err != nil || len(checked) != 1 || !checked[0].Played || checked[0].Came != 19 || !checked[0].Says.Holds(checked[0].Says.Value) {
+		t.Errorf("%+v, %v", checked, err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "one.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ old, new string }{
+		"unknown key":           {`"how"`, `"why"`},
+		"no JSON":               {`{`, `[`},
+		"another name":          {`"name": "one"`, `"name": "two"`},
+		"a check of other size": {`"x": 8`, `"x": 9`},
+		"no command":            {`"command": "none"`, `"command": ""`},
+		"a series without data": {`"name": "y"`, `"name": "z"`},
+	} {
+		bad := t.TempDir()
+		changed := strings.Replace(string(text), c.old, c.new, 1)
+		if changed == string(text) {
+			t.Fatalf("%s: %q is not in the file", name, c.old)
+		}
+		if err := os.WriteFile(filepath.Join(bad, "one.json"), []byte(changed), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadMeasures(bad); err == nil || !strings.Contains(err.Error(), "one.json") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := ReadMeasures(filepath.Join(dir, "none")); err == nil {
+		t.Error("a directory that is not there is taken")
+	}
+}
+
+// TestWhatIsMissingComesFirst has rows without a carrier before those over their budget, and rows that were not measured say so.
+func TestWhatIsMissingComesFirst(t *testing.T) {
+	over := exactly(4)
+	far := exactly(8)
+	under := exactly(1)
+	rows := []Row{
+		{What: "over", Figure: &over, Budget: 2, Carried: true, PerYear: 365},
+		{What: "under", Figure: &under, Budget: 2, Carried: true, PerYear: 365},
+		{What: "seldom", Mechanism: None, PerYear: 5},
+		{What: "often", Mechanism: None, PerYear: 300000},
+		{What: "far over", Figure: &far, Budget: 2, Carried: true, PerYear: 365},
+		{What: "not measured", Budget: 2, Carried: true, PerYear: 365},
+	}
+	var got []string
+	for _, c := range missing(rows) {
+		got = append(got, c.Row.What)
+	}
+	if want := "often, seldom, far over, over"; strings.Join(got, ", ") != want {
+		t.Errorf("%s, want %s", strings.Join(got, ", "), want)
+	}
+	f, err := LoadFleet(theFleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bare, err := Build(f, Measures{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, err := bare.Section("table")
+	if err != nil || !strings.Contains(section, "not measured") {
+		t.Errorf("a table without measures: %v", err)
+	}
+	if _, err := json.Marshal(bare); err != nil {
+		t.Error(err)
+	}
+	for _, r := range append(bare.Rows, bare.After...) {
+		if !r.Carried && !strings.HasPrefix(r.Mechanism, None) || r.Carried && !strings.Contains(r.Mechanism, "`") || r.PerYear <= 0 || r.BudgetFrom == "" || r.Unit == "" {
+			t.Errorf("the row is not whole: %+v", r)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for x, want := range map[float64]string{0: "0", 1800: "1,800", 170000: "170,000", 94.44: "94.4", 0.31: "0.31", 6.818: "6.82", 1234567.8: "1,234,568", -1234: "-1,234", 3.1e10: "3.10e+10", 0.0000123: "1.2e-05", 12: "12"} {
+		if got := number(x); got != want {
+			t.Errorf("%v is %s, want %s", x, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/page.go
@@ -0,0 +1,220 @@
+package capacity
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+)
+
+// sections are the parts of the page that are worked out, by the words of their marks.
+var sections = []struct {
+	name  string
+	write func(w *bytes.Buffer, t *Table)
+}{
+	{"fleet", writeFleet}, {"load", writeLoad}, {"table", func(w *bytes.Buffer, t *Table) { writeRows(w, t.Rows) }},
+	{"missing", writeMissing}, {"after", func(w *bytes.Buffer, t *Table) { writeRows(w, t.After) }}, {"slopes", writeSlopes}, {"checks", writeChecks},
+}
+
+func beginMark(name string) string { return "<!-- worked out: " + name + " -->" }
+
+const endMark = "<!-- end of what is worked out -->"
+
+// Section is one part of the page, by its name.
+func (t *Table) Section(name string) (string, error) {
+	for _, s := range sections {
+		if s.name == name {
+			var w bytes.Buffer
+			s.write(&w, t)
+			return w.String(), nil
+		}
+	}
+	return "", fmt.Errorf("no section is called %q", name)
+}
+
+// Renew gives the page with all its sections worked out anew; what stands between them stays.
+func (t *Table) Renew(page string) (string, error) {
+	for _, s := range sections {
+		mark := beginMark(s.name) + "\n"
+		if strings.Count(page, mark) != 1 {
+			return "", fmt.Errorf("the page has %d lines %q, and is to have one", strings.Count(page, mark), beginMark(s.name))
+		}
+		before, rest, _ := strings.Cut(page, mark)
+		old, after, ok := strings.Cut(rest, endMark)
+		if !ok || strings.Contains(old, "<!-- worked out:") {
+			return "", errors.New("the page has no " + endMark + " after " + beginMark(s.name))
+		}
+		text, err := t.Section(s.name)
+		if err != nil {
+			return "", err
+		}
+		page = before + mark + text + endMark + after
+	}
+	return page, nil
+}
+
+func writeFleet(w *bytes.Buffer, t *Table) {
+	fmt.Fprint(w, "| figure | value | from |\n| --- | --- | --- |\n")
+	for _, x := range t.Fleet.Figures() {
+		fmt.Fprintf(w, "| `%s` | %s | %s |\n", x.Name, number(x.Value), x.From)
+	}
+}
+
+func writeLoad(w *bytes.Buffer, t *Table) {
+	fmt.Fprint(w, "| what | value | | how |\n| --- | --- | --- | --- |\n")
+	for _, q := range t.Load {
+		fmt.Fprintf(w, "| `%s`: %s | %s | %s | %s |\n", q.Name, q.What, number(q.Value), q.Unit, strings.ReplaceAll(q.How, "_", "\\_"))
+	}
+}
+
+func writeRows(w *bytes.Buffer, rows []Row) {
+	if len(rows) == 0 {
+		fmt.Fprint(w, "Not measured yet.\n")
+		return
+	}
+	role := ""
+	for _, r := range rows {
+		if r.Role != role {
+			if role != "" {
+				fmt.Fprintln(w)
+			}
+			role = r.Role
+			fmt.Fprintf(w, "**%s**\n\n| what | day | at this size | budget | budget over figure | measured | mechanism |\n| --- | --- | --- | --- | --- | --- | --- |\n", upper(role))
+		}
+		var slopes []string
+		for _, s := range r.Slopes {
+			text := fmt.Sprintf("`%s.%s`", s.Measure, s.Series)
+			if s.Beyond > 1.005 {
+				text += fmt.Sprintf(", %s times beyond what was played", number(s.Beyond))
+			}
+			slopes = append(slopes, text)
+		}
+		measured := strings.Join(slopes, "; ")
+		switch {
+		case measured == "" && r.Figure == nil:
+			measured = "not measured"
+		case measured == "":
+			measured = "the load"
+		}
+		budget := r.BudgetFrom
+		if r.Budget > 0 {
+			budget = fmt.Sprintf("%s (%s)", number(r.Budget), r.BudgetFrom)
+		}
+		what := r.What
+		if r.Note != "" {
+			what += " (" + r.Note + ")"
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s |\n", what, r.Day, r.figure(), budget, r.left(), measured, r.mechanism())
+	}
+}
+
+func (r Row) figure() string {
+	switch {
+	case r.Figure == nil:
+		return "not measured"
+	case r.Figure.Low == r.Figure.High:
+		return number(r.Figure.Value) + " " + r.Unit
+	}
+	return fmt.Sprintf("%s (%s to %s) %s", number(r.Figure.Value), number(r.Figure.Low), number(r.Figure.High), r.Unit)
+}
+
+func (r Row) left() string {
+	switch {
+	case r.Left() == 0:
+		return "-"
+	case r.Over():
+		return "**" + number(r.Left()) + "**"
+	}
+	return number(r.Left())
+}
+
+func (r Row) mechanism() string {
+	if !r.Carried {
+		return "**" + None + "**" + strings.TrimPrefix(r.Mechanism, None)
+	}
+	return r.Mechanism
+}
+
+func writeMissing(w *bytes.Buffer, t *Table) {
+	fmt.Fprint(w, "| role | row | day | why | its day comes, a year | figure over budget |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range t.Missing {
+		over := "-"
+		if c.Over > 0 {
+			over = number(c.Over)
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s |\n", c.Row.Role, c.Row.What, c.Row.Day, c.Why, number(c.PerYear), over)
+	}
+}
+
+func writeSlopes(w *bytes.Buffer, t *Table) {
+	if len(t.Measures) == 0 {
+		fmt.Fprint(w, "Not measured yet.\n")
+		return
+	}
+	fmt.Fprint(w, "| measure | straight in | slope, 95% | unit | command | revision |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range t.Measures {
+		fmt.Fprintf(w, "| `%s.%s` | %s | %s (%s to %s) | %s | `%s` | %s |\n", c.Measure, c.Series, strings.ReplaceAll(c.Form, "*", " x "), number(c.Slope.Value), number(c.Slope.Low), number(c.Slope.High), c.Unit, c.Command, c.Revision)
+	}
+}
+
+func writeChecks(w *bytes.Buffer, t *Table) {
+	if len(t.Measures) == 0 {
+		fmt.Fprint(w, "Not measured yet.\n")
+		return
+	}
+	fmt.Fprint(w, "| measure | size | predicted, 95% | came | came over predicted | within |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range t.Measures {
+		came, over, within := "not played", "-", "-"
+		if c.Played {
+			came, within = number(c.Came), "no"
+			if c.Says.Holds(c.Came) {
+				within = "yes"
+			}
+			if c.Says.Value > 0 {
+				over = number(c.Came / c.Says.Value)
+			}
+		}
+		fmt.Fprintf(w, "| `%s.%s` | %s | %s (%s to %s) %s | %s | %s | %s |\n", c.Measure, c.Series, sizesText(c.Sizes), number(c.Says.Value), number(c.Says.Low), number(c.Says.High), c.Unit, came, over, within)
+	}
+}
+
+func upper(s string) string { return strings.ToUpper(s[:1]) + s[1:] }
+
+func sizesText(sizes map[string]float64) string {
+	var all []string
+	for _, name := range sortedKeys(sizes) {
+		all = append(all, number(sizes[name])+" "+name)
+	}
+	return strings.Join(all, ", ")
+}
+
+// number is x with three digits that count, whole ones in full.
+func number(x float64) string {
+	switch a := math.Abs(x); {
+	case x == 0:
+		return "0"
+	case a >= 1e9:
+		return fmt.Sprintf("%.2e", x)
+	case a >= 100 || x == math.Trunc(x):
+		return thousands(fmt.Sprintf("%.0f", x))
+	case a >= 10:
+		return fmt.Sprintf("%.1f", x)
+	case a >= 1:
+		return fmt.Sprintf("%.2f", x)
+	case a >= 0.0005:
+		return fmt.Sprintf("%.3g", x)
+	}
+	return fmt.Sprintf("%.2g", x)
+}
+
+func thousands(digits string) string {
+	sign := ""
+	if strings.HasPrefix(digits, "-") {
+		sign, digits = "-", digits[1:]
+	}
+	for i := len(digits) - 3; i > 0; i -= 3 {
+		digits = digits[:i] + "," + digits[i:]
+	}
+	return sign + digits
+}
--- /dev/null
+++ b/internal/lab/capacity/plays/duty.go
@@ -0,0 +1,81 @@
+package plays
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"mosslead/internal/duty"
+	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/capacity"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	dutySettle = 4 * time.Second
+	dutyFor    = 8 * time.Second
+)
+
+func init() {
+	all["duty"] = play{
+		question: "What does one duty cost the list service, by those who want it?",
+		how:      "so many candidates of one duty, in this process, each with a client of its own, before one replica in memory; 4 s after their start, over 8 s: calls, and bytes both ways without the kernel's headers; processor time of the replica",
+		series:   []capacity.Series{{Name: "calls", Unit: "calls/s", Form: "log2(candidates)"}, {Name: "bytes", Unit: "bytes/s", Form: "log2(candidates)"}, {Name: "core_share", Unit: "of a core", Form: "log2(candidates)"}},
+		at:       each("candidates", 2, 8, 32, 128), repeats: 1, check: sizes{"candidates": 450},
+		run: (*Player).duty,
+	}
+}
+
+func (p *Player) duty(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
+	r, err := p.runner(dir)
+	if err != nil {
+		return nil, err
+	}
+	address, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	replica, err := r.Start("replica", "--dev", "--listen", address[0])
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = replica.Kill() }() // whatever came of it
+	c := client.New(address)
+	defer c.Close()
+	if err := burden.Await(ctx, c, 1); err != nil {
+		return nil, err
+	}
+	calls, err := newCounter(address[0])
+	if err != nil {
+		return nil, err
+	}
+	defer calls.close()
+	running, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	for i := range int(at["candidates"]) {
+		own := client.New([]string{calls.address()})
+		d := duty.NewRunner(own, duty.Config{Name: "lab/capacity", Holder: fmt.Sprint("candidate-", i)}, func(duty.Action) {})
+		d.Want(true, 0)
+		all.Go(func() { defer own.Close(); d.Run(running) })
+	}
+	if !sleep(ctx, dutySettle) {
+		return nil, ctx.Err()
+	}
+	begun, n, bytes := time.Now(), calls.calls.Load(), calls.bytes()
+	ran, err := replica.Ran()
+	if err != nil {
+		return nil, err
+	}
+	if !sleep(ctx, dutyFor) {
+		return nil, ctx.Err()
+	}
+	after, err := replica.Ran()
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(begun).Seconds()
+	return map[string]float64{"calls": float64(calls.calls.Load()-n) / took, "bytes": float64(calls.bytes()-bytes) / took, "core_share": (after - ran).Seconds() / took}, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/plays/exchange.go
@@ -0,0 +1,69 @@
+package plays
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	exchanges     = 4000
+	exchangeBytes = 200
+)
+
+// exchange is what a bare exchange over loopback takes on this machine now: the processor time of both ends, which are in this
+// process, and the median of the times. It is what times of other machines may be held against.
+func exchange() (cpu, median time.Duration, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer ln.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		buf := make([]byte, exchangeBytes)
+		for {
+			if _, err := io.ReadFull(c, buf); err != nil {
+				return
+			}
+			if _, err := c.Write(buf); err != nil {
+				return
+			}
+		}
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { c.Close(); <-done }()
+	buf := make([]byte, exchangeBytes)
+	lags := make([]time.Duration, 0, exchanges)
+	before := ownCPU()
+	for range exchanges {
+		begun := time.Now()
+		if _, err := c.Write(buf); err != nil {
+			return 0, 0, err
+		}
+		if _, err := io.ReadFull(c, buf); err != nil {
+			return 0, 0, err
+		}
+		lags = append(lags, time.Since(begun))
+	}
+	return (ownCPU() - before) / exchanges, quantile(lags, 0.5), nil
+}
+
+// ownCPU is the processor time of this process so far.
+func ownCPU() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -0,0 +1,411 @@
+package plays
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/capacity"
+	"mosslead/internal/lab/proc"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	readyWithin  = 10 * time.Second
+	settleFor    = 5 * time.Second // of a sidecar, before it is measured
+	steadyFor    = 8 * time.Second
+	sidecarTurns = 20 // changes of the list, while it is measured
+	turnEvery    = 150 * time.Millisecond
+	loadFor      = 10 * time.Second
+	straightly   = 10 // upstreams that answer at once
+	learntFirst  = 3 * time.Second
+)
+
+func init() {
+	all["sidecar"] = play{
+		question: "What does a sidecar spend on a list, with no request to carry?",
+		how: "one real process, its list from one replica, state kept on disk, nothing shared: resident memory and processor time (of all its threads, to the nanosecond) by the kernel's counts over 8 quiet seconds; " +
+			"bytes of its watch both ways, without the kernel's headers; then 20 changes of one entry each, 0.15 s apart; its state directory's size and what the process wrote to it a second (all it wrote but the watch); the operators' STATS",
+		series: []capacity.Series{{Name: "memory_mb", Unit: "MB", Form: "entries"}, {Name: "core_share", Unit: "of a core", Form: "entries"}, {Name: "watch_bytes", Unit: "bytes/s", Form: "entries"},
+			{Name: "change_bytes", Unit: "bytes", Form: "entries"}, {Name: "change_cpu_ms", Unit: "ms", Form: "entries"}, {Name: "list_bytes", Unit: "bytes", Form: "entries"},
+			{Name: "disk_bytes", Unit: "bytes", Form: "entries"}, {Name: "disk_written", Unit: "bytes/s", Form: "entries"}, {Name: "stats_bytes", Unit: "bytes", Form: "entries"}},
+		at: each("entries", 10, 200, 600, 1000), repeats: 1, check: sizes{"entries": 1800},
+		run: (*Player).quietSidecar,
+	}
+	all["calls"] = play{
+		question: "What does a call through a sidecar cost and take beside the same call straight?",
+		how: "one real process before ten upstreams of this process that answer at once; calls at a rate for 10 s, in turn through the sidecar and straight, each on connections that stand; processor time of all its threads by the kernel's count; " +
+			"times from the call's intended moment: quantiles of both, and their differences",
+		series: []capacity.Series{{Name: "core_share", Unit: "of a core", Form: "calls"}, {Name: "added_p50_ms", Unit: "ms", Form: "calls"}, {Name: "added_p99_ms", Unit: "ms", Form: "calls"},
+			{Name: "memory_mb", Unit: "MB", Form: "calls"}},
+		at: each("calls", 25, 50, 94, 188), repeats: 2, check: sizes{"calls": 282},
+		run: (*Player).calls,
+	}
+}
+
+// bed is a sidecar before a list service of one replica in memory.
+type bed struct {
+	c       *client.Client
+	watch   *counter
+	child   *proc.Child
+	replica *proc.Child
+	listen  string
+	ops     string
+	state   string
+}
+
+func (b *bed) close() {
+	for _, child := range []*proc.Child{b.child, b.replica} {
+		if child != nil {
+			_ = child.Kill() // whatever came of it
+		}
+	}
+	if b.watch != nil {
+		b.watch.close()
+	}
+	if b.c != nil {
+		b.c.Close()
+	}
+}
+
+// bed starts both, the list with these addresses in it. Nothing of it is left after an error.
+func (p *Player) bed(ctx context.Context, dir string, upstreams []string, config map[string]any) (b *bed, err error) {
+	r, err := p.runner(dir)
+	if err != nil {
+		return nil, err
+	}
+	b = &bed{}
+	defer func() {
+		if err != nil {
+			b.close()
+		}
+	}()
+	at, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	if b.replica, err = r.Start("replica", "--dev", "--listen", at[0]); err != nil {
+		return nil, err
+	}
+	b.c = client.New(at[:1])
+	if err := burden.Await(ctx, b.c, 1); err != nil {
+		return nil, err
+	}
+	for i, address := range upstreams {
+		if _, err := b.c.Register(ctx, fmt.Sprint("upstream-", i), registration(i, address)); err != nil {
+			return nil, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	if b.watch, err = newCounter(at[0]); err != nil {
+		return nil, err
+	}
+	b.listen, b.ops, b.state = at[1], at[2], filepath.Join(r.Dir, "state")
+	c := map[string]any{"name": "sidecar-0", "listen": b.listen, "ops": b.ops, "discovery": b.watch.address(), "seed": "1f", "state": b.state,
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "settings": settings(len(upstreams))}
+	for key, value := range config {
+		c[key] = value
+	}
+	text, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(r.Dir, "config.json")
+	if err := errors.Join(os.WriteFile(path, text, 0o644), os.MkdirAll(b.state, 0o755)); err != nil {
+		return nil, err
+	}
+	if b.child, err = proc.Start(proc.Spec{Name: "sidecar", Path: p.Sidecar[0], Args: p.Sidecar[1:], Dir: r.Dir, LogFile: filepath.Join(r.Dir, "sidecar.log"),
+		Env: []string{"GW_CONFIG=" + path, "GW_NAME=sidecar-0", "TMPDIR=" + r.Dir}}); err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(readyWithin); ; {
+		if text, err := door(b.ops, "READY"); err == nil && text == "YES\n" {
+			return b, nil
+		}
+		select {
+		case <-b.child.Ended():
+			return nil, fmt.Errorf("the sidecar ended before it was ready: %s", b.child.Exit())
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("the sidecar was not ready within %v", readyWithin)
+		}
+	}
+}
+
+func (p *Player) quietSidecar(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
+	cpu, _, err := exchange()
+	if err != nil {
+		return nil, err
+	}
+	upstreams := make([]string, int(at["entries"]))
+	for i := range upstreams {
+		upstreams[i] = fmt.Sprintf("127.9.%d.%d:9000", i/250, 1+i%250)
+	}
+	b, err := p.bed(ctx, dir, upstreams, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	if !sleep(ctx, settleFor) {
+		return nil, ctx.Err()
+	}
+	got := map[string]float64{"list_bytes": float64(b.watch.bytes()), "exchange_cpu_us": us(cpu)}
+	ran, io, read, began := time.Duration(0), proc.IO{}, int64(0), time.Now()
+	mark := func() (err1 error) {
+		began, read = time.Now(), b.watch.bytes()
+		if ran, err1 = b.child.Ran(); err1 == nil {
+			io, err1 = b.child.IO()
+		}
+		return err1
+	}
+	if err := mark(); err != nil {
+		return nil, err
+	}
+	wasRan, wasIO, wasRead, begun := ran, io, read, began
+	if !sleep(ctx, steadyFor) {
+		return nil, ctx.Err()
+	}
+	if err := mark(); err != nil {
+		return nil, err
+	}
+	took := began.Sub(begun).Seconds()
+	quiet := (ran - wasRan).Seconds() / took
+	got["core_share"], got["watch_bytes"] = quiet, float64(read-wasRead)/took
+	got["disk_written"] = float64(io.Written-wasIO.Written) / took
+	u, err := b.child.Use()
+	if err != nil {
+		return nil, err
+	}
+	got["memory_mb"] = u.MemoryMB
+	if got["disk_bytes"], err = sizeOf(b.state); err != nil {
+		return nil, err
+	}
+	text, err := door(b.ops, "STATS")
+	if err != nil {
+		return nil, err
+	}
+	got["stats_bytes"] = float64(len("STATS\n") + len(text))
+	if err := mark(); err != nil {
+		return nil, err
+	}
+	wasRan, wasRead, begun = ran, read, began
+	for i := range sidecarTurns {
+		if _, err := b.c.Hand(ctx, fmt.Sprint("upstream-", i%len(upstreams)), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/len(upstreams)%2]}); err != nil {
+			return nil, err
+		}
+		if !sleep(ctx, turnEvery) {
+			return nil, ctx.Err()
+		}
+	}
+	if err := mark(); err != nil {
+		return nil, err
+	}
+	took = began.Sub(begun).Seconds()
+	got["change_bytes"] = float64(read-wasRead) / sidecarTurns
+	got["change_cpu_ms"] = max(0, (ran-wasRan).Seconds()-quiet*took) * 1e3 / sidecarTurns
+	return got, nil
+}
+
+func (p *Player) calls(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
+	cpu, median, err := exchange()
+	if err != nil {
+		return nil, err
+	}
+	var upstreams []string
+	for range straightly {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "served at once\n")
+		})}
+		var served sync.WaitGroup
+		served.Go(func() { _ = s.Serve(ln) }) // ends with Close
+		defer served.Wait()
+		defer s.Close()
+		upstreams = append(upstreams, ln.Addr().String())
+	}
+	b, err := p.bed(ctx, dir, upstreams, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	tr := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	defer tr.CloseIdleConnections()
+	web := &http.Client{Transport: tr, Timeout: 2 * time.Second}
+	call := func(i int, address string) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/items/%d", address, i), nil)
+		if err != nil {
+			return err
+		}
+		req.Header.Set("X-Request-ID", fmt.Sprint("call-", i))
+		req.Header.Set("X-Priority-Class", "read")
+		req.Header.Set("X-Timeout", "1600000u")
+		resp, err := web.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("answered %s", resp.Status)
+		}
+		return nil
+	}
+	for i := range 200 { // connections stand, and what a fresh process learns is learnt
+		if err := errors.Join(call(i, b.listen), call(i, upstreams[i%len(upstreams)])); err != nil {
+			return nil, fmt.Errorf("before the load: %w", err)
+		}
+	}
+	if !sleep(ctx, learntFirst) {
+		return nil, ctx.Err()
+	}
+	ran, err := b.child.Ran()
+	if err != nil {
+		return nil, err
+	}
+	begun, gap := time.Now(), time.Duration(float64(time.Second)/at["calls"])
+	var mu sync.Mutex
+	var lags [2][]time.Duration
+	failed := 0
+	var calls sync.WaitGroup
+	for i := 0; ; i++ {
+		due := begun.Add(time.Duration(i) * gap)
+		if due.Sub(begun) >= loadFor || !sleep(ctx, time.Until(due)) {
+			break
+		}
+		one := func(k int, due time.Time, address string) {
+			err := call(i, address)
+			took := time.Since(due)
+			mu.Lock()
+			defer mu.Unlock()
+			if lags[k] = append(lags[k], took); err != nil {
+				failed++
+			}
+		}
+		now := time.Now() // a call that this process begins late is late in neither
+		calls.Go(func() {
+			one(0, now, b.listen)
+			if sleep(ctx, gap/3) { // the straight one goes alone too
+				one(1, time.Now(), upstreams[i%len(upstreams)])
+			}
+		})
+	}
+	calls.Wait()
+	after, err := b.child.Ran()
+	if err != nil {
+		return nil, err
+	}
+	u, err := b.child.Use()
+	if err != nil {
+		return nil, err
+	}
+	if failed > 0 {
+		return nil, fmt.Errorf("%d calls failed", failed)
+	}
+	through50, through99, straight50, straight99 := quantile(lags[0], 0.5), quantile(lags[0], 0.99), quantile(lags[1], 0.5), quantile(lags[1], 0.99)
+	return map[string]float64{"core_share": (after - ran).Seconds() / time.Since(begun).Seconds(), "memory_mb": u.MemoryMB,
+		"through_p50_ms": us(through50) / 1e3, "through_p99_ms": us(through99) / 1e3, "straight_p50_ms": us(straight50) / 1e3, "straight_p99_ms": us(straight99) / 1e3,
+		"added_p50_ms": us(through50-straight50) / 1e3, "added_p99_ms": us(through99-straight99) / 1e3,
+		"exchange_cpu_us": us(cpu), "exchange_us": us(median)}, ctx.Err()
+}
+
+func registration(i int, address string) api.Registration {
+	return api.Registration{Address: address, Zone: fmt.Sprintf("zone-%d", i%4), Type: "cores-4", Weight: 4}
+}
+
+// settings are a sidecar's, as the laboratory words them.
+func settings(upstreams int) map[string]any {
+	return map[string]any{
+		"Balancers": 4, "Me": 0, "Zone": "zone-0", "FailureDomains": []string{"zone-0", "zone-1", "zone-2", "zone-3"}, "Discovery": "push", "TickMs": 5, "WorthBy": "request",
+		"Weights": "rough", "OverShareWorth": 0.05, "Tenants": []map[string]any{{"Name": "tenant-1", "Fraction": 1}},
+		"Classes": []map[string]any{{"Name": "read", "Semantics": "retryable", "AimMs": 300, "DeadlineMs": 1600, "Importance": 2, "LateShare": 0.25, "KeyScope": "all", "Stream": false}},
+		"Limits": map[string]any{"Cancelling": true, "ConnIdleMs": 60000, "ConnectTimeoutMs": 200, "Probes": false, "SendCap": 3,
+			"StreamsPerConn": 1, "SecondCopies": false, "RetryAfter": false},
+		"Prices": map[string]any{"CrossZone": 0.1, "LateFail": 0.03, "Probe": 0.002, "Waste": 0.2},
+		"Rules":  map[string]any{"ColdFrom": 0.3, "WarmUpMs": 4000, "FallMultiple": 4, "FallMs": 1000, "DrainGraceMs": 3000},
+	}
+}
+
+// door makes one call at the operators' door.
+func door(address, line string) (string, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second)) // where it fails, so does what follows
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(bufio.NewReader(c))
+	return string(text), err
+}
+
+// sizeOf is the sum of a directory's files.
+func sizeOf(dir string) (sum float64, err error) {
+	err = filepath.WalkDir(dir, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		info, err := d.Info()
+		if errors.Is(err, fs.ErrNotExist) { // just replaced
+			return nil
+		}
+		if err == nil {
+			sum += float64(info.Size())
+		}
+		return err
+	})
+	return sum, err
+}
+
+// freeAddresses are so many that nobody listens at now.
+func freeAddresses(n int) (all []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close() // after all are found, so that none is found twice
+		all = append(all, ln.Addr().String())
+	}
+	return all, nil
+}
+
+func quantile(lags []time.Duration, share float64) time.Duration {
+	if len(lags) == 0 {
+		return 0
+	}
+	slices.Sort(lags)
+	return lags[min(int(float64(len(lags))*share), len(lags)-1)]
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/rows.go
@@ -0,0 +1,123 @@
+package capacity
+
+// rows are those of the fleet as the program was before documents and regions.
+func (b *builder) rows() (rows []Row) {
+	o, a, l := b.f.Operators, b.f.Assumed, b.l
+	put := func(x figure, r Row) { rows = append(rows, x.of(r)) }
+	n := o.Upstreams.Value
+	entries := size("entries", n)
+	const (
+		asked       = "operators"
+		assumed     = "assumed"
+		requestsIn  = "`internal/sidecar` server, upstream; `balancer.Balancer`"
+		listIn      = "`internal/watch.Follower`, `internal/sidecar` directory"
+		watchesOut  = "`internal/registry` watches"
+		quorum      = "`internal/registry.Node`, `internal/registry/list.List`"
+		stateOut    = "`internal/sidecar` keeper, `internal/state.Store`"
+		sharingPart = "`internal/peer.Carrier`, `internal/breaker.Board`"
+	)
+
+	const requests = "sidecar: requests"
+	put(b.at("calls", "added_p99_ms", size("calls", l.CallsMean)), Row{Role: requests, What: "added to a call, 99 in 100", Day: Steady, Unit: "ms", Budget: o.AddedMs.Value, BudgetFrom: asked,
+		Mechanism: requestsIn, Carried: true, PerYear: daysPerYear, Note: "difference of the quantiles through and straight"})
+	put(b.at("calls", "added_p50_ms", size("calls", l.CallsMean)), Row{Role: requests, What: "added to a call, median", Day: Steady, Unit: "ms", BudgetFrom: noBudget,
+		Mechanism: requestsIn, Carried: true, PerYear: daysPerYear})
+	put(b.at("calls", "core_share", size("calls", l.CallsMean)), Row{Role: requests, What: "processor time at the mean rate", Day: Steady, Unit: "of a core", BudgetFrom: noBudget,
+		Mechanism: requestsIn, Carried: true, PerYear: daysPerYear, Note: "control is in it, too"})
+	put(b.at("calls", "core_share", size("calls", l.CallsPeak)), Row{Role: requests, What: "processor time at the busiest's peak", Day: Worst, Unit: "of a core", BudgetFrom: noBudget,
+		Mechanism: requestsIn, Carried: true, PerYear: daysPerYear})
+
+	const list = "sidecar: list"
+	put(b.at("sidecar", "memory_mb", entries), Row{Role: list, What: "memory of the process", Day: Steady, Unit: "MB", Budget: o.SidecarMemoryMB.Value, BudgetFrom: asked,
+		Mechanism: listIn, Carried: true, PerYear: daysPerYear, Note: "all of it, not control alone"})
+	put(b.at("sidecar", "core_share", entries), Row{Role: list, What: "processor time without a request", Day: Steady, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked,
+		Mechanism: listIn + ", loop", Carried: true, PerYear: daysPerYear, Note: "state on disk is in it, sharing is not"})
+	put(b.at("sidecar", "watch_bytes", entries).and(b.at("sidecar", "change_bytes", entries).times(l.ListPerS)), Row{Role: list, What: "bytes", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: listIn, Carried: true, PerYear: daysPerYear})
+	put(b.at("sidecar", "change_bytes", entries), Row{Role: list, What: "bytes", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: listIn, Carried: true, PerYear: l.ListChanges * daysPerYear})
+	put(b.at("sidecar", "change_cpu_ms", entries), Row{Role: list, What: "processor time", Day: Change, Unit: "ms", BudgetFrom: noBudget, Mechanism: listIn, Carried: true, PerYear: l.ListChanges * daysPerYear})
+	put(b.at("sidecar", "watch_bytes", entries).and(b.at("sidecar", "change_bytes", entries).times(l.ZoneChanges/60)), Row{Role: list, What: "bytes: a zone goes and comes back", Day: Worst, Unit: "bytes/s",
+		Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked, Mechanism: listIn, Carried: true, PerYear: o.ZonesPerYear.Value, Note: "over one minute"})
+	put(b.at("sidecar", "core_share", entries).and(b.at("sidecar", "change_cpu_ms", entries).times(l.ZoneChanges/60/1000)), Row{Role: list, What: "processor time: a zone goes and comes back", Day: Worst, Unit: "of a core",
+		Budget: o.SidecarCoreShare.Value, BudgetFrom: asked, Mechanism: listIn, Carried: true, PerYear: o.ZonesPerYear.Value, Note: "over one minute"})
+	put(b.at("sidecar", "list_bytes", entries).times(1.0/60), Row{Role: list, What: "bytes: the whole list at a return", Day: Worst, Unit: "bytes/s",
+		Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked, Mechanism: listIn, Carried: true, PerYear: o.CutsPerYear.Value + (o.RestartsPerDay.Value+o.FailuresPerDay.Value)*daysPerYear/n,
+		Note: "over one minute; every sidecar follows all entries, not those of the services that it calls"})
+
+	const settings = "sidecar: settings"
+	const byHand = None + ": a file and a SIGHUP on each machine (`internal/sidecar` reload)"
+	put(known(l.SettingsTaken), Row{Role: settings, What: "files to write and processes to signal", Day: Steady, Unit: "a day", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand,
+		PerYear: o.SettingsPerDay.Value * daysPerYear, Note: "nobody tells which version is in force where"})
+	put(figure{}, Row{Role: settings, What: "until a change is in force everywhere", Day: Change, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: byHand, PerYear: o.SettingsPerDay.Value * daysPerYear,
+		Note: "nothing carries it, so there is nothing to measure"})
+	put(known(l.WaveTaken), Row{Role: settings, What: "files to write and processes to signal: twenty changes", Day: Worst, Unit: "in a minute", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand, PerYear: daysPerYear})
+
+	const sharing = "sidecar: sharing (where `peers` is configured)"
+	put(b.at("gossip", "bytes_mean", size("members", n)), Row{Role: sharing, What: "bytes sent by a member, all in one gossip", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; the budget is taken for both ways; virtual time"})
+	put(b.at("gossip", "bytes_mean", size("members", l.RegionSidecars)), Row{Role: sharing, What: "the same, a gossip for each region", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
+	put(figure{}, Row{Role: sharing, What: "memory of the roster", Day: Steady, Unit: "MB", BudgetFrom: noBudget, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
+	put(figure{}, Row{Role: sharing, What: "processor time", Day: Steady, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
+
+	const disk = "sidecar: state on disk (where `state` is configured)"
+	put(b.at("sidecar", "disk_bytes", entries).times(1.0/(1<<20)), Row{Role: disk, What: "size", Day: Steady, Unit: "MB", Budget: a.StateDiskMB.Value, BudgetFrom: assumed, Mechanism: stateOut, Carried: true, PerYear: daysPerYear})
+	put(b.at("sidecar", "disk_written", entries), Row{Role: disk, What: "written, with nothing to carry", Day: Steady, Unit: "bytes/s", Budget: a.StateWritesPerS.Value, BudgetFrom: assumed, Mechanism: stateOut, Carried: true, PerYear: daysPerYear,
+		Note: "the log's lines are in it"})
+
+	const leads = "list service: leader (one quorum for all)"
+	idle := b.at("writes", "leader_cores", size("changes", l.ListPerS))
+	put(b.at("watchers", "memory_kb", size("watchers", n)).times(1.0/1024), Row{Role: leads, What: "memory of watchers, all at one replica", Day: Steady, Unit: "MB", Budget: a.ControlMemoryMB.Value, BudgetFrom: assumed,
+		Mechanism: watchesOut, Carried: true, PerYear: daysPerYear})
+	put(b.at("writes", "leader_mb", size("changes", l.ListPerS)), Row{Role: leads, What: "memory of the process", Day: Steady, Unit: "MB", Budget: a.ControlMemoryMB.Value, BudgetFrom: assumed, Mechanism: quorum, Carried: true, PerYear: daysPerYear,
+		Note: "450 entries, no watchers"})
+	put(idle.and(b.slope("renewals", "leader_cores").times(l.Renewals)), Row{Role: leads, What: "processor time: quorum, changes, renewals", Day: Steady, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: quorum + ", leases",
+		Carried: true, PerYear: daysPerYear})
+	put(known(l.Renewals), Row{Role: leads, What: "messages: renewals", Day: Steady, Unit: "calls/s", BudgetFrom: noBudget, Mechanism: "`internal/registry` leases", Carried: true, PerYear: daysPerYear})
+	put(b.at("writes", "leader_bytes", size("changes", l.ListPerS)), Row{Role: leads, What: "bytes: quorum and log", Day: Steady, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed, Mechanism: quorum, Carried: true, PerYear: daysPerYear,
+		Note: "read and written, files too"})
+	put(b.at("watchers", "cpu_ms_change", size("watchers", n)), Row{Role: leads, What: "processor time: told to all watchers at one replica", Day: Change, Unit: "ms", BudgetFrom: noBudget, Mechanism: watchesOut, Carried: true, PerYear: l.ListChanges * daysPerYear})
+	put(b.at("sidecar", "change_bytes", entries).times(n), Row{Role: leads, What: "bytes: told to all watchers at one replica", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: watchesOut, Carried: true, PerYear: l.ListChanges * daysPerYear})
+	put(b.at("writes", "leader_cores", size("changes", l.ZoneChanges/60)).and(b.at("watchers", "cpu_ms_change", size("watchers", n)).times(l.ZoneChanges/60/1000)).and(b.slope("renewals", "leader_cores").times(l.Renewals)),
+		Row{Role: leads, What: "processor time: a zone goes and comes back", Day: Worst, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: quorum + ", watches", Carried: true, PerYear: o.ZonesPerYear.Value,
+			Note: "all watchers at the leader"})
+	back := map[string]float64{"watchers": l.RegionSidecars, "entries": n}
+	put(b.at("return", "bytes", back), Row{Role: leads, What: "bytes: a region's watchers back within 1 s", Day: Worst, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed, Mechanism: watchesOut, Carried: true, PerYear: o.CutsPerYear.Value,
+		Note: "whole lists x watchers, one replica"})
+	put(b.at("return", "cpu_ms", back).times(1.0/1000), Row{Role: leads, What: "processor time: a region's watchers back within 1 s", Day: Worst, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: watchesOut, Carried: true, PerYear: o.CutsPerYear.Value})
+	put(b.at("return", "memory_mb", back), Row{Role: leads, What: "memory: a region's watchers back within 1 s", Day: Worst, Unit: "MB", Budget: a.ControlMemoryMB.Value, BudgetFrom: assumed, Mechanism: watchesOut, Carried: true, PerYear: o.CutsPerYear.Value})
+	put(b.at("return", "bytes", map[string]float64{"watchers": n, "entries": n}), Row{Role: leads, What: "bytes: all watchers back within 1 s, at one replica", Day: Worst, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed, Mechanism: watchesOut,
+		Carried: true, PerYear: 1, Note: "spread over 14 machines it is a fourteenth"})
+
+	const follows = "list service: follower"
+	put(b.at("writes", "follower_cores", size("changes", l.ListPerS)), Row{Role: follows, What: "processor time", Day: Steady, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: quorum, Carried: true, PerYear: daysPerYear,
+		Note: "without watchers; those cost what they cost the leader"})
+	put(b.at("writes", "follower_mb", size("changes", l.ListPerS)), Row{Role: follows, What: "memory of the process", Day: Steady, Unit: "MB", Budget: a.ControlMemoryMB.Value, BudgetFrom: assumed, Mechanism: quorum, Carried: true, PerYear: daysPerYear})
+	put(b.slope("writes", "follower_bytes"), Row{Role: follows, What: "bytes", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: quorum, Carried: true, PerYear: l.ListChanges * daysPerYear, Note: "read and written, files too"})
+	put(b.at("writes", "follower_cores", size("changes", l.ZoneChanges/60)), Row{Role: follows, What: "processor time: a zone goes and comes back", Day: Worst, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: quorum, Carried: true, PerYear: o.ZonesPerYear.Value})
+
+	const duties = "holder of a duty, and who waits for it (where `peers.service` is configured)"
+	everyone := size("candidates", n)
+	put(b.at("duty", "calls", everyone), Row{Role: duties, What: "messages of one duty that all want", Day: Steady, Unit: "calls/s", BudgetFrom: noBudget, Mechanism: "`internal/duty.Runner`, `internal/registry/terms`", Carried: true, PerYear: daysPerYear})
+	put(b.at("duty", "bytes", everyone).times(l.Duties/n), Row{Role: duties, What: "bytes of all standing duties, a sidecar's part", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked, Mechanism: "`internal/duty.Runner`", Carried: true, PerYear: daysPerYear,
+		Note: "as if all wanted each"})
+	put(b.at("duty", "core_share", everyone).times(l.Duties), Row{Role: duties, What: "processor time of the service's leader, all standing duties", Day: Steady, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed, Mechanism: "`internal/registry/terms`", Carried: true, PerYear: daysPerYear,
+		Note: "one replica in memory: takes are rare, renewals are not in the log"})
+
+	const door = "operators' door"
+	put(b.at("sidecar", "stats_bytes", entries), Row{Role: door, What: "bytes of one look at a sidecar's figures", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: "`internal/sidecar` door", Carried: true, PerYear: daysPerYear})
+	put(b.at("sidecar", "stats_bytes", entries).times(n), Row{Role: door, What: "bytes of one look at all of them", Day: Worst, Unit: "bytes", BudgetFrom: noBudget, Mechanism: None + ": each door is asked by itself", PerYear: o.RacksPerYear.Value + o.ZonesPerYear.Value + o.CutsPerYear.Value,
+		Note: "the digest of a site (a duty) sums nothing up"})
+
+	const regions = "regions that lose each other (one quorum for all)"
+	const noRegion = None + ": the service is one quorum (`internal/registry.Node`)"
+	put(b.at("cut", "refused_share", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "registrations, drains and operators' words refused on the side without a majority", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value,
+		Note: "for as long as the cut lasts"})
+	put(b.at("cut", "ended", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "watches that end there", Day: Worst, Unit: "watches", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Note: "sidecars keep the list that they have"})
+	put(b.at("cut", "ended_after_s", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "until they end", Day: Worst, Unit: "s", BudgetFrom: noBudget, Mechanism: noRegion, PerYear: o.CutsPerYear.Value})
+	put(known(l.CutList+l.CutSettings+l.ZoneChanges), Row{Role: regions, What: "changes to catch up after a heal, a zone among them", Day: Worst, Unit: "changes", BudgetFrom: "in force everywhere within 7 s of the heal", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Note: "none was taken in on the small side"})
+	return rows
+}
+
+// afterRows are those that documents and regions change.
+func (b *builder) afterRows() (rows []Row) { return nil }
--- /dev/null
+++ b/internal/lab/capacity/table.go
@@ -0,0 +1,242 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// The days of a row.
+const (
+	Steady = "steady day"
+	Change = "one change"
+	Worst  = "worst minute"
+)
+
+// None is the mechanism of a row that nothing carries.
+const None = "none"
+
+const daysPerYear = 365
+
+// Row is what a role bears on a day.
+type Row struct {
+	Role string `json:"role"`
+	What string `json:"what"`
+	Day  string `json:"day"`
+	Unit string `json:"unit"`
+	// Figure is at the fleet's size; nil: not measured.
+	Figure *Interval `json:"figure,omitempty"`
+	// Budget is what it may be; 0: nobody named one, and BudgetFrom says so.
+	Budget     float64 `json:"budget,omitempty"`
+	BudgetFrom string  `json:"budget_from"`
+	// Slopes are the lines that the figure rests on.
+	Slopes    []Slope `json:"slopes,omitempty"`
+	Mechanism string  `json:"mechanism"` // by package and type; None, or None and what there is instead
+	Carried   bool    `json:"carried"`
+	PerYear   float64 `json:"per_year"` // how often its day comes
+	Note      string  `json:"note,omitempty"`
+}
+
+// Slope is the line of one series at one size.
+type Slope struct {
+	Measure  string   `json:"measure"`
+	Series   string   `json:"series"`
+	Unit     string   `json:"unit"`
+	Form     string   `json:"form"`
+	Slope    Interval `json:"slope"`
+	Constant float64  `json:"constant"`
+	Sizes    int      `json:"sizes"`
+	At       float64  `json:"at"`     // the form's value for the fleet
+	Beyond   float64  `json:"beyond"` // that, over the largest that was played
+	Revision string   `json:"revision"`
+	Command  string   `json:"command"`
+}
+
+// Left is the budget over the figure; 0: one of them is not there.
+func (r Row) Left() float64 {
+	if r.Figure == nil || r.Budget == 0 || !(r.Figure.Value > 0) {
+		return 0
+	}
+	return r.Budget / r.Figure.Value
+}
+
+// Over tells whether the figure is above its budget.
+func (r Row) Over() bool { return r.Left() > 0 && r.Left() < 1 }
+
+// Table is all that is worked out of a fleet and of measures.
+type Table struct {
+	Fleet    *Fleet     `json:"fleet"`
+	Load     []Quantity `json:"load"`
+	Rows     []Row      `json:"rows"`
+	After    []Row      `json:"after"`   // with documents and regions, see afterRows
+	Missing  []Claim    `json:"missing"` // rows that compete for the mechanism that is built first
+	Measures []Checked  `json:"measures"`
+}
+
+// Claim is a row that has no carrier or is over its budget.
+type Claim struct {
+	Row     Row     `json:"row"`
+	Why     string  `json:"why"`
+	PerYear float64 `json:"per_year"`
+	Over    float64 `json:"over,omitempty"` // the figure over its budget
+}
+
+// Checked is how far a prediction was off.
+type Checked struct {
+	Measure  string             `json:"measure"`
+	Series   string             `json:"series"`
+	Unit     string             `json:"unit"`
+	Form     string             `json:"form"`
+	Sizes    map[string]float64 `json:"sizes"`
+	Slope    Interval           `json:"slope"`
+	Says     Interval           `json:"says"`
+	Came     float64            `json:"came"`
+	Played   bool               `json:"played"`
+	Command  string             `json:"command"`
+	Revision string             `json:"revision"`
+}
+
+// Build works the table out.
+func Build(f *Fleet, m Measures) (*Table, error) {
+	b := &builder{f: f, m: m, l: f.Work()}
+	t := &Table{Fleet: f, Load: b.l.Quantities}
+	t.Rows = b.rows()
+	t.After = b.afterRows()
+	if b.err != nil {
+		return nil, b.err
+	}
+	t.Missing = missing(t.Rows)
+	for _, name := range m.names() {
+		all, err := m[name].checked()
+		if err != nil {
+			return nil, err
+		}
+		t.Measures = append(t.Measures, all...)
+	}
+	return t, nil
+}
+
+// missing are the rows without a carrier, by how often their day comes, and then those over their budget, the farthest first.
+func missing(rows []Row) (all []Claim) {
+	for _, r := range rows {
+		switch {
+		case !r.Carried:
+			all = append(all, Claim{Row: r, Why: "no carrier", PerYear: r.PerYear})
+		case r.Over():
+			all = append(all, Claim{Row: r, Why: "over its budget", PerYear: r.PerYear, Over: 1 / r.Left()})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Claim) int {
+		if a.Row.Carried != b.Row.Carried {
+			return cmp.Compare(a.Over, b.Over)
+		}
+		if a.Row.Carried {
+			return cmp.Compare(b.Over*b.PerYear, a.Over*a.PerYear)
+		}
+		return cmp.Compare(b.PerYear, a.PerYear)
+	})
+	return all
+}
+
+// checked sets what was predicted beside what came.
+func (m *Measure) checked() (all []Checked, err error) {
+	for _, s := range m.Series {
+		l, err := m.fit(s)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %s: %w", m.Name, s.Name, err)
+		}
+		c := Checked{Measure: m.Name, Series: s.Name, Unit: s.Unit, Form: s.Form, Slope: l.Slope, Command: m.Command, Revision: m.Revision}
+		if m.Prediction != nil {
+			c.Sizes, c.Says = m.Prediction.Sizes, m.Prediction.Says[s.Name]
+		}
+		for _, x := range m.Checks {
+			c.Came += x.Got[s.Name] / float64(len(m.Checks))
+			c.Played = true
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
+
+type builder struct {
+	f   *Fleet
+	m   Measures
+	l   Load
+	err error
+}
+
+// figure is what a series says at some sizes, and the slope behind it; nil: not measured.
+type figure struct {
+	*Interval
+	slopes []Slope
+}
+
+func (b *builder) at(measure, series string, sizes map[string]float64) figure {
+	m, ok := b.m[measure]
+	if !ok {
+		return figure{}
+	}
+	s, l, err := m.Line(series)
+	var x float64
+	if err == nil {
+		x, err = formAt(s.Form, sizes)
+	}
+	if err != nil {
+		b.err = cmp.Or(b.err, fmt.Errorf("%s: %s: %w", measure, series, err))
+		return figure{}
+	}
+	most := math.Inf(-1)
+	for _, played := range slices.Concat(m.Samples, m.Checks) {
+		if at, err := formAt(s.Form, played.Sizes); err == nil {
+			most = max(most, at)
+		}
+	}
+	says := l.At(x)
+	return figure{&says, []Slope{{measure, s.Name, s.Unit, s.Form, l.Slope, l.Constant, l.Sizes, x, x / most, m.Revision, m.Command}}}
+}
+
+// slope is what one more of a form's sizes takes.
+func (b *builder) slope(measure, series string) figure {
+	f := b.at(measure, series, everySize)
+	if f.Interval == nil {
+		return f
+	}
+	s := f.slopes[0]
+	s.Beyond, s.At = 0, 0
+	return figure{&s.Slope, []Slope{s}}
+}
+
+// everySize lets forms be worked out where only their slope is wanted.
+var everySize = map[string]float64{"watchers": 1, "entries": 1, "calls": 1, "renewals": 1, "changes": 1, "candidates": 2, "members": 2, "documents": 1, "sidecars": 1}
+
+func (x figure) times(by float64) figure {
+	if x.Interval == nil {
+		return x
+	}
+	i := x.Interval.Times(by)
+	return figure{&i, x.slopes}
+}
+
+func (x figure) and(y figure) figure {
+	if x.Interval == nil || y.Interval == nil {
+		return figure{}
+	}
+	i := x.Interval.And(*y.Interval)
+	return figure{&i, slices.Concat(x.slopes, y.slopes)}
+}
+
+func (x figure) of(r Row) Row {
+	r.Figure, r.Slopes = x.Interval, x.slopes
+	return r
+}
+
+func known(x float64) figure {
+	i := exactly(x)
+	return figure{Interval: &i}
+}
+
+const noBudget = "none named"
+
+// size is a set of one size.
+func size(name string, value float64) map[string]float64 { return map[string]float64{name: value} }
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -44,6 +44,9 @@
 		t.Fatalf("%d experiments (%v)", len(paths), err)
 	}
 	for _, path := range paths {
+		if filepath.Base(path) == "capacity.toml" {
+			continue // a fleet's figures, of another form: read as strictly by package capacity's TestThePageIsWhatIsWorkedOut
+		}
 		if e, err := LoadFile(path); err != nil {
 			t.Error(err)
 		} else if e.Question == "" || len(e.Expects) == 0 {
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -201,3 +201,36 @@
 	u.CPU = time.Duration(stat.CPUTime() * float64(time.Second))
 	return u, nil
 }
+
+// IO is what a process has read and written by system calls: files, and sockets of streams. What a socket sends and receives as
+// datagrams is not in it.
+type IO struct{ Read, Written int64 }
+
+// IO reads the counts; an error means that it has ended.
+func (c *Child) IO() (x IO, err error) {
+	p, err := procfs.NewProc(c.PID())
+	if err != nil {
+		return x, err
+	}
+	counts, err := p.IO()
+	if err != nil {
+		return x, err
+	}
+	return IO{int64(counts.RChar), int64(counts.WChar)}, nil
+}
+
+// Ran is the processor time of the threads that it has, to the nanosecond: Use counts in hundredths of a second.
+func (c *Child) Ran() (sum time.Duration, err error) {
+	threads, err := procfs.AllThreads(c.PID())
+	if err != nil {
+		return 0, err
+	}
+	for _, t := range threads {
+		s, err := t.Schedstat()
+		if err != nil {
+			return 0, err
+		}
+		sum += time.Duration(s.RunningNanoseconds)
+	}
+	return sum, nil
+}
