--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -186,8 +186,8 @@
 	if _, _, err := made("few", 1, 1, 0, 1, 2, 3, 3).Line("y"); err == nil || !strings.Contains(err.Error(), "3 sizes") {
 		t.Errorf("a slope from three sizes: %v", err)
 	}
-	for form, want := range map[string]float64{"x": 8, "x*z": 24, "log2(x)": 3} {
-		if got, err := formAt(form, map[string]float64{"x": 8, "z": 3}); err != nil || got != want {
+	for form, want := range map[string]float64{"x": 8, "x*z": 24, "log2(x)": 3, "pushpull(x)": 8, "pushpull(many)": 256.0 / 4} {
+		if got, err := formAt(form, map[string]float64{"x": 8, "z": 3, "many": 256}); err != nil || got != want {
 			t.Errorf("%s: %v, %v", form, got, err)
 		}
 	}
@@ -257,13 +257,13 @@
 	rows := []Row{
 		{What: "over", Figure: &over, Budget: 2, Carried: true, PerYear: 365},
 		{What: "under", Figure: &under, Budget: 2, Carried: true, PerYear: 365},
-		{What: "seldom", Mechanism: None, PerYear: 5},
-		{What: "often", Mechanism: None, PerYear: 300000},
+		{What: "seldom", Mechanism: None, PerYear: 4000, Touches: 1},
+		{What: "often", Mechanism: None, PerYear: 3000},
 		{What: "far over", Figure: &far, Budget: 2, Carried: true, PerYear: 365},
 		{What: "not measured", Budget: 2, Carried: true, PerYear: 365},
 	}
 	var got []string
-	for _, c := range missing(rows) {
+	for _, c := range missing(rows, 10) {
 		got = append(got, c.Row.What)
 	}
 	if want := "often, seldom, far over, over"; strings.Join(got, ", ") != want {
--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -40,8 +40,9 @@
 type Series struct {
 	Name string `json:"name"`
 	Unit string `json:"unit"`
-	// Form is what the quantity is straight in: a size ("watchers"), a product ("watchers*entries") or "log2(members)". Its
-	// line has a constant beside the slope.
+	// Form is what the quantity is straight in: a size ("watchers"), a product ("watchers*entries"), "log2(members)" or
+	// "pushpull(members)", the members over the steps by which memberlist makes its exchanges of the whole roster rarer in larger
+	// fleets. Its line has a constant beside the slope.
 	Form string `json:"form"`
 }
 
@@ -143,6 +144,10 @@
 		}
 		return math.Log2(x), err
 	}
+	if inner, ok := strings.CutPrefix(form, "pushpull("); ok {
+		x, err := formAt(strings.TrimSuffix(inner, ")"), sizes)
+		return x / (1 + max(0, math.Ceil(math.Log2(max(x, 1))-5))), err
+	}
 	x := 1.0
 	for name := range strings.SplitSeq(form, "*") {
 		size, ok := sizes[name]
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -116,7 +116,11 @@
 	case r.Figure.Low == r.Figure.High:
 		return number(r.Figure.Value) + " " + r.Unit
 	}
-	return fmt.Sprintf("%s (%s to %s) %s", number(r.Figure.Value), number(r.Figure.Low), number(r.Figure.High), r.Unit)
+	text := fmt.Sprintf("%s (%s to %s) %s", number(r.Figure.Value), number(r.Figure.Low), number(r.Figure.High), r.Unit)
+	if n, unit := r.exchanges(); n > 0 {
+		text += fmt.Sprintf("; %s bare exchanges %s", number(n), unit)
+	}
+	return text
 }
 
 func (r Row) left() string {
@@ -137,13 +141,13 @@
 }
 
 func writeMissing(w *bytes.Buffer, t *Table) {
-	fmt.Fprint(w, "| role | row | day | why | its day comes, a year | figure over budget |\n| --- | --- | --- | --- | --- | --- |\n")
+	fmt.Fprint(w, "| role | row | day | why | its day comes, a year | processes each time | both | figure over budget |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, c := range t.Missing {
 		over := "-"
 		if c.Over > 0 {
 			over = number(c.Over)
 		}
-		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s |\n", c.Row.Role, c.Row.What, c.Row.Day, c.Why, number(c.PerYear), over)
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", c.Row.Role, c.Row.What, c.Row.Day, c.Why, number(c.PerYear), number(c.Touches), number(c.PerYear*c.Touches), over)
 	}
 }
 
--- a/internal/lab/capacity/plays/duty.go
+++ b/internal/lab/capacity/plays/duty.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	dutySettle = 4 * time.Second
+	dutySettle = 4 * time.Second // a candidate's first call comes within 3
 	dutyFor    = 8 * time.Second
 )
 
@@ -21,8 +21,8 @@
 	all["duty"] = play{
 		question: "What does one duty cost the list service, by those who want it?",
 		how:      "so many candidates of one duty, in this process, each with a client of its own, before one replica in memory; 4 s after their start, over 8 s: calls, and bytes both ways without the kernel's headers; processor time of the replica",
-		series:   []capacity.Series{{Name: "calls", Unit: "calls/s", Form: "log2(candidates)"}, {Name: "bytes", Unit: "bytes/s", Form: "log2(candidates)"}, {Name: "core_share", Unit: "of a core", Form: "log2(candidates)"}},
-		at:       each("candidates", 2, 8, 32, 128), repeats: 1, check: sizes{"candidates": 450},
+		series:   []capacity.Series{{Name: "calls", Unit: "calls/s", Form: "candidates"}, {Name: "bytes", Unit: "bytes/s", Form: "candidates"}, {Name: "core_share", Unit: "of a core", Form: "candidates"}},
+		at:       each("candidates", 32, 64, 128, 256), repeats: 1, check: sizes{"candidates": 450},
 		run: (*Player).duty,
 	}
 }
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -1,5 +1,7 @@
 package capacity
 
+const nearlyAll = 0.99 // of calls, as the operators name their quantile
+
 // rows are those of the fleet as the program was before documents and regions.
 func (b *builder) rows() (rows []Row) {
 	o, a, l := b.f.Operators, b.f.Assumed, b.l
@@ -27,6 +29,14 @@
 	put(b.at("calls", "core_share", size("calls", l.CallsPeak)), Row{Role: requests, What: "processor time at the busiest's peak", Day: Worst, Unit: "of a core", BudgetFrom: noBudget,
 		Mechanism: requestsIn, Carried: true, PerYear: daysPerYear})
 
+	const row = "a row of 22 calls"
+	put(known(l.ChainAddedMs), Row{Role: row, What: "added, if each adds what 99 in 100 may", Day: Steady, Unit: "ms", BudgetFrom: noBudget, Mechanism: requestsIn, Carried: true, PerYear: daysPerYear})
+	put(known(l.ChainDeadlineLeftMs), Row{Role: row, What: "left of the first call's deadline at the last", Day: Steady, Unit: "ms", BudgetFrom: noBudget, Mechanism: "`internal/sidecar` upstream: each attempt is told the time that is left", Carried: true, PerYear: daysPerYear})
+	put(known(l.ChainSlow), Row{Role: row, What: "rows that meet a sidecar that is slow itself, where one in a hundred is", Day: Steady, Unit: "of rows", Budget: 1 - nearlyAll, BudgetFrom: "operators: 99 in 100",
+		Mechanism: None + ": breakers leave upstreams out, a sidecar only doubts itself (`internal/breaker.Board`)", PerYear: daysPerYear, Touches: n * a.SlowShare.Value, Note: "the load's arithmetic, on an assumption"})
+	put(known(l.ChainRetries), Row{Role: row, What: "attempts at the last for one call at the head, all failing there", Day: Worst, Unit: "times", BudgetFrom: noBudget,
+		Mechanism: None + " for the row: each sidecar bounds its own (`balancer.Balancer`)", PerYear: o.RacksPerYear.Value + o.ZonesPerYear.Value, Touches: l.PerService, Note: "the load's arithmetic"})
+
 	const list = "sidecar: list"
 	put(b.at("sidecar", "memory_mb", entries), Row{Role: list, What: "memory of the process", Day: Steady, Unit: "MB", Budget: o.SidecarMemoryMB.Value, BudgetFrom: asked,
 		Mechanism: listIn, Carried: true, PerYear: daysPerYear, Note: "all of it, not control alone"})
@@ -47,16 +57,20 @@
 	const settings = "sidecar: settings"
 	const byHand = None + ": a file and a SIGHUP on each machine (`internal/sidecar` reload)"
 	put(known(l.SettingsTaken), Row{Role: settings, What: "files to write and processes to signal", Day: Steady, Unit: "a day", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand,
-		PerYear: o.SettingsPerDay.Value * daysPerYear, Note: "nobody tells which version is in force where"})
-	put(figure{}, Row{Role: settings, What: "until a change is in force everywhere", Day: Change, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: byHand, PerYear: o.SettingsPerDay.Value * daysPerYear,
+		PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: l.PerService, Note: "nobody tells which version is in force where"})
+	put(figure{}, Row{Role: settings, What: "until a change is in force everywhere", Day: Change, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: byHand, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: l.PerService,
 		Note: "nothing carries it, so there is nothing to measure"})
-	put(known(l.WaveTaken), Row{Role: settings, What: "files to write and processes to signal: twenty changes", Day: Worst, Unit: "in a minute", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand, PerYear: daysPerYear})
+	put(known(l.WaveTaken), Row{Role: settings, What: "files to write and processes to signal: twenty changes", Day: Worst, Unit: "in a minute", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand, PerYear: daysPerYear, Touches: l.WaveTaken, Note: "as if each day had one"})
 
 	const sharing = "sidecar: sharing (where `peers` is configured)"
 	put(b.at("gossip", "bytes_mean", size("members", n)), Row{Role: sharing, What: "bytes sent by a member, all in one gossip", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
-		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; the budget is taken for both ways; virtual time"})
+		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
+	put(b.at("gossip", "bytes_mean", size("members", n)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "nothing lost: what one sends another receives"})
 	put(b.at("gossip", "bytes_mean", size("members", l.RegionSidecars)), Row{Role: sharing, What: "the same, a gossip for each region", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
+	put(b.at("gossip", "bytes_mean", size("members", l.RegionSidecars)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 	put(figure{}, Row{Role: sharing, What: "memory of the roster", Day: Steady, Unit: "MB", BudgetFrom: noBudget, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 	put(figure{}, Row{Role: sharing, What: "processor time", Day: Steady, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 
@@ -111,11 +125,11 @@
 
 	const regions = "regions that lose each other (one quorum for all)"
 	const noRegion = None + ": the service is one quorum (`internal/registry.Node`)"
-	put(b.at("cut", "refused_share", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "registrations, drains and operators' words refused on the side without a majority", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value,
+	put(b.at("cut", "refused_share", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "registrations, drains and operators' words refused on the side without a majority", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars,
 		Note: "for as long as the cut lasts"})
-	put(b.at("cut", "ended", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "watches that end there", Day: Worst, Unit: "watches", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Note: "sidecars keep the list that they have"})
-	put(b.at("cut", "ended_after_s", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "until they end", Day: Worst, Unit: "s", BudgetFrom: noBudget, Mechanism: noRegion, PerYear: o.CutsPerYear.Value})
-	put(known(l.CutList+l.CutSettings+l.ZoneChanges), Row{Role: regions, What: "changes to catch up after a heal, a zone among them", Day: Worst, Unit: "changes", BudgetFrom: "in force everywhere within 7 s of the heal", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Note: "none was taken in on the small side"})
+	put(b.at("cut", "ended", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "watches that end there", Day: Worst, Unit: "watches", BudgetFrom: "each region goes on alone", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars, Note: "sidecars keep the list that they have"})
+	put(b.at("cut", "ended_after_s", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "until they end", Day: Worst, Unit: "s", BudgetFrom: noBudget, Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars})
+	put(known(l.CutList+l.CutSettings+l.ZoneChanges), Row{Role: regions, What: "changes to catch up after a heal, a zone among them", Day: Worst, Unit: "changes", BudgetFrom: "in force everywhere within 7 s of the heal", Mechanism: noRegion, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars, Note: "none was taken in on the small side"})
 	return rows
 }
 
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -35,6 +35,7 @@
 	Mechanism string  `json:"mechanism"` // by package and type; None, or None and what there is instead
 	Carried   bool    `json:"carried"`
 	PerYear   float64 `json:"per_year"` // how often its day comes
+	Touches   float64 `json:"touches"`  // processes each time; 0: all
 	Note      string  `json:"note,omitempty"`
 }
 
@@ -49,8 +50,12 @@
 	Sizes    int      `json:"sizes"`
 	At       float64  `json:"at"`     // the form's value for the fleet
 	Beyond   float64  `json:"beyond"` // that, over the largest that was played
-	Revision string   `json:"revision"`
-	Command  string   `json:"command"`
+	// Exchange is the processor time of both ends of a bare exchange in the same runs, in µs, and ExchangeMedian its time; 0: not
+	// measured.
+	Exchange       float64 `json:"exchange_cpu_us,omitempty"`
+	ExchangeMedian float64 `json:"exchange_us,omitempty"`
+	Revision       string  `json:"revision"`
+	Command        string  `json:"command"`
 }
 
 // Left is the budget over the figure; 0: one of them is not there.
@@ -79,6 +84,7 @@
 	Row     Row     `json:"row"`
 	Why     string  `json:"why"`
 	PerYear float64 `json:"per_year"`
+	Touches float64 `json:"touches"`        // processes each time
 	Over    float64 `json:"over,omitempty"` // the figure over its budget
 }
 
@@ -106,7 +112,7 @@
 	if b.err != nil {
 		return nil, b.err
 	}
-	t.Missing = missing(t.Rows)
+	t.Missing = missing(t.Rows, f.Operators.Upstreams.Value)
 	for _, name := range m.names() {
 		all, err := m[name].checked()
 		if err != nil {
@@ -117,24 +123,31 @@
 	return t, nil
 }
 
-// missing are the rows without a carrier, by how often their day comes, and then those over their budget, the farthest first.
-func missing(rows []Row) (all []Claim) {
+// missing are the rows without a carrier, by how often their day comes and how many of the processes it touches, and then those
+// over their budget, by how far too.
+func missing(rows []Row, processes float64) (all []Claim) {
 	for _, r := range rows {
-		switch {
-		case !r.Carried:
-			all = append(all, Claim{Row: r, Why: "no carrier", PerYear: r.PerYear})
-		case r.Over():
-			all = append(all, Claim{Row: r, Why: "over its budget", PerYear: r.PerYear, Over: 1 / r.Left()})
+		c := Claim{Row: r, Why: "no carrier", PerYear: r.PerYear, Touches: cmp.Or(r.Touches, processes)}
+		if r.Left() > 0 {
+			c.Over = 1 / r.Left()
+		}
+		if r.Carried {
+			c.Why = "over its budget"
+		}
+		if !r.Carried || r.Over() {
+			all = append(all, c)
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Claim) int {
-		if a.Row.Carried != b.Row.Carried {
-			return cmp.Compare(a.Over, b.Over)
-		}
-		if a.Row.Carried {
-			return cmp.Compare(b.Over*b.PerYear, a.Over*a.PerYear)
+		switch {
+		case a.Row.Carried && !b.Row.Carried:
+			return 1
+		case b.Row.Carried && !a.Row.Carried:
+			return -1
+		case a.Row.Carried:
+			return cmp.Compare(b.Over*b.PerYear*b.Touches, a.Over*a.PerYear*a.Touches)
 		}
-		return cmp.Compare(b.PerYear, a.PerYear)
+		return cmp.Compare(b.PerYear*b.Touches, a.PerYear*a.Touches)
 	})
 	return all
 }
@@ -159,6 +172,41 @@
 	return all, nil
 }
 
+// mean is that of what the samples have beside their series; 0: one has it not.
+func (m *Measure) mean(name string) (mean float64) {
+	for _, x := range m.Samples {
+		got, ok := x.Got[name]
+		if !ok {
+			return 0
+		}
+		mean += got / float64(len(m.Samples))
+	}
+	return mean
+}
+
+// exchanges is a time, or a processor time, in bare exchanges of the machine that it was measured on; 0: it is none, or rests on
+// several measures.
+func (r Row) exchanges() (n float64, unit string) {
+	if r.Figure == nil || len(r.Slopes) == 0 {
+		return 0, ""
+	}
+	s := r.Slopes[0]
+	for _, other := range r.Slopes {
+		if other.Exchange != s.Exchange && other.Exchange > 0 {
+			s.Exchange = (s.Exchange + other.Exchange) / 2 // of runs on one machine
+		}
+	}
+	switch {
+	case r.Unit == "of a core" && s.Exchange > 0:
+		return r.Figure.Value * 1e6 / s.Exchange, "a second"
+	case r.Unit == "ms" && s.ExchangeMedian > 0:
+		return r.Figure.Value * 1e3 / s.ExchangeMedian, "in time"
+	case r.Unit == "ms" && s.Exchange > 0:
+		return r.Figure.Value * 1e3 / s.Exchange, "in processor time"
+	}
+	return 0, ""
+}
+
 type builder struct {
 	f   *Fleet
 	m   Measures
@@ -193,7 +241,8 @@
 		}
 	}
 	says := l.At(x)
-	return figure{&says, []Slope{{measure, s.Name, s.Unit, s.Form, l.Slope, l.Constant, l.Sizes, x, x / most, m.Revision, m.Command}}}
+	return figure{&says, []Slope{{Measure: measure, Series: s.Name, Unit: s.Unit, Form: s.Form, Slope: l.Slope, Constant: l.Constant, Sizes: l.Sizes, At: x, Beyond: x / most,
+		Exchange: m.mean("exchange_cpu_us"), ExchangeMedian: m.mean("exchange_us"), Revision: m.Revision, Command: m.Command}}}
 }
 
 // slope is what one more of a form's sizes takes.
@@ -208,7 +257,7 @@
 }
 
 // everySize lets forms be worked out where only their slope is wanted.
-var everySize = map[string]float64{"watchers": 1, "entries": 1, "calls": 1, "renewals": 1, "changes": 1, "candidates": 2, "members": 2, "documents": 1, "sidecars": 1}
+var everySize = map[string]float64{"watchers": 1, "entries": 1, "calls": 1, "renewals": 1, "changes": 1, "candidates": 1, "members": 2, "documents": 1, "sidecars": 1}
 
 func (x figure) times(by float64) figure {
 	if x.Interval == nil {
