--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -118,6 +119,9 @@
 	c.RunE = func(c *cobra.Command, given []string) error {
 		var m *capacity.Measure
 		var err error
+		if !check && !slices.Contains(plays.Names(), given[0]) { // before programs are built for it
+			return usageError{fmt.Errorf("%w %q: there are %s", plays.ErrUnknown, given[0], strings.Join(plays.Names(), ", "))}
+		}
 		if check {
 			if m, err = capacity.ReadMeasure(filepath.Join(measures, given[0]+".json")); err != nil {
 				return usageError{err}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -41,6 +41,14 @@
 		{[]string{"lab", "run", "../../experiments/calm.toml", "-o", "xml"}, "neither table nor json"},
 		{[]string{"lab", "compare", bad, bad}, "invalid character"},
 		{[]string{"lab", "list", "--dir", t.TempDir()}, "no experiments"},
+		{[]string{"lab", "capacity", "--fleet", "none.toml"}, "none.toml"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/calm.toml"}, "unknown key"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "none"}, "measures"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "--page", "../../README.md"}, "worked out: fleet"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "-o", "xml"}, "table or json"},
+		{[]string{"lab", "capacity", "measure"}, "accepts 1 arg"},
+		{[]string{"lab", "capacity", "measure", "none", "--out", t.TempDir()}, "no measure is called \"none\""},
+		{[]string{"lab", "capacity", "measure", "none", "--check", "--measures", "../../docs/capacity"}, "none.json"},
 		{[]string{"state", "check", bad + ".missing"}, "no such file"},
 		{[]string{"state", "show", bad}, "is not a directory"},
 	} {
@@ -60,10 +68,13 @@
 		}
 	}
 	for _, path := range [][]string{{}, {"lab"}, {"lab", "run"}, {"lab", "list"}, {"lab", "compare"}, {"lab", "plot"}, {"lab", "faults"},
+		{"lab", "capacity"}, {"lab", "capacity", "measure"},
 		{"state"}, {"state", "show"}, {"state", "check"}, {"state", "repair"}} {
 		walk(path)
 	}
-	for _, args := range [][]string{{"--version"}, {"completion", "bash"}, {"lab", "faults"}, {"lab", "list", "--dir", "../../experiments"}} {
+	for _, args := range [][]string{{"--version"}, {"completion", "bash"}, {"lab", "faults"}, {"lab", "list", "--dir", "../../experiments"},
+		{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity"},
+		{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "-o", "json"}} {
 		if status, out, said := call(t, args...); status != done || out == "" || said != "" {
 			t.Errorf("%v: status %d, said %q", args, status, said)
 		}
--- a/internal/lab/capacity/plays/duty.go
+++ b/internal/lab/capacity/plays/duty.go
@@ -61,7 +61,7 @@
 		d.Want(true, 0)
 		all.Go(func() { defer own.Close(); d.Run(running) })
 	}
-	if !sleep(ctx, dutySettle) {
+	if !sleep(ctx, p.span(dutySettle)) {
 		return nil, ctx.Err()
 	}
 	begun, n, bytes := time.Now(), calls.calls.Load(), calls.bytes()
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, dutyFor) {
+	if !sleep(ctx, p.span(dutyFor)) {
 		return nil, ctx.Err()
 	}
 	after, err := replica.Ran()
--- a/internal/lab/capacity/plays/plays.go
+++ b/internal/lab/capacity/plays/plays.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"time"
 
 	"mosslead/internal/lab/capacity"
 )
@@ -21,6 +22,15 @@
 	Dir      string   // of logs and data
 	Revision string   // of the programs
 	Progress func(done, total int, what string)
+
+	quick bool // a twentieth of every length: a test wants to see that it plays, and believes no figure
+}
+
+func (p *Player) span(d time.Duration) time.Duration {
+	if p.quick {
+		return d / 20
+	}
+	return d
 }
 
 type sizes = map[string]float64
--- /dev/null
+++ b/internal/lab/capacity/plays/plays_test.go
@@ -0,0 +1,126 @@
+package plays
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mosslead/internal/lab/capacity"
+	"mosslead/internal/registry"
+	"mosslead/internal/sidecar"
+)
+
+// TestMain lets this binary be a replica, as "TEST --dev --listen ADDRESS" or "TEST --config FILE", and a sidecar, as "TEST sidecar".
+func TestMain(m *testing.M) {
+	if len(os.Args) < 2 || os.Args[1] != "--dev" && os.Args[1] != "--config" && os.Args[1] != "sidecar" {
+		os.Exit(m.Run())
+	}
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	if err := be(ctx); err != nil {
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+func be(ctx context.Context) error {
+	if os.Args[1] == "sidecar" {
+		c, err := sidecar.LoadConfig(os.Getenv("GW_CONFIG"))
+		if err != nil {
+			return err
+		}
+		return sidecar.Run(ctx, c, nil)
+	}
+	c, err := registry.Dev(os.Args[len(os.Args)-1]), error(nil)
+	if os.Args[1] == "--config" {
+		if c, err = registry.LoadConfig(os.Args[2]); err != nil {
+			return err
+		}
+	}
+	n, err := registry.Open(c, slog.Default())
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+func player(t *testing.T) *Player {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Player{Service: []string{self}, Sidecar: []string{self, "sidecar"}, Dir: t.TempDir(), Revision: "test", quick: true}
+}
+
+// TestPlaysGiveTheirSeries plays each measure once, small and short, and has every series in what it gives.
+func TestPlaysGiveTheirSeries(t *testing.T) {
+	small := map[string]sizes{"watchers": {"watchers": 3}, "return": {"watchers": 3, "entries": 12}, "renewals": {"renewals": 90}, "writes": {"changes": 10},
+		"cut": {"watchers": 3}, "sidecar": {"entries": 3}, "calls": {"calls": 100}, "duty": {"candidates": 2}}
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			at, ok := small[name]
+			if !ok {
+				t.Fatal("there is no small size of it here")
+			}
+			p := player(t)
+			got, err := all[name].run(p, t.Context(), at, name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range all[name].series {
+				if _, ok := got[s.Name]; !ok {
+					t.Errorf("no %s in %v", s.Name, got)
+				}
+			}
+		})
+	}
+}
+
+// TestMeasuresArePredictedAndChecked goes the way of a measure with a play of its own.
+func TestMeasuresArePredictedAndChecked(t *testing.T) {
+	all["made"] = play{question: "none", series: []capacity.Series{{Name: "y", Unit: "s", Form: "x"}}, at: each("x", 1, 2, 3, 4), repeats: 2, check: sizes{"x": 9},
+		run: func(_ *Player, _ context.Context, at sizes, _ string) (map[string]float64, error) {
+			if at["x"] > 9 {
+				return nil, errors.New("too large")
+			}
+			return map[string]float64{"y": 1 + 2*at["x"]}, nil
+		}}
+	defer delete(all, "made")
+	p, steps := player(t), 0
+	p.Progress = func(int, int, string) { steps++ }
+	m, err := p.Measure(t.Context(), "made")
+	if err != nil || len(m.Samples) != 8 || steps != 9 {
+		t.Fatalf("%+v, %v, %d steps", m, err, steps)
+	}
+	if says := m.Prediction.Says["y"]; says.Value < 18.99 || says.Value > 19.01 {
+		t.Errorf("predicted %+v", says)
+	}
+	if err := p.Check(t.Context(), m); err != nil || len(m.Checks) != 2 || m.Checks[0].Got["y"] != 19 {
+		t.Errorf("%+v, %v", m.Checks, err)
+	}
+	if err := m.Write(t.TempDir()); err != nil {
+		t.Error(err)
+	}
+	m.Prediction.Sizes = sizes{"x": 10}
+	if err := p.Check(t.Context(), m); err == nil || !strings.Contains(err.Error(), "too large") {
+		t.Errorf("a play that fails: %v", err)
+	}
+	if _, err := p.Measure(t.Context(), "none"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("no such measure: %v", err)
+	}
+}
+
+func TestExchangesAreMeasured(t *testing.T) {
+	if cpu, median, err := exchange(); err != nil || cpu <= 0 || median <= 0 || median > time.Second {
+		t.Errorf("%v, %v, %v", cpu, median, err)
+	}
+}
--- a/internal/lab/capacity/plays/service.go
+++ b/internal/lab/capacity/plays/service.go
@@ -84,7 +84,7 @@
 			if err != nil {
 				return nil, err
 			}
-			m, err := r.MeasureRenewals(ctx, 3, watchEntries, at["renewals"], renewLength)
+			m, err := r.MeasureRenewals(ctx, 3, watchEntries, at["renewals"], p.span(renewLength))
 			if err == nil && m.Failed+m.Lost > 0 {
 				err = fmt.Errorf("%d renewals failed, %d leases were lost", m.Failed, m.Lost)
 			}
@@ -108,7 +108,7 @@
 			if err != nil {
 				return nil, err
 			}
-			m, err := r.MeasureWrites(ctx, watchEntries, at["changes"], writesLength)
+			m, err := r.MeasureWrites(ctx, watchEntries, at["changes"], p.span(writesLength))
 			if err == nil && m.Failed > 0 {
 				err = fmt.Errorf("%d changes failed", m.Failed)
 			}
--- a/internal/lab/capacity/plays/sidecar.go
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	defer b.close()
-	if !sleep(ctx, settleFor) {
+	if !sleep(ctx, p.span(settleFor)) {
 		return nil, ctx.Err()
 	}
 	got := map[string]float64{"list_bytes": float64(b.watch.bytes()), "exchange_cpu_us": us(cpu)}
@@ -177,7 +177,7 @@
 		return nil, err
 	}
 	wasRan, wasIO, wasRead, begun := ran, io, read, began
-	if !sleep(ctx, steadyFor) {
+	if !sleep(ctx, p.span(steadyFor)) {
 		return nil, ctx.Err()
 	}
 	if err := mark(); err != nil {
@@ -208,7 +208,7 @@
 		if _, err := b.c.Hand(ctx, fmt.Sprint("upstream-", i%len(upstreams)), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/len(upstreams)%2]}); err != nil {
 			return nil, err
 		}
-		if !sleep(ctx, turnEvery) {
+		if !sleep(ctx, p.span(turnEvery)) {
 			return nil, ctx.Err()
 		}
 	}
@@ -275,7 +275,7 @@
 			return nil, fmt.Errorf("before the load: %w", err)
 		}
 	}
-	if !sleep(ctx, learntFirst) {
+	if !sleep(ctx, p.span(learntFirst)) {
 		return nil, ctx.Err()
 	}
 	ran, err := b.child.Ran()
@@ -289,7 +289,7 @@
 	var calls sync.WaitGroup
 	for i := 0; ; i++ {
 		due := begun.Add(time.Duration(i) * gap)
-		if due.Sub(begun) >= loadFor || !sleep(ctx, time.Until(due)) {
+		if due.Sub(begun) >= p.span(loadFor) || !sleep(ctx, time.Until(due)) {
 			break
 		}
 		one := func(k int, due time.Time, address string) {
--- a/internal/lab/spread/spread_test.go
+++ b/internal/lab/spread/spread_test.go
@@ -4,9 +4,12 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"mosslead/internal/lab/capacity"
 )
 
 // In virtual time the measure does not depend on the machine. All sizes take some minutes, so they are asked for:
@@ -16,8 +19,59 @@
 	all  = flag.Bool("spread.all", false, "16, 64, 256 and 1,000 members, with 0, 10 and 30% of datagrams lost, 3 seeds")
 	rush = flag.Bool("spread.rush", false, "from the moment on at which all of a mass start know each other")
 	to   = flag.String("spread.to", "", "picture of the times")
+
+	// The measure behind docs/CAPACITY.md: at 16 to 256 members, and then at the size that these predict.
+	capacityTo = flag.String("spread.capacity", "", "directory of measures: gossip.json is written there")
+	checked    = flag.Int("spread.check", 0, "play so many members, of which gossip.json in that directory holds a prediction")
+	revision   = flag.String("spread.revision", "", "of the work tree, for the measure")
 )
 
+// TestCapacity writes the measure of what a member sends, where it is asked for.
+func TestCapacity(t *testing.T) {
+	if *capacityTo == "" {
+		t.Skip("asked for with -spread.capacity DIR")
+	}
+	play := func(n, seed int) capacity.Sample {
+		r := measure(t, Plan{Members: n, Delay: 5 * time.Millisecond, Settle: 20 * time.Second, Length: 30 * time.Second, Seed: uint64(seed)})
+		t.Logf("%+v", r)
+		if r.Unknown > 0 || r.Wrong > 0 || r.Dropped > 0 {
+			t.Errorf("not to be trusted: %+v", r)
+		}
+		return capacity.Sample{Sizes: map[string]float64{"members": float64(n)},
+			Got: map[string]float64{"bytes_mean": r.BytesMean, "bytes_most": r.BytesMost, "known95_ms": r.Known95Ms, "known_ms": r.KnownMs, "seed": float64(seed)}}
+	}
+	if *checked > 0 {
+		m, err := capacity.ReadMeasure(filepath.Join(*capacityTo, "gossip.json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if float64(*checked) != m.Prediction.Sizes["members"] {
+			t.Fatalf("%d members were not predicted, but %v", *checked, m.Prediction.Sizes)
+		}
+		m.Checks = []capacity.Sample{play(*checked, 1)}
+		if err := m.Write(*capacityTo); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	m := &capacity.Measure{Name: "gossip", Question: "What does a member send so that what some say is known to all?", Revision: *revision,
+		Command: "go test ./internal/lab/spread -run TestCapacity -spread.capacity docs/capacity", Machine: "virtual time",
+		How: "the real carrier and board over a network in memory, in virtual time: 5 ms a datagram, none lost, a tenth of the members asking two others each 100 ms, from 20 s after all know each other, over 30 s; " +
+			"bytes of datagrams and streams that a member sends, without the kernel's headers",
+		Series: []capacity.Series{{Name: "bytes_mean", Unit: "bytes/s", Form: "pushpull(members)"}, {Name: "bytes_most", Unit: "bytes/s", Form: "pushpull(members)"}}}
+	for _, n := range []int{16, 64, 128, 256} {
+		for seed := range 2 {
+			m.Samples = append(m.Samples, play(n, seed+1))
+		}
+	}
+	if err := m.Predict(map[string]float64{"members": 512}, *revision); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Write(*capacityTo); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func measure(t *testing.T, p Plan) (r Result) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
