--- a/internal/lab/capacity/plays/counter.go
+++ b/internal/lab/capacity/plays/counter.go
@@ -21,8 +21,10 @@
 	all    sync.WaitGroup
 }
 
-func newCounter(target string) (*counter, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newCounter(target string) (*counter, error) { return counterAt("127.0.0.1:0", target) }
+
+func counterAt(address, target string) (*counter, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/capacity/plays/sidecar.go
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -113,36 +114,45 @@
 		return nil, err
 	}
 	b.listen, b.ops, b.state = at[1], at[2], filepath.Join(r.Dir, "state")
-	c := map[string]any{"name": "sidecar-0", "listen": b.listen, "ops": b.ops, "discovery": b.watch.address(), "seed": "1f", "state": b.state,
-		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "settings": settings(len(upstreams))}
-	for key, value := range config {
-		c[key] = value
-	}
+	c := sidecarConfig("sidecar-0", b.listen, b.ops, b.watch.address(), b.state, len(upstreams))
+	maps.Copy(c, config)
+	b.child, err = p.startSidecar(ctx, c, r.Dir)
+	return b, err
+}
+
+func sidecarConfig(name, listen, ops, discovery, state string, upstreams int) map[string]any {
+	return map[string]any{"name": name, "listen": listen, "ops": ops, "discovery": discovery, "seed": "1f", "state": state,
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "settings": settingsOfSidecar(upstreams)}
+}
+
+// startSidecar returns once it is ready. A child is given beside an error where there is one to end.
+func (p *Player) startSidecar(ctx context.Context, c map[string]any, dir string) (*proc.Child, error) {
 	text, err := json.MarshalIndent(c, "", " ")
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(r.Dir, "config.json")
-	if err := errors.Join(os.WriteFile(path, text, 0o644), os.MkdirAll(b.state, 0o755)); err != nil {
+	path := filepath.Join(dir, "config.json")
+	if err := errors.Join(os.MkdirAll(c["state"].(string), 0o755), os.WriteFile(path, text, 0o644)); err != nil {
 		return nil, err
 	}
-	if b.child, err = proc.Start(proc.Spec{Name: "sidecar", Path: p.Sidecar[0], Args: p.Sidecar[1:], Dir: r.Dir, LogFile: filepath.Join(r.Dir, "sidecar.log"),
-		Env: []string{"GW_CONFIG=" + path, "GW_NAME=sidecar-0", "TMPDIR=" + r.Dir}}); err != nil {
+	child, err := proc.Start(proc.Spec{Name: c["name"].(string), Path: p.Sidecar[0], Args: p.Sidecar[1:], Dir: dir, LogFile: filepath.Join(dir, "sidecar.log"),
+		Env: []string{"GW_CONFIG=" + path, "GW_NAME=" + c["name"].(string), "TMPDIR=" + dir}})
+	if err != nil {
 		return nil, err
 	}
 	for end := time.Now().Add(readyWithin); ; {
-		if text, err := door(b.ops, "READY"); err == nil && text == "YES\n" {
-			return b, nil
+		if text, err := door(c["ops"].(string), "READY"); err == nil && text == "YES\n" {
+			return child, nil
 		}
 		select {
-		case <-b.child.Ended():
-			return nil, fmt.Errorf("the sidecar ended before it was ready: %s", b.child.Exit())
+		case <-child.Ended():
+			return child, fmt.Errorf("the sidecar ended before it was ready: %s", child.Exit())
 		case <-time.After(20 * time.Millisecond):
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return child, ctx.Err()
 		}
 		if time.Now().After(end) {
-			return nil, fmt.Errorf("the sidecar was not ready within %v", readyWithin)
+			return child, fmt.Errorf("the sidecar was not ready within %v", readyWithin)
 		}
 	}
 }
@@ -332,8 +342,8 @@
 	return api.Registration{Address: address, Zone: fmt.Sprintf("zone-%d", i%4), Type: "cores-4", Weight: 4}
 }
 
-// settings are a sidecar's, as the laboratory words them.
-func settings(upstreams int) map[string]any {
+// settingsOfSidecar are as the laboratory words them.
+func settingsOfSidecar(upstreams int) map[string]any {
 	return map[string]any{
 		"Balancers": 4, "Me": 0, "Zone": "zone-0", "FailureDomains": []string{"zone-0", "zone-1", "zone-2", "zone-3"}, "Discovery": "push", "TickMs": 5, "WorthBy": "request",
 		"Weights": "rough", "OverShareWorth": 0.05, "Tenants": []map[string]any{{"Name": "tenant-1", "Fraction": 1}},
