--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -71,6 +71,7 @@
 	SlowShare            Figure `toml:"slow_share" json:"slow_share"`
 	AttemptsMost         Figure `toml:"attempts_most" json:"attempts_most"`
 	RetryRatio           Figure `toml:"retry_ratio" json:"retry_ratio"`
+	AckEveryS            Figure `toml:"ack_every_s" json:"ack_every_s"`
 	PreserveShare        Figure `toml:"preserve_share" json:"preserve_share"`
 	ControlCores         Figure `toml:"control_cores" json:"control_cores"`
 	ControlMemoryMB      Figure `toml:"control_memory_mb" json:"control_memory_mb"`
--- a/internal/lab/capacity/load.go
+++ b/internal/lab/capacity/load.go
@@ -16,6 +16,7 @@
 	CallsMean, CallsBusiest, CallsPeak                      float64 // a second, at one sidecar
 	PerService, Called, CalledMost                          float64 // upstreams
 	ZoneSidecars, RegionSidecars, MachineWatchers           float64
+	RegionMachines, MachineWatchersLess                     float64
 	Renewals, RegionRenewals                                float64 // a second
 	ListChanges, ListPerS                                   float64 // a day, a second
 	SettingsPerS, SettingsTaken, WavePerS, WaveTaken        float64
@@ -46,6 +47,8 @@
 	put(&l.ZoneSidecars, "zone_sidecars", "sidecars of a zone", "sidecars", "upstreams / zones", n/o.Zones.Value)
 	put(&l.RegionSidecars, "region_sidecars", "sidecars, and so watchers and leases, of a region", "sidecars", "upstreams / regions", n/o.Regions.Value)
 	put(&l.MachineWatchers, "machine_watchers", "watchers of one control machine, spread evenly", "watchers", "upstreams / control_machines", n/o.ControlMachines.Value)
+	put(&l.RegionMachines, "region_machines", "control machines of a region, the least: one in each zone, three or four zones", "machines", "floor(control_machines / regions)", math.Floor(o.ControlMachines.Value/o.Regions.Value))
+	put(&l.MachineWatchersLess, "machine_watchers_less", "watchers of a machine in such a region while one of its machines is gone", "watchers", "region_sidecars / (region_machines - 1)", l.RegionSidecars/max(1, l.RegionMachines-1))
 	put(&l.Renewals, "renewals", "renewals of leases", "calls/s", "upstreams x renewals_per_lease / lease_s", n*a.RenewalsPerLease.Value/a.LeaseS.Value)
 	put(&l.RegionRenewals, "region_renewals", "renewals in one region", "calls/s", "renewals / regions", l.Renewals/o.Regions.Value)
 	put(&l.ListChanges, "list_changes", "changes of the list", "a day", "restarts_per_day x changes_per_restart + failures_per_day x changes_per_failure + releases_per_day x per_service x changes_per_restart",
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -133,5 +133,67 @@
 	return rows
 }
 
-// afterRows are those that documents and regions change.
-func (b *builder) afterRows() (rows []Row) { return nil }
+// afterRows are those that documents and regions change: a quorum for each region, one machine in each zone.
+func (b *builder) afterRows() (rows []Row) {
+	o, a, l := b.f.Operators, b.f.Assumed, b.l
+	put := func(x figure, r Row) { rows = append(rows, x.of(r)) }
+	n := o.Upstreams.Value
+	entries := size("entries", n)
+	const (
+		asked     = "operators"
+		assumed   = "assumed"
+		documents = "`internal/registry/list` documents, `internal/registry` watches, `internal/settings`"
+		taken     = "`internal/sidecar` reload, `internal/registry/client.Watcher`"
+		acks      = "`internal/registry` acks"
+		follows   = "`internal/registry` follower, `internal/follow`, `internal/registry/list` pieces"
+	)
+
+	const settings = "sidecar: settings"
+	for _, x := range []struct {
+		what     string
+		sidecars float64
+	}{{"until a change is in force at all sidecars of a mean service", l.PerService}, {"until a change is in force at all of the largest", a.ServiceUpstreamsMost.Value}} {
+		put(b.at("settings", "in_force_most_s", size("sidecars", x.sidecars)), Row{Role: settings, What: x.what, Day: Change, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: documents + "; " + taken,
+			Carried: true, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: l.PerService, Note: "the longest of ten; heard back from all; one region, one replica, this machine"})
+	}
+	mean := size("sidecars", l.PerService)
+	put(b.at("settings", "steady_bytes", mean).and(b.at("sidecar", "change_bytes", entries).times(l.ListPerS)), Row{Role: settings, What: "bytes of list, settings and acknowledgements", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: taken, Carried: true, PerYear: daysPerYear})
+	put(b.at("settings", "change_bytes", mean), Row{Role: settings, What: "bytes of a change of settings, acknowledged", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: taken, Carried: true, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: l.PerService})
+	put(b.at("settings", "change_cpu_ms", mean), Row{Role: settings, What: "processor time of a change of settings", Day: Change, Unit: "ms", BudgetFrom: noBudget, Mechanism: taken, Carried: true, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: l.PerService})
+	put(b.at("settings", "steady_bytes", mean).and(b.at("settings", "change_bytes", mean).times(l.WavePerS)), Row{Role: settings, What: "bytes: twenty changes in a minute, all of its own service", Day: Worst, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: taken, Carried: true, PerYear: daysPerYear, Note: "over one minute"})
+	put(b.at("sidecar", "core_share", entries).and(b.at("settings", "change_cpu_ms", mean).times(l.WavePerS/1000)), Row{Role: settings, What: "processor time: twenty changes in a minute, all of its own service", Day: Worst, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked,
+		Mechanism: taken, Carried: true, PerYear: daysPerYear, Note: "over one minute"})
+
+	const leads = "list service: leader of one region"
+	put(known(l.RegionSidecars/a.AckEveryS.Value), Row{Role: leads, What: "messages: acknowledgements", Day: Steady, Unit: "calls/s", BudgetFrom: noBudget, Mechanism: acks, Carried: true, PerYear: daysPerYear})
+	put(b.at("documents", "memory_mb", size("documents", o.Services.Value)), Row{Role: leads, What: "memory of the settings of all services", Day: Steady, Unit: "MB", Budget: a.ControlMemoryMB.Value, BudgetFrom: assumed, Mechanism: documents, Carried: true, PerYear: daysPerYear,
+		Note: "its own region's and those that it follows; followers the same"})
+	put(b.at("writes", "leader_cores", size("changes", l.ListPerS/o.Regions.Value)).and(b.slope("renewals", "leader_cores").times(l.RegionRenewals)), Row{Role: leads, What: "processor time: quorum, changes, renewals", Day: Steady, Unit: "of a core", Budget: a.ControlCores.Value, BudgetFrom: assumed,
+		Mechanism: "`internal/registry.Node`, leases", Carried: true, PerYear: daysPerYear, Note: "acknowledgements are not in it"})
+	put(b.at("documents", "put_cpu_ms", size("documents", o.Services.Value)), Row{Role: leads, What: "processor time of a put, alone", Day: Change, Unit: "ms", BudgetFrom: noBudget, Mechanism: documents, Carried: true, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: 1})
+	put(b.at("settings", "change_bytes", mean).times(a.ServiceUpstreamsMost.Value), Row{Role: leads, What: "bytes of a change, told to the largest service's sidecars at one replica", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: documents, Carried: true, PerYear: o.SettingsPerDay.Value * daysPerYear, Touches: 1})
+	back := map[string]float64{"watchers": l.RegionSidecars, "entries": n}
+	put(b.at("return", "bytes", back).and(known(l.RegionSidecars*a.SettingsBytes.Value)), Row{Role: leads, What: "bytes: a region's watchers back within 1 s, each with its settings", Day: Worst, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed,
+		Mechanism: documents, Carried: true, PerYear: o.CutsPerYear.Value, Note: "one replica; who holds the settings already is not told them"})
+
+	const regions = "regions that lose each other (a quorum for each)"
+	const ownQuorum = "`internal/registry.Node` of each region"
+	put(b.scale("cut", "refused_share"), Row{Role: regions, What: "registrations, drains and operators' words of its own refused while a region is cut off", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: ownQuorum, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars})
+	region := size("entries", l.RegionSidecars)
+	put(b.at("heal", "heal_s", region), Row{Role: regions, What: "until another region's changes are taken in after a heal, all of its entries among them", Day: Worst, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: follows, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars,
+		Note: "the cut was 11 s: the whole list is asked for after 10 s"})
+	put(b.at("heal", "heal_bytes", region).times(o.Regions.Value-1), Row{Role: regions, What: "bytes that a region takes in after a heal, from all the others", Day: Worst, Unit: "bytes", BudgetFrom: noBudget, Mechanism: follows, Carried: true, PerYear: o.CutsPerYear.Value, Touches: 1,
+		Note: "one document of each: the others' come besides, 4 KB a service"})
+	put(b.at("heal", "change_bytes", region), Row{Role: regions, What: "bytes between two regions", Day: Change, Unit: "bytes", BudgetFrom: noBudget, Mechanism: follows, Carried: true, PerYear: l.ListChanges * daysPerYear, Touches: 1, Note: "of an entry"})
+	put(b.at("heal", "steady_bytes", region).times(o.Regions.Value-1), Row{Role: regions, What: "bytes of following the others", Day: Steady, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed, Mechanism: follows, Carried: true, PerYear: daysPerYear, Touches: 1})
+	put(known(l.ZoneOfRegion), Row{Role: regions, What: "leases of a region that are silent when one of its zones goes, beside those above which none lapses", Day: Worst, Unit: "of leases", Budget: a.PreserveShare.Value, BudgetFrom: "`preserve`",
+		Mechanism: "`internal/registry` leases", Carried: true, PerYear: o.ZonesPerYear.Value, Touches: l.RegionSidecars, Note: "over it the dead zone's entries stay until an operator overrules; with one quorum for all it was a fourteenth. `preserve` is to be set above it"})
+	return rows
+}
+
+// scale is what the scale run found on a day, as a measure of its own: scale-DAY.
+func (b *builder) scale(day, series string) figure {
+	return b.at("scale-"+day, series, size("sidecars", b.f.Operators.Upstreams.Value))
+}
