--- a/internal/lab/capacity/plays/sidecar.go
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -260,7 +260,7 @@
 	defer tr.CloseIdleConnections()
 	web := &http.Client{Transport: tr, Timeout: 2 * time.Second}
 	call := func(i int, address string) error {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/items/%d", address, i), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/read/%d", address, i), nil)
 		if err != nil {
 			return err
 		}
