burden: addresses that are given once, from a part of the loopback range of its own

Cause: three plays of cut could not begin; of two addresses of one quorum the kernel had given out the second as the first was given back ("found duplicate address in configuration"), and under load another process may be given it.

--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -120,7 +120,7 @@
 
 // filled starts a replica and fills it. Nothing of it is left after an error.
 func (r Runner) filled(ctx context.Context, entries int) (b *bed, err error) {
-	at, err := freeAddress()
+	at, err := Address()
 	if err != nil {
 		return nil, err
 	}
@@ -342,8 +342,8 @@
 func (r Runner) Quorum(n int) (at []string, children []*proc.Child, err error) {
 	var peers []map[string]any
 	for i := range n {
-		a, err1 := freeAddress()
-		b, err2 := freeAddress()
+		a, err1 := Address()
+		b, err2 := Address()
 		if err1 != nil || err2 != nil {
 			return nil, nil, fmt.Errorf("no free address: %v %v", err1, err2)
 		}
@@ -396,16 +396,6 @@
 	}
 }
 
-// freeAddress is one that nobody listens at now.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/capacity/plays/sidecar.go
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -402,15 +402,14 @@
 	return sum, err
 }
 
-// freeAddresses are so many that nobody listens at now.
+// freeAddresses are so many that nobody listens at.
 func freeAddresses(n int) (all []string, err error) {
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		at, err := burden.Address()
 		if err != nil {
 			return nil, err
 		}
-		defer ln.Close() // after all are found, so that none is found twice
-		all = append(all, ln.Addr().String())
+		all = append(all, at)
 	}
 	return all, nil
 }
