--- a/internal/lab/capacity/plays/settings.go
+++ b/internal/lab/capacity/plays/settings.go
@@ -339,7 +339,11 @@
 	link.close()
 	cut := time.Now()
 	for i := range n {
-		if _, err = north.Hand(ctx, fmt.Sprint("upstream-", i), api.Ask{Hand: api.HandBan}); err != nil {
+		hand := api.HandDrain // a ban would leave the entry out of the whole list
+		if i < settingsTurns {
+			hand = api.HandNone // it was drained before the cut
+		}
+		if _, err = north.Hand(ctx, fmt.Sprint("upstream-", i), api.Ask{Hand: hand}); err != nil {
 			return nil, err
 		}
 	}
