--- a/internal/lab/spread/spread_test.go
+++ b/internal/lab/spread/spread_test.go
@@ -22,7 +22,9 @@
 
 	// The measure behind docs/CAPACITY.md: at 16 to 256 members, and then at the size that these predict.
 	capacityTo = flag.String("spread.capacity", "", "directory of measures: gossip.json is written there")
-	checked    = flag.Int("spread.check", 0, "play so many members, of which gossip.json in that directory holds a prediction")
+	checked    = flag.Int("spread.check", 0, "play so many members, of which a measure in that directory holds a prediction")
+	large      = flag.Bool("spread.large", false, "predict 1,000 members from what gossip.json has, its check among it, in gossip-large.json")
+	measured   = flag.String("spread.measure", "gossip", "whose prediction is played")
 	revision   = flag.String("spread.revision", "", "of the work tree, for the measure")
 )
 
@@ -40,11 +42,25 @@
 		return capacity.Sample{Sizes: map[string]float64{"members": float64(n)},
 			Got: map[string]float64{"bytes_mean": r.BytesMean, "bytes_most": r.BytesMost, "known95_ms": r.Known95Ms, "known_ms": r.KnownMs, "seed": float64(seed)}}
 	}
-	if *checked > 0 {
+	if *large {
 		m, err := capacity.ReadMeasure(filepath.Join(*capacityTo, "gossip.json"))
 		if err != nil {
 			t.Fatal(err)
 		}
+		m.Name, m.Command, m.Samples = "gossip-large", m.Command+" -spread.large", append(m.Samples, m.Checks...)
+		if err := m.Predict(map[string]float64{"members": 1000}, *revision); err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Write(*capacityTo); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if *checked > 0 {
+		m, err := capacity.ReadMeasure(filepath.Join(*capacityTo, *measured+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
 		if float64(*checked) != m.Prediction.Sizes["members"] {
 			t.Fatalf("%d members were not predicted, but %v", *checked, m.Prediction.Sizes)
 		}
