--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -63,13 +63,13 @@
 	put(known(l.WaveTaken), Row{Role: settings, What: "files to write and processes to signal: twenty changes", Day: Worst, Unit: "in a minute", BudgetFrom: "in force everywhere within 7 s", Mechanism: byHand, PerYear: daysPerYear, Touches: l.WaveTaken, Note: "as if each day had one"})
 
 	const sharing = "sidecar: sharing (where `peers` is configured)"
-	put(b.gossip( size("members", n)), Row{Role: sharing, What: "bytes sent by a member, all in one gossip", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+	put(b.gossip(size("members", n)), Row{Role: sharing, What: "bytes sent by a member, all in one gossip", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
-	put(b.gossip( size("members", n)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+	put(b.gossip(size("members", n)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "nothing lost: what one sends another receives"})
-	put(b.gossip( size("members", l.RegionSidecars)), Row{Role: sharing, What: "the same, a gossip for each region", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+	put(b.gossip(size("members", l.RegionSidecars)), Row{Role: sharing, What: "the same, a gossip for each region", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
-	put(b.gossip( size("members", l.RegionSidecars)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+	put(b.gossip(size("members", l.RegionSidecars)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 	put(figure{}, Row{Role: sharing, What: "memory of the roster", Day: Steady, Unit: "MB", BudgetFrom: noBudget, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 	put(figure{}, Row{Role: sharing, What: "processor time", Day: Steady, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
