--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -63,7 +63,7 @@
 		}
 		return os.WriteFile(page, []byte(text), 0o644)
 	}
-	c.AddCommand(a.labCapacityMeasure())
+	c.AddCommand(a.labCapacityMeasure(), a.labCapacityTake())
 	return c
 }
 
@@ -101,6 +101,47 @@
 	}
 }
 
+func (a *app) labCapacityTake() *cobra.Command {
+	var measures string
+	var predict int
+	var check bool
+	c := &cobra.Command{
+		Use:   "take DAY RESULT...",
+		Short: "Make a measure of results of the scale run at several sizes",
+		Long: "Takes what roles spent on a day out of results of `mosslead lab scale -o json` at four sizes or more, and writes scale-DAY.json with\n" +
+			"what they say of --predict sidecars. With --check the results are of that size, and are written beside the prediction.",
+		Example: "  mosslead lab capacity take steady 100.json 200.json 400.json 800.json\n  mosslead lab capacity take steady --check 1812.json",
+		Args:    args(cobra.MinimumNArgs(2)),
+	}
+	c.Flags().StringVar(&measures, "measures", capacityMeasures, "directory of measures")
+	c.Flags().IntVar(&predict, "predict", 1812, "sidecars, hollow and real, of which a play is predicted")
+	c.Flags().BoolVar(&check, "check", false, "the results are of the size that was predicted")
+	c.RunE = func(_ *cobra.Command, given []string) error {
+		var results [][]byte
+		for _, path := range given[1:] {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return usageError{err}
+			}
+			results = append(results, text)
+		}
+		var m *capacity.Measure
+		var err error
+		if check {
+			if m, err = capacity.ReadMeasure(filepath.Join(measures, "scale-"+given[0]+".json")); err == nil {
+				err = m.CheckScale(given[0], results)
+			}
+		} else {
+			m, err = capacity.FromScale(given[0], results, float64(predict))
+		}
+		if err != nil {
+			return usageError{err}
+		}
+		return m.Write(measures)
+	}
+	return c
+}
+
 func (a *app) labCapacityMeasure() *cobra.Command {
 	var measures, out string
 	var check bool
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -47,6 +47,9 @@
 		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "--page", "../../README.md"}, "worked out: fleet"},
 		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "-o", "xml"}, "table or json"},
 		{[]string{"lab", "capacity", "measure"}, "accepts 1 arg"},
+		{[]string{"lab", "capacity", "take", "steady"}, "requires at least 2 arg"},
+		{[]string{"lab", "capacity", "take", "steady", bad}, "result 1: invalid character"},
+		{[]string{"lab", "capacity", "take", "none", "--check", bad, "--measures", "../../docs/capacity"}, "scale-none.json"},
 		{[]string{"lab", "capacity", "measure", "none", "--out", t.TempDir()}, "no measure is called \"none\""},
 		{[]string{"lab", "capacity", "measure", "none", "--check", "--measures", "../../docs/capacity"}, "none.json"},
 		{[]string{"state", "check", bad + ".missing"}, "no such file"},
@@ -68,7 +71,7 @@
 		}
 	}
 	for _, path := range [][]string{{}, {"lab"}, {"lab", "run"}, {"lab", "list"}, {"lab", "compare"}, {"lab", "plot"}, {"lab", "faults"},
-		{"lab", "capacity"}, {"lab", "capacity", "measure"},
+		{"lab", "capacity"}, {"lab", "capacity", "measure"}, {"lab", "capacity", "take"},
 		{"state"}, {"state", "show"}, {"state", "check"}, {"state", "repair"}} {
 		walk(path)
 	}
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -298,3 +298,43 @@
 		}
 	}
 }
+
+// TestScaleRunsAreTaken makes a measure of results of the scale run, and holds a check to the size that was predicted.
+func TestScaleRunsAreTaken(t *testing.T) {
+	result := func(hollow int, day, trouble string) []byte {
+		n := float64(hollow + 12)
+		role := func(name string, bytes, kb, cpu float64) map[string]any {
+			return map[string]any{"role": name, "bytes_s": bytes, "kb": kb, "cpu": cpu}
+		}
+		text, err := json.Marshal(map[string]any{"hollow": hollow, "real": 12, "replicas": 3, "lease_s": 10, "revision": "r", "plays": []any{map[string]any{"day": day, "seed": 1, "held": true, "error": trouble,
+			"delays": []any{map[string]any{"cause": "of settings", "p99_ms": 80}},
+			"roles":  []any{role("hollow", 30, 100, 0.001), role("real", 31, 17000, 0.005), role("replica", 0, 20000+10*n, 0.0001*n), role("leading replica", 0, 21000+20*n, 0.0002*n)}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	var results [][]byte
+	for _, n := range []int{88, 188, 388, 588} {
+		results = append(results, result(n, "steady", ""))
+	}
+	m, err := FromScale("steady", results, 1812)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if says := m.Prediction.Says["leading_replica_cpu"]; math.Abs(says.Value-0.0002*1812) > 1e-9 || m.Samples[0].Got["of_settings_p99_ms"] != 80 {
+		t.Errorf("%+v, %+v", says, m.Samples[0])
+	}
+	if err := m.CheckScale("steady", [][]byte{result(1800, "steady", "")}); err != nil || len(m.Checks) != 1 {
+		t.Errorf("%+v, %v", m.Checks, err)
+	}
+	if err := m.CheckScale("steady", [][]byte{result(900, "steady", "")}); err == nil {
+		t.Error("a check of another size is taken")
+	}
+	for what, wrong := range map[string][][]byte{"three sizes": results[:3], "another day": append(results[:3:3], result(588, "wave", "")), "broken off": append(results[:3:3], result(588, "steady", "no room")),
+		"no JSON": append(results[:3:3], []byte("{"))} {
+		if _, err := FromScale("steady", wrong, 1812); err == nil {
+			t.Errorf("%s: taken", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/scale.go
@@ -0,0 +1,106 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// ScaleResult is what is taken of a result of the scale run: how many there were, and what they spent on each day.
+type ScaleResult struct {
+	Hollow   int     `json:"hollow"`
+	Real     int     `json:"real"`
+	Replicas int     `json:"replicas"`
+	LeaseS   float64 `json:"lease_s"`
+	LengthS  float64 `json:"length_s"`
+	Revision string  `json:"revision"`
+	Plays    []struct {
+		Day    string `json:"day"`
+		Seed   uint64 `json:"seed"`
+		Held   bool   `json:"held"`
+		Error  string `json:"error"`
+		Delays []struct {
+			Cause   string  `json:"cause"`
+			Counted float64 `json:"counted"`
+			P50Ms   float64 `json:"p50_ms"`
+			P99Ms   float64 `json:"p99_ms"`
+			MostMs  float64 `json:"most_ms"`
+		} `json:"delays"`
+		Roles []struct {
+			Role   string  `json:"role"`
+			BytesS float64 `json:"bytes_s"`
+			KB     float64 `json:"kb"`
+			CPU    float64 `json:"cpu"`
+		} `json:"roles"`
+	} `json:"plays"`
+}
+
+// The series that are taken of the scale run's roles.
+var scaleSeries = []Series{
+	{Name: "hollow_bytes", Unit: "bytes/s", Form: "sidecars"}, {Name: "real_bytes", Unit: "bytes/s", Form: "sidecars"}, {Name: "real_mb", Unit: "MB", Form: "sidecars"},
+	{Name: "leading_replica_cpu", Unit: "of a core", Form: "sidecars"}, {Name: "leading_replica_mb", Unit: "MB", Form: "sidecars"},
+	{Name: "replica_cpu", Unit: "of a core", Form: "sidecars"}, {Name: "replica_mb", Unit: "MB", Form: "sidecars"},
+}
+
+// samples are what the results of the scale run say of a day: one for each play.
+func samples(day string, results [][]byte) (all []Sample, revision string, err error) {
+	for i, text := range results {
+		var r ScaleResult
+		if err := json.Unmarshal(text, &r); err != nil {
+			return nil, "", fmt.Errorf("result %d: %w", i+1, err)
+		}
+		revision = r.Revision
+		found := false
+		for _, p := range r.Plays {
+			if p.Day != day {
+				continue
+			}
+			if p.Error != "" {
+				return nil, "", fmt.Errorf("result %d: %s was not played to its end: %s", i+1, day, p.Error)
+			}
+			found = true
+			s := Sample{Sizes: map[string]float64{"sidecars": float64(r.Hollow + r.Real)},
+				Got: map[string]float64{"seed": float64(p.Seed), "lease_s": r.LeaseS, "replicas": float64(r.Replicas), "length_s": r.LengthS}}
+			for _, x := range p.Roles {
+				name := strings.ReplaceAll(x.Role, " ", "_")
+				s.Got[name+"_bytes"], s.Got[name+"_mb"], s.Got[name+"_cpu"] = x.BytesS, x.KB/1024, x.CPU
+			}
+			for _, d := range p.Delays {
+				name := strings.ReplaceAll(d.Cause, " ", "_")
+				s.Got[name+"_p50_ms"], s.Got[name+"_p99_ms"], s.Got[name+"_most_ms"] = d.P50Ms, d.P99Ms, d.MostMs
+			}
+			all = append(all, s)
+		}
+		if !found {
+			return nil, "", fmt.Errorf("result %d has no day %q", i+1, day)
+		}
+	}
+	return all, revision, nil
+}
+
+// FromScale makes the measure scale-DAY of several results of the scale run, and predicts that of so many sidecars.
+func FromScale(day string, results [][]byte, predict float64) (*Measure, error) {
+	m := &Measure{Name: "scale-" + day, Question: "What do sidecars and the list service spend on the scale run's day " + day + "?",
+		Command: "mosslead lab scale --days " + day + " --compare=false -o json; mosslead lab capacity take " + day, Machine: "as in the results",
+		How: "hollow sidecars beside twelve real ones before one quorum; each role on the mean: bytes both ways between a sidecar and the list service without the kernel's headers, resident memory and processor time by the kernel's counts. " +
+			"Hollow ones share a process. Leases are shorter than the fleet's (lease_s), so that renewals are more",
+		Series: scaleSeries}
+	var err error
+	if m.Samples, m.Revision, err = samples(day, results); err != nil {
+		return nil, err
+	}
+	if m.Revision == "" {
+		return nil, errors.New("a result without a revision")
+	}
+	return m, m.Predict(map[string]float64{"sidecars": predict}, m.Revision)
+}
+
+// CheckScale sets what the scale run found at the size that was predicted beside the prediction.
+func (m *Measure) CheckScale(day string, results [][]byte) (err error) {
+	m.Checks, _, err = samples(day, results)
+	if err != nil {
+		return err
+	}
+	return m.check()
+}
