--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -340,7 +341,16 @@
 
 // Quorum starts replicas that form one, r0 and so on. Their configurations are in Dir, each NAME.toml.
 func (r Runner) Quorum(n int) (at []string, children []*proc.Child, err error) {
-	var peers []map[string]any
+	peers, at, err := replicas(n)
+	if err != nil {
+		return nil, nil, err
+	}
+	children, err = r.quorum(peers, "", nil)
+	return at, children, err
+}
+
+// replicas are so many with addresses of their own; at is where they answer.
+func replicas(n int) (peers []map[string]any, at []string, err error) {
 	for i := range n {
 		a, err1 := Address()
 		b, err2 := Address()
@@ -350,23 +360,30 @@
 		peers = append(peers, map[string]any{"name": fmt.Sprint("r", i), "api": a, "raft": b})
 		at = append(at, a)
 	}
-	for i := range n {
-		name := fmt.Sprint("r", i)
-		text, err := toml.Marshal(map[string]any{"name": name, "dir": filepath.Join(r.Dir, name), "replica": peers})
+	return peers, at, nil
+}
+
+// quorum starts replicas; before each name of a file stands which, and in each configuration what more.
+func (r Runner) quorum(peers []map[string]any, which string, more map[string]any) (children []*proc.Child, err error) {
+	for i := range peers {
+		name := which + fmt.Sprint("r", i)
+		c := map[string]any{"name": fmt.Sprint("r", i), "dir": filepath.Join(r.Dir, name), "replica": peers}
+		maps.Copy(c, more)
+		text, err := toml.Marshal(c)
 		if err != nil {
-			return nil, children, err
+			return children, err
 		}
 		path := filepath.Join(r.Dir, name+".toml")
 		if err := os.WriteFile(path, text, 0o644); err != nil {
-			return nil, children, err
+			return children, err
 		}
 		child, err := r.Start(name, "--config", path)
 		if err != nil {
-			return nil, children, err
+			return children, err
 		}
 		children = append(children, child)
 	}
-	return at, children, nil
+	return children, nil
 }
 
 // Start starts a replica, or starts one again, with words after the command's.
--- a/internal/lab/burden/writes.go
+++ b/internal/lab/burden/writes.go
@@ -150,12 +150,68 @@
 	if !sleep(ctx, time.Second) {          // the replica that is left has it all, too
 		return m, ctx.Err()
 	}
+	var others []*proc.Child
+	for i, child := range children {
+		if i != left {
+			others = append(others, child)
+		}
+	}
+	return r.cut(ctx, m, at[left:left+1], version, others, length)
+}
+
+// MeasureApart does the same with two regions of three replicas each that follow each other: so many watch one replica of the one,
+// and all of the other's are stopped.
+func (r Runner) MeasureApart(ctx context.Context, watchers int, length time.Duration) (m Cut, err error) {
+	m.Watchers = watchers
+	names := []string{"north", "south"}
+	var peers [2][]map[string]any
+	var at [2][]string
+	for i := range names {
+		if peers[i], at[i], err = replicas(3); err != nil {
+			return m, err
+		}
+	}
+	var children [2][]*proc.Child
+	for i, name := range names {
+		children[i], err = r.quorum(peers[i], name+"-", map[string]any{"region": name, "follow": []map[string]any{{"region": names[1-i], "api": at[1-i]}}})
+		defer func() {
+			for _, c := range children[i] {
+				_ = c.Kill() // whatever came of it
+			}
+		}()
+		if err != nil {
+			return m, err
+		}
+	}
+	var both [2]*client.Client
+	for i := range names {
+		both[i] = client.New(at[i])
+		defer both[i].Close()
+		if err := Await(ctx, both[i], len(at[i])); err != nil {
+			return m, err
+		}
+	}
+	var version int64
+	for i := range watchers {
+		if version, err = both[1].Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
+			return m, fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	if !sleep(ctx, time.Second) { // all replicas have it
+		return m, ctx.Err()
+	}
+	return r.cut(ctx, m, at[1], version, children[0], length)
+}
+
+// cut has watchers at the first of the replicas that are left, stops the others, and looks at what goes on.
+func (r Runner) cut(ctx context.Context, m Cut, side []string, version int64, others []*proc.Child, length time.Duration) (Cut, error) {
+	watchers := m.Watchers
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var ended atomic.Int64
 	ends := make(chan time.Time, watchers)
 	for range watchers {
-		conn, err := watchFrom(ctx, at[left], version)
+		conn, err := watchFrom(ctx, side[0], version)
 		if err != nil {
 			return m, err
 		}
@@ -172,14 +228,12 @@
 		return m, fmt.Errorf("%d watches ended before the cut", n)
 	}
 	cut := time.Now()
-	for i, child := range children {
-		if i != left {
-			if err := child.Signal(syscall.SIGSTOP); err != nil {
-				return m, err
-			}
+	for _, child := range others {
+		if err := child.Signal(syscall.SIGSTOP); err != nil {
+			return m, err
 		}
 	}
-	alone := client.New(at[left : left+1])
+	alone := client.New(side)
 	defer alone.Close()
 	for time.Since(cut) < length {
 		one, stop := context.WithTimeout(ctx, time.Second)
--- a/internal/lab/capacity/plays/plays_test.go
+++ b/internal/lab/capacity/plays/plays_test.go
@@ -63,7 +63,7 @@
 // TestPlaysGiveTheirSeries plays each measure once, small and short, and has every series in what it gives.
 func TestPlaysGiveTheirSeries(t *testing.T) {
 	small := map[string]sizes{"watchers": {"watchers": 3}, "return": {"watchers": 3, "entries": 12}, "renewals": {"renewals": 90}, "writes": {"changes": 10},
-		"cut": {"watchers": 3}, "sidecar": {"entries": 3}, "calls": {"calls": 100}, "duty": {"candidates": 2}, "documents": {"documents": 3}, "settings": {"sidecars": 2}, "heal": {"entries": 12}}
+		"cut": {"watchers": 3}, "apart": {"watchers": 3}, "sidecar": {"entries": 3}, "calls": {"calls": 100}, "duty": {"candidates": 2}, "documents": {"documents": 3}, "settings": {"sidecars": 2}, "heal": {"entries": 12}}
 	for _, name := range Names() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/capacity/plays/service.go
+++ b/internal/lab/capacity/plays/service.go
@@ -116,6 +116,20 @@
 				"leader_mb": m.LeaderMB, "follower_mb": m.FollowerMB, "took_per_s": m.Took, "p99_ms": m.P99Ms, "exchange_cpu_us": us(cpu)}, err
 		},
 	}
+	all["apart"] = play{
+		question: "What goes on in a region that is cut off from the others?",
+		how:      "two regions, each a quorum of three, that follow each other; so many watch one replica of the one; all of the other's are stopped (SIGSTOP) for 5 s: watches that ended, and of registrations asked for in turn those that were refused or not answered in 1 s",
+		series:   []capacity.Series{{Name: "ended", Unit: "watches", Form: "watchers"}, {Name: "refused_share", Unit: "of registrations", Form: "watchers"}},
+		at:       each("watchers", 50, 100, 200, 300), repeats: 1, check: sizes{"watchers": 450},
+		run: func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
+			r, err := p.runner(dir)
+			if err != nil {
+				return nil, err
+			}
+			m, err := r.MeasureApart(ctx, int(at["watchers"]), cutLength)
+			return map[string]float64{"ended": float64(m.Ended), "refused_share": float64(m.Refused) / float64(max(1, m.Asked)), "asked": float64(m.Asked)}, err
+		},
+	}
 	all["cut"] = play{
 		question: "What goes on at a replica that is cut off from the majority?",
 		how:      "a quorum of three; so many watch one follower; the other two are stopped (SIGSTOP) for 5 s: watches that ended, the last of them after the cut, and of registrations asked for in turn those that were refused or not answered in 1 s",
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -178,9 +178,22 @@
 	put(b.at("return", "bytes", back).and(known(l.RegionSidecars*a.SettingsBytes.Value)), Row{Role: leads, What: "bytes: a region's watchers back within 1 s, each with its settings", Day: Worst, Unit: "bytes/s", Budget: a.ControlBytesPerS.Value, BudgetFrom: assumed,
 		Mechanism: documents, Carried: true, PerYear: o.CutsPerYear.Value, Note: "one replica; who holds the settings already is not told them"})
 
+	const whole = "list service: one quorum, all watching and registering at once (the scale run)"
+	for _, x := range []struct {
+		series, what, unit, from string
+		budget                   float64
+	}{{"leading_replica_cpu", "processor time of the leader", "of a core", assumed, a.ControlCores.Value}, {"leading_replica_mb", "memory of the leader", "MB", assumed, a.ControlMemoryMB.Value},
+		{"replica_cpu", "processor time of a follower", "of a core", assumed, a.ControlCores.Value}, {"replica_mb", "memory of a follower", "MB", assumed, a.ControlMemoryMB.Value},
+		{"real_bytes", "bytes of a real sidecar without clients", "bytes/s", asked, o.SidecarBytesPerS.Value}, {"hollow_bytes", "bytes of a hollow sidecar", "bytes/s", asked, o.SidecarBytesPerS.Value},
+		{"real_mb", "memory of a real sidecar without clients", "MB", asked, o.SidecarMemoryMB.Value}} {
+		put(b.steady(x.series), Row{Role: whole, What: x.what, Day: Steady, Unit: x.unit, Budget: x.budget, BudgetFrom: x.from, Mechanism: "`internal/registry.Node`, watches, leases, acks; `internal/sidecar`", Carried: true, PerYear: daysPerYear,
+			Note: "leases of 10 s, so three times the renewals"})
+	}
+
 	const regions = "regions that lose each other (a quorum for each)"
 	const ownQuorum = "`internal/registry.Node` of each region"
-	put(b.scale("cut", "refused_share"), Row{Role: regions, What: "registrations, drains and operators' words of its own refused while a region is cut off", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: ownQuorum, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars})
+	put(b.at("apart", "refused_share", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "registrations, drains and operators' words of its own refused while a region is cut off", Day: Worst, Unit: "of them", BudgetFrom: "each region goes on alone", Mechanism: ownQuorum, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars})
+	put(b.at("apart", "ended", size("watchers", l.RegionSidecars)), Row{Role: regions, What: "watches that end in a region that is cut off", Day: Worst, Unit: "watches", BudgetFrom: "each region goes on alone", Mechanism: ownQuorum, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars})
 	region := size("entries", l.RegionSidecars)
 	put(b.at("heal", "heal_s", region), Row{Role: regions, What: "until another region's changes are taken in after a heal, all of its entries among them", Day: Worst, Unit: "s", Budget: o.SettingsWithinS.Value, BudgetFrom: asked, Mechanism: follows, Carried: true, PerYear: o.CutsPerYear.Value, Touches: l.RegionSidecars,
 		Note: "the cut was 11 s: the whole list is asked for after 10 s"})
@@ -201,7 +214,7 @@
 	return b.at("gossip", "bytes_mean", sizes)
 }
 
-// scale is what the scale run found on a day, as a measure of its own: scale-DAY.
-func (b *builder) scale(day, series string) figure {
-	return b.at("scale-"+day, series, size("sidecars", b.f.Operators.Upstreams.Value))
+// steady is what the scale run found on its steady day.
+func (b *builder) steady(series string) figure {
+	return b.at("scale-steady", series, size("sidecars", b.f.Operators.Upstreams.Value))
 }
