--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -14,6 +14,7 @@
 	theFleet    = "../../../experiments/capacity.toml"
 	theMeasures = "../../../docs/capacity"
 	thePage     = "../../../docs/CAPACITY.md"
+	theResults  = "../../../docs/RESULTS.md"
 )
 
 func table(t *testing.T) *Table {
@@ -35,12 +36,36 @@
 
 // TestThePageIsWhatIsWorkedOut holds the page to its fleet and its measures, and sees a number that was changed by hand.
 func TestThePageIsWhatIsWorkedOut(t *testing.T) {
-	text, err := os.ReadFile(thePage)
-	if err != nil {
-		t.Fatal(err)
-	}
 	x := table(t)
-	page := string(text)
+	var pages [2]string
+	for i, path := range []string{thePage, theResults} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages[i] = string(text)
+	}
+	own := 0
+	for _, s := range sections {
+		for i, page := range pages {
+			if n, is := strings.Count(page, beginMark(s.name)+"\n"), i == 1; (n == 1) != (is == (s.name == "plays")) || n > 1 {
+				t.Errorf("%s is %d times on page %d", s.name, n, i)
+			}
+		}
+		if s.name != "plays" {
+			own++
+		}
+	}
+	if own < 7 {
+		t.Errorf("%d sections on the page", own)
+	}
+	holds(t, x, "docs/CAPACITY.md", pages[0])
+	holds(t, x, "docs/RESULTS.md", pages[1])
+}
+
+// holds has a page be what is worked out, and sees each of its parts changed.
+func holds(t *testing.T, x *Table, name, page string) {
+	t.Helper()
 	want, err := x.Renew(page)
 	if err != nil {
 		t.Fatal(err)
@@ -50,13 +75,16 @@
 		for at < min(len(page), len(want)) && page[at] == want[at] {
 			at++
 		}
-		t.Fatalf("docs/CAPACITY.md is not what is worked out: run `mosslead lab capacity --page docs/CAPACITY.md`. It differs at\n%.200s\nand is to be\n%.200s", page[at:], want[at:])
+		t.Fatalf("%s is not what is worked out: run `mosslead lab capacity --page %s`. It differs at\n%.200s\nand is to be\n%.200s", name, name, page[at:], want[at:])
 	}
 	for _, s := range sections {
 		section, err := x.Section(s.name)
 		if err != nil {
 			t.Fatal(err)
 		}
+		if !strings.Contains(page, beginMark(s.name)) {
+			continue // on the other page
+		}
 		digit := strings.LastIndexAny(section, "123456789")
 		if digit < 0 {
 			continue // nothing was measured for it yet
@@ -70,10 +98,10 @@
 			t.Errorf("%s: a changed number is not seen (%v)", s.name, err)
 		}
 	}
-	if _, err := x.Renew(strings.Replace(page, beginMark("table"), "", 1)); err == nil {
-		t.Error("a page without one of its parts is taken")
+	if _, err := x.Renew("# Another page\n"); err == nil {
+		t.Error("a page without any part is taken")
 	}
-	if _, err := x.Renew(strings.Replace(page, endMark, "", 1)); err == nil {
+	if _, err := x.Renew(strings.ReplaceAll(page, endMark, "")); err == nil {
 		t.Error("a part without an end is taken")
 	}
 }
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -15,11 +15,15 @@
 }{
 	{"fleet", writeFleet}, {"load", writeLoad}, {"table", func(w *bytes.Buffer, t *Table) { writeRows(w, t.Rows) }},
 	{"missing", writeMissing}, {"after", func(w *bytes.Buffer, t *Table) { writeRows(w, t.After) }}, {"slopes", writeSlopes}, {"checks", writeChecks},
+	{"plays", writePlays}, // of another page
 }
 
-func beginMark(name string) string { return "<!-- worked out: " + name + " -->" }
+func beginMark(name string) string { return beginAny + " " + name + " -->" }
 
-const endMark = "<!-- end of what is worked out -->"
+const (
+	beginAny = "<!-- worked out:"
+	endMark  = "<!-- end of what is worked out -->"
+)
 
 // Section is one part of the page, by its name.
 func (t *Table) Section(name string) (string, error) {
@@ -33,16 +37,23 @@
 	return "", fmt.Errorf("no section is called %q", name)
 }
 
-// Renew gives the page with all its sections worked out anew; what stands between them stays.
+// Renew gives the page with the sections that it has worked out anew; what stands between them stays.
 func (t *Table) Renew(page string) (string, error) {
+	if !strings.Contains(page, beginAny) {
+		return "", fmt.Errorf("the page has no line %q, or another section's", beginMark(sections[0].name))
+	}
 	for _, s := range sections {
 		mark := beginMark(s.name) + "\n"
-		if strings.Count(page, mark) != 1 {
-			return "", fmt.Errorf("the page has %d lines %q, and is to have one", strings.Count(page, mark), beginMark(s.name))
+		switch strings.Count(page, mark) {
+		case 0:
+			continue
+		case 1:
+		default:
+			return "", fmt.Errorf("the page has more than one line %q", beginMark(s.name))
 		}
 		before, rest, _ := strings.Cut(page, mark)
 		old, after, ok := strings.Cut(rest, endMark)
-		if !ok || strings.Contains(old, "<!-- worked out:") {
+		if !ok || strings.Contains(old, beginAny) {
 			return "", errors.New("the page has no " + endMark + " after " + beginMark(s.name))
 		}
 		text, err := t.Section(s.name)
@@ -183,6 +194,32 @@
 	}
 }
 
+// writePlays is each measure's samples: its series at each size, in the order in which they were played.
+func writePlays(w *bytes.Buffer, t *Table) {
+	for _, m := range t.measures {
+		fmt.Fprintf(w, "**%s** (`%s`, revision %s, %s): %s %s.\n\n", upper(m.Name), m.Command, m.Revision, m.Machine, m.Question, upper(m.How))
+		head, rule := "| size |", "| --- |"
+		for _, s := range m.Series {
+			head, rule = head+fmt.Sprintf(" %s, %s |", s.Name, s.Unit), rule+" --- |"
+		}
+		fmt.Fprintln(w, head+"\n"+rule)
+		line := func(what string, x Sample) {
+			fmt.Fprintf(w, "| %s%s |", sizesText(x.Sizes), what)
+			for _, s := range m.Series {
+				fmt.Fprintf(w, " %s |", number(x.Got[s.Name]))
+			}
+			fmt.Fprintln(w)
+		}
+		for _, x := range m.Samples {
+			line("", x)
+		}
+		for _, x := range m.Checks {
+			line(" (check)", x)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
 func upper(s string) string { return strings.ToUpper(s[:1]) + s[1:] }
 
 func sizesText(sizes map[string]float64) string {
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -77,6 +77,8 @@
 	After    []Row      `json:"after"`   // with documents and regions, see afterRows
 	Missing  []Claim    `json:"missing"` // rows that compete for the mechanism that is built first
 	Measures []Checked  `json:"measures"`
+
+	measures []*Measure // as they were read, by name
 }
 
 // Claim is a row that has no carrier or is over its budget.
@@ -114,6 +116,7 @@
 	}
 	t.Missing = missing(t.Rows, f.Operators.Upstreams.Value)
 	for _, name := range m.names() {
+		t.measures = append(t.measures, m[name])
 		all, err := m[name].checked()
 		if err != nil {
 			return nil, err
