lab: hosts of hollow sidecars, gates that count, and verdicts on what was issued and seen

Need: nothing here shows what the list service's changes do at 1,800 sidecars. The parts of a scale run: hosts, gates, quorums, real sidecars, a record and pure verdicts on it. Not wired into a command yet, not measured.

--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -31,6 +31,9 @@
 	Env     []string // added to nothing: a child sees no variable of the laboratory's
 	Dir     string
 	LogFile string // where standard output and error go; appended to
+
+	// Stdin and Stdout are the child's ends of pipes to it, which are its starter's to close; nil: nothing, and the log.
+	Stdin, Stdout *os.File
 }
 
 // Child is a process that was started.
@@ -76,6 +79,12 @@
 		return nil, fmt.Errorf("log of %s: %w", s.Name, err)
 	}
 	cmd.Stdout, cmd.Stderr = write, write
+	if s.Stdin != nil {
+		cmd.Stdin = s.Stdin
+	}
+	if s.Stdout != nil {
+		cmd.Stdout = s.Stdout
+	}
 	c := &Child{Name: s.Name, cmd: cmd, ended: make(chan struct{})}
 	spawn()
 	done := make(chan error)
--- /dev/null
+++ b/internal/lab/scale/days.go
@@ -0,0 +1,472 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"mosslead/internal/lab/burden"
+	"mosslead/internal/registry/api"
+)
+
+const (
+	waveChanges  = 20
+	restartsFull = 140 // among as many as fleetFull
+	fleetFull    = 1800
+	grace        = 2 * time.Second // of the service, from a lease's end to the entry's
+	shortAway    = 300 * time.Millisecond
+	leaderAway   = 4 * time.Second
+	regionCount  = 2 // of a day on which regions are cut off
+)
+
+// day is what happens on one. It returns once all of it was issued.
+type day struct {
+	says    string
+	regions int
+	play    func(w *world, ctx context.Context) error
+}
+
+// Cut needs regions; the other days one quorum.
+const cutDay = "cut"
+
+var days map[string]day
+
+func init() {
+	days = map[string]day{
+		"steady":   {"nothing changes", 1, (*world).steady},
+		"wave":     {"twenty changes", 1, (*world).wave},
+		"restarts": {"140 of 1,800 restart or fail", 1, (*world).restarts},
+		"zone":     {"all of one zone silent at once, and back", 1, (*world).zone},
+		"leader":   {"the leader killed, and the next one stopped and let go", 1, (*world).leader},
+		"return":   {"all connections to the list service break at once", 1, (*world).comeBack},
+		cutDay:     {"a region cut off, with changes and deaths on both sides, and healed", regionCount, (*world).cut},
+	}
+}
+
+// DayNames are those of all days that can be played, by name.
+func DayNames() []string { return slices.Sorted(maps.Keys(days)) }
+
+func (w *world) steady(ctx context.Context) error {
+	sleep(ctx, w.spec.Length)
+	return ctx.Err()
+}
+
+// wave is twenty changes by operators' hands, evenly spread.
+func (w *world) wave(ctx context.Context) error {
+	names := w.pick(w.regions[0], waveChanges/2)
+	for i := range waveChanges {
+		name, hand := names[i%len(names)], api.HandDrain
+		if i >= len(names) {
+			hand = api.HandNone
+		}
+		if err := w.hand(ctx, w.regions[0], name, hand, "change by hand"); err != nil {
+			return err
+		}
+		sleep(ctx, w.spec.Length/waveChanges)
+	}
+	return ctx.Err()
+}
+
+// restarts has sidecars end with their upstreams: half of them are back before anybody could notice, a quarter once the lease
+// has lapsed; of the last quarter the upstream alone fails.
+func (w *world) restarts(ctx context.Context) error {
+	n := max(4, restartsFull*w.spec.Hollow/fleetFull)
+	names := w.pick(w.regions[0], n)
+	var all sync.WaitGroup
+	errs := make([]error, len(names))
+	for i, name := range names {
+		all.Go(func() {
+			number := w.number(name)
+			if i%4 == 3 {
+				errs[i] = w.fails(ctx, []int{number}, doSilence, func() {})
+				return
+			}
+			if i%2 == 0 {
+				errs[i] = errors.Join(w.each([]int{number}, doEnd), w.awayFor(ctx, shortAway), w.back(ctx, []int{number}, "restart"))
+				return
+			}
+			errs[i] = w.fails(ctx, []int{number}, doEnd, func() {})
+		})
+		sleep(ctx, 2*w.spec.Length/time.Duration(len(names)))
+	}
+	all.Wait()
+	return errors.Join(append(errs, ctx.Err())...)
+}
+
+func (w *world) awayFor(ctx context.Context, d time.Duration) error {
+	sleep(ctx, d)
+	return ctx.Err()
+}
+
+// fails has hollow ones fall silent, waits until the service has noticed, and brings them back with a newer incarnation.
+func (w *world) fails(ctx context.Context, of []int, do string, also func()) error {
+	var lapses []*Change
+	for _, i := range of {
+		lapses = append(lapses, w.lapse(i))
+	}
+	if err := w.each(of, do); err != nil {
+		return err
+	}
+	also()
+	if err := w.lapsed(ctx, lapses); err != nil {
+		return err
+	}
+	sleep(ctx, shortAway)
+	return w.back(ctx, of, "back after a failure")
+}
+
+// zone is 1 of 14, and so under the share of a fifth at which the service doubts itself: its entries are to lapse.
+func (w *world) zone(ctx context.Context) error {
+	z := w.rng.IntN(zoneCount)
+	var of []int
+	for i := z; i < w.spec.Hollow; i += zoneCount {
+		of = append(of, i) // hollow ones come first among the processes
+	}
+	var gone []*real
+	for _, x := range w.reals {
+		if x.zone == zones()[z] {
+			gone = append(gone, x)
+		}
+	}
+	var lapses []*Change
+	for _, x := range gone {
+		lapses = append(lapses, w.lapse(x.number))
+	}
+	return errors.Join(w.fails(ctx, of, doEnd, func() {
+		for _, x := range gone {
+			x.unregister()
+			_ = x.child.Kill() // whatever came of it
+			w.lives(x.number, now(), false)
+		}
+	}), w.lapsed(ctx, lapses), w.realsBack(ctx, gone))
+}
+
+func (w *world) realsBack(ctx context.Context, all []*real) error {
+	for _, x := range all {
+		w.mu.Lock()
+		w.bears++
+		bears := w.bears
+		w.mu.Unlock()
+		c := w.change(x.number, api.Ready, "back after a failure")
+		w.lives(x.number, now(), true)
+		x.register(w.ctx, w.spec.Lease, bears)
+		if err := x.start(w.spec.Sidecar, w.spec.Dir, w.spec.Hollow+w.spec.Real); err != nil {
+			return err
+		}
+		if err := errors.Join(w.listed(ctx, c, bears), x.ready(ctx)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// leader is killed while changes come, and started again; the next one is stopped and let go.
+func (w *world) leader(ctx context.Context) error {
+	r := w.regions[0]
+	names := w.pick(r, 3)
+	x := r.leader(ctx)
+	if x == nil {
+		return errors.New("nobody leads")
+	}
+	if err := x.child.Kill(); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := w.hand(ctx, r, name, api.HandDrain, "leader killed"); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, leaderAway/2)
+	var err error
+	if x.child, err = w.run.Start(x.name, "--config", x.config); err != nil {
+		return err
+	}
+	if err := burden.Await(ctx, r.client, len(r.replicas)); err != nil {
+		return err
+	}
+	if x = r.leader(ctx); x == nil {
+		return errors.New("nobody leads")
+	}
+	if err := x.child.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	begun := time.Now()
+	for _, name := range names {
+		if err = w.hand(ctx, r, name, api.HandNone, "leader stopped"); err != nil {
+			break
+		}
+	}
+	sleep(ctx, leaderAway-time.Since(begun))
+	if err := errors.Join(err, x.child.Signal(syscall.SIGCONT)); err != nil {
+		return err
+	}
+	return errors.Join(w.hand(ctx, r, names[0], api.HandDrain, "leader let go"), burden.Await(ctx, r.client, len(r.replicas)),
+		w.hand(ctx, r, names[0], api.HandNone, "leader let go"))
+}
+
+// comeBack breaks all connections at once.
+func (w *world) comeBack(ctx context.Context) error {
+	names := w.pick(w.regions[0], 2)
+	if err := w.breakAll(); err != nil {
+		return err
+	}
+	if err := w.hand(ctx, w.regions[0], names[0], api.HandDrain, "all back at once"); err != nil {
+		return err
+	}
+	sleep(ctx, time.Second)
+	return w.hand(ctx, w.regions[0], names[1], api.HandDrain, "after all were back")
+}
+
+func (w *world) breakAll() error {
+	var errs []error
+	for _, h := range w.hosts {
+		errs = append(errs, h.order(order{Do: doBreak}))
+	}
+	for _, x := range w.reals {
+		x.door.breakAll()
+	}
+	return errors.Join(errs...)
+}
+
+// cut takes the regions apart; each goes on with its own.
+func (w *world) cut(ctx context.Context) error {
+	for _, r := range w.regions {
+		if err := w.hand(ctx, r, w.pick(r, 1)[0], api.HandDrain, "before the cut"); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, settleMost)
+	if err := w.part(true); err != nil {
+		return err
+	}
+	healed := time.Now().Add(w.spec.Cut)
+	var all sync.WaitGroup
+	errs := make([]error, len(w.regions))
+	for i, r := range w.regions {
+		names := w.pick(r, 6)
+		all.Go(func() {
+			of := []int{w.number(names[4]), w.number(names[5])}
+			var lapses []*Change
+			for _, i := range of {
+				lapses = append(lapses, w.lapse(i))
+			}
+			errs[i] = w.each(of, doEnd)
+			for _, name := range names[:4] {
+				errs[i] = errors.Join(errs[i], w.hand(ctx, r, name, api.HandDrain, "during the cut"))
+				sleep(ctx, w.spec.Cut/8)
+			}
+			errs[i] = errors.Join(errs[i], w.lapsed(ctx, lapses))
+		})
+	}
+	all.Wait()
+	sleep(ctx, time.Until(healed))
+	if err := errors.Join(append(errs, w.part(false))...); err != nil {
+		return err
+	}
+	sleep(ctx, settleMost)
+	for _, r := range w.regions {
+		if err := w.hand(ctx, r, w.pick(r, 1)[0], api.HandDrain, "after the heal"); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, settleMost) // what one region has does not show how far the others are
+	return ctx.Err()
+}
+
+func (w *world) part(silent bool) error {
+	var errs []error
+	for _, r := range w.regions {
+		errs = append(errs, r.cut(silent))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if silent {
+		w.rec.Cuts = append(w.rec.Cuts, Span{From: now()})
+	} else {
+		w.rec.Cuts[len(w.rec.Cuts)-1].To = now()
+	}
+	return errors.Join(errs...)
+}
+
+// pick draws names of hollow ones' upstreams that are as they were registered.
+func (w *world) pick(r *region, n int) (names []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range w.rng.Perm(w.spec.Hollow) {
+		p := w.rec.Processes[i]
+		if c := w.current[p.Name]; len(names) < n && p.Region == r.name && c.Status == api.Ready && w.up[i] {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+func (w *world) number(name string) int {
+	return slices.IndexFunc(w.rec.Processes, func(p *Process) bool { return p.Name == name })
+}
+
+// each gives an order for some hollow ones to their hosts.
+func (w *world) each(of []int, do string) error {
+	w.mu.Lock()
+	bears := w.bears
+	w.mu.Unlock()
+	var errs []error
+	for _, h := range w.hosts {
+		var own []int
+		for _, i := range of {
+			if slices.Contains(h.of, i) {
+				own = append(own, i)
+			}
+		}
+		if len(own) > 0 {
+			errs = append(errs, h.order(order{Do: do, Of: own, Bear: bears}))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// change notes one of an entry, which is that of a process's upstream, as issued now.
+func (w *world) change(number int, status, cause string) *Change {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.rec.Processes[number]
+	c := w.rec.issue(&Change{Name: p.Name, Status: status, Cause: cause, Region: p.Region, Issued: now()})
+	w.current[c.Name] = c
+	delete(w.lapsing, c.Name)
+	return c
+}
+
+// hand says an operator's word, and waits until the service has taken it in.
+func (w *world) hand(ctx context.Context, r *region, name, hand, cause string) error {
+	status := api.Ready
+	if hand == api.HandDrain {
+		status = api.Terminating
+	}
+	c := w.change(w.number(name), status, cause)
+	ctx, cancel := context.WithTimeout(ctx, acceptMost)
+	defer cancel()
+	v, err := r.client.Hand(ctx, name, api.Ask{Hand: hand})
+	if err != nil {
+		return fmt.Errorf("%s of %s (%s): not accepted within %v: %w", hand, name, cause, acceptMost, err)
+	}
+	w.accept(c, v)
+	return nil
+}
+
+// accept notes that a version holds a change; the time is that at which it was first seen, or now.
+func (w *world) accept(c *Change, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.Lo, c.Hi, c.Accepted = version, version, now()
+	for _, f := range w.firsts[c.Region] {
+		if f[0] >= version {
+			c.Accepted = max(c.Issued, min(c.Accepted, f[1]))
+			break
+		}
+	}
+}
+
+// lapse notes that a process's upstream is silent from now on.
+func (w *world) lapse(number int) *Change {
+	c := w.change(number, gone, "lapse")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lapsing[c.Name] = c
+	return c
+}
+
+// lapsed waits until a witness has seen the service end all these entries.
+func (w *world) lapsed(ctx context.Context, all []*Change) error {
+	within := w.spec.Lease + grace + InForceWithin
+	late := time.Now().Add(within)
+	for _, c := range all {
+		for {
+			w.mu.Lock()
+			there := c.Accepted > 0
+			w.mu.Unlock()
+			if there {
+				break
+			}
+			if time.Now().After(late) || !sleep(ctx, 20*time.Millisecond) {
+				return fmt.Errorf("%s has been silent for %v, and its entry is still there", c.Name, within)
+			}
+		}
+	}
+	return nil
+}
+
+// back brings hollow ones back with a newer incarnation; those whose sidecars run on get new upstreams only.
+func (w *world) back(ctx context.Context, of []int, cause string) error {
+	w.mu.Lock()
+	w.bears++
+	bears := w.bears
+	w.mu.Unlock()
+	var changes []*Change
+	for _, i := range of {
+		changes = append(changes, w.change(i, api.Ready, cause))
+	}
+	var errs []error
+	for _, h := range w.hosts {
+		var own []int
+		for _, i := range of {
+			if slices.Contains(h.of, i) {
+				own = append(own, i)
+			}
+		}
+		if len(own) > 0 {
+			errs = append(errs, h.order(order{Do: doRegister, Of: own, Bear: bears}), h.order(order{Do: doWatch, Of: own}))
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	for _, c := range changes {
+		if err := w.listed(ctx, c, bears); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listed waits until the service has the entry with that incarnation.
+func (w *world) listed(ctx context.Context, c *Change, incarnation int64) error {
+	r := w.regions[slices.IndexFunc(w.regions, func(r *region) bool { return r.name == c.Region })]
+	ctx, cancel := context.WithTimeout(ctx, acceptMost)
+	defer cancel()
+	for {
+		x, err := r.client.Record(ctx, c.Name, false)
+		if err == nil && x.Incarnation == incarnation && x.Own == api.Ready {
+			w.accept(c, x.Version)
+			return nil
+		}
+		if !sleep(ctx, 50*time.Millisecond) {
+			return fmt.Errorf("%s was not listed again within %v%s", c.Name, acceptMost, w.complaint())
+		}
+	}
+}
+
+// settle waits until all that run have what the witnesses in their region have, or longer than they may take.
+func (w *world) settle(ctx context.Context) {
+	for end := time.Now().Add(settleMost); time.Now().Before(end) && sleep(ctx, 100*time.Millisecond); {
+		w.mu.Lock()
+		most, behind := map[string]int64{}, 0
+		for i := range w.witness {
+			p := w.rec.Processes[i]
+			most[p.Region] = max(most[p.Region], w.last[i])
+		}
+		for i, p := range w.rec.Processes {
+			if w.up[i] && w.last[i] < most[p.Region] {
+				behind++
+			}
+		}
+		w.mu.Unlock()
+		if behind == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/real.go
@@ -0,0 +1,202 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"mosslead/internal/lab/load"
+	"mosslead/internal/lab/model"
+	"mosslead/internal/lab/proc"
+	"mosslead/internal/lab/record"
+	"mosslead/internal/lab/standin"
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/client"
+)
+
+const (
+	readyWithin = 20 * time.Second
+	loadRate    = 4 // requests a second for each real sidecar that has clients
+	realSockets = 512
+	realMemory  = 32 // MB, what control and requests together may take
+)
+
+// real is a sidecar process with its upstream, which is registered as a hollow one's is.
+type real struct {
+	name      string
+	number    int // among the processes of the run
+	zone      string
+	bare      bool // without clients: all that it spends is control
+	listen    string
+	door      *door
+	child     *proc.Child
+	upstream  *standin.Upstream
+	client    *client.Client
+	registrar *client.Registrar
+	end       context.CancelFunc
+	ended     chan struct{}
+}
+
+// newReal starts the upstream; the sidecar comes later.
+func newReal(name string, number int, zone string, bare bool, replicas []string, rec *record.Record, line func(api.Listing)) (*real, error) {
+	r := &real{name: name, number: number, zone: zone, bare: bare}
+	var err error
+	r.door, err = newDoor(replicas, func(text []byte) {
+		var l api.Listing
+		if json.Unmarshal(text, &l) == nil {
+			line(l)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	spec := model.Spec{Cores: 8, Speed: 1, SlotsPerCore: 4, QueuePerCore: 64}
+	r.upstream = standin.NewUpstream(name, "127.0.0.1:0", spec, rec, func() {})
+	if err := r.upstream.Start(uint64(number)+1, false); err != nil {
+		r.door.close()
+		return nil, err
+	}
+	r.listen, err = freeAddress()
+	return r, err
+}
+
+// register begins the renewals of its upstream.
+func (r *real) register(ctx context.Context, lease time.Duration, incarnation int64) {
+	r.unregister()
+	ctx, r.end = context.WithCancel(ctx)
+	r.client = client.New(r.door.addresses())
+	r.registrar = client.NewRegistrar(r.client, lease, func(string, error) {}) // it tries again
+	r.registrar.Set(r.name, registration(r.upstream.Address(), r.zone, incarnation), api.Ready)
+	r.ended = make(chan struct{})
+	go func() {
+		defer close(r.ended)
+		r.registrar.Run(ctx)
+	}()
+}
+
+func (r *real) unregister() {
+	if r.end == nil {
+		return
+	}
+	r.end()
+	<-r.ended
+	r.client.Close()
+	r.end = nil
+}
+
+// start starts the sidecar.
+func (r *real) start(program []string, dir string, fleet int) error {
+	config := map[string]any{
+		"name": r.name, "listen": r.listen, "discovery": strings.Join(r.door.addresses(), ","),
+		"seed":     fmt.Sprintf("%x", r.number+1),
+		"limits":   map[string]any{"cores": 1, "memory_mb": realMemory, "sockets": realSockets},
+		"settings": settings(r.zone, r.number, fleet),
+	}
+	text, err := json.MarshalIndent(config, "", " ")
+	if err != nil {
+		return fmt.Errorf("configuration of %s: %w", r.name, err)
+	}
+	path, tmp := filepath.Join(dir, r.name+".json"), filepath.Join(dir, r.name+".tmp")
+	if err := errors.Join(os.WriteFile(path, text, 0o644), os.MkdirAll(tmp, 0o755)); err != nil {
+		return fmt.Errorf("configuration of %s: %w", r.name, err)
+	}
+	r.child, err = proc.Start(proc.Spec{Name: r.name, Path: program[0], Args: program[1:], Dir: dir, LogFile: filepath.Join(dir, r.name+".log"),
+		Env: []string{"GW_CONFIG=" + path, "GW_NAME=" + r.name, "TMPDIR=" + tmp}})
+	return err
+}
+
+// settings are those of every sidecar of the run, hollow ones too.
+func settings(zone string, me, fleet int) map[string]any {
+	return map[string]any{
+		"Balancers": fleet, "Me": me, "Zone": zone, "FailureDomains": zones(), "Discovery": "push", "TickMs": 5, "WorthBy": "request",
+		"Weights": "rough", "OverShareWorth": 0.05,
+		"Classes": []map[string]any{{"Name": "read", "Semantics": "retryable", "AimMs": 300, "DeadlineMs": 1600, "Importance": 2,
+			"LateShare": 0.25, "KeyScope": "all", "Stream": false}},
+		"Tenants": []map[string]any{{"Name": "tenant-1", "Fraction": 1}},
+		"Limits": map[string]any{"Cancelling": true, "ConnIdleMs": 60000, "ConnectTimeoutMs": 200, "Probes": true, "SendCap": 6,
+			"StreamsPerConn": 1, "SecondCopies": false, "RetryAfter": false},
+		"Prices": map[string]any{"CrossZone": 0.1, "LateFail": 0.03, "Probe": 0.002, "Waste": 0.2},
+		"Rules":  map[string]any{"ColdFrom": 0.3, "WarmUpMs": 4000, "FallMultiple": 4, "FallMs": 1000, "DrainGraceMs": 3000},
+	}
+}
+
+// ready waits until the sidecar takes clients.
+func (r *real) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.listen+"/-/ready", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := c.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-r.child.Ended():
+			return fmt.Errorf("%s ended before it was ready: %s", r.name, r.child.Exit())
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready within %v", r.name, readyWithin)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (r *real) close() {
+	if r.child != nil {
+		_ = r.child.Kill() // whatever came of it
+	}
+	r.unregister()
+	r.upstream.Close()
+	r.door.close()
+}
+
+// traffic sends even load to those with clients until ctx ends, and gives what share was served once it has.
+func traffic(ctx context.Context, rec *record.Record, all []*real, length time.Duration, seed uint64) (wait func() (sent, served int)) {
+	var names, at []string
+	for _, r := range all {
+		if !r.bare {
+			names, at = append(names, r.name), append(at, r.listen)
+		}
+	}
+	done := make(chan struct{})
+	from := rec.Now()
+	if len(names) == 0 {
+		close(done)
+	} else {
+		plan := load.Draw(load.Spec{Length: length, Rate: float64(loadRate * len(names)), Keys: 100, KeyZipf: 0.75, TryShare: [2]float64{0.7, 1},
+			Classes: []load.Class{{Name: "read", Share: 1, Work: 2 * time.Millisecond, Aim: 300 * time.Millisecond, Deadline: 1600 * time.Millisecond, Worth: 2, Safe: true}},
+			Tenants: []load.Tenant{{Name: "tenant-1", Share: 1}}}, len(names), seed)
+		clients := load.NewClients(rec, names, at, 64)
+		go func() {
+			defer close(done)
+			clients.Run(ctx, plan, from)
+		}()
+	}
+	return func() (sent, served int) {
+		<-done
+		rec.Change(func() {
+			for _, q := range rec.Requests {
+				if q.Intended < from || q.End == record.Unsent {
+					continue
+				}
+				sent++
+				if q.End == record.Served {
+					served++
+				}
+			}
+		})
+		return sent, served
+	}
+}
