--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -30,7 +30,7 @@
 			"discovery, clients whose load is drawn from a seed, and faults on a timeline.",
 		Example: "  mosslead lab list\n  mosslead lab run experiments/crash.toml\n  mosslead lab faults",
 	})
-	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labService(), a.labDuties(), a.labCandidate(), a.labNaive())
+	c.AddCommand(a.labRun(), a.labList(), a.labCompare(), a.labPlot(), a.labFaults(), a.labService(), a.labScale(), a.labHollow(), a.labDuties(), a.labCandidate(), a.labNaive())
 	return c
 }
 
--- /dev/null
+++ b/internal/cli/scale.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mosslead/internal/lab/build"
+	"mosslead/internal/lab/scale"
+)
+
+func (a *app) labScale() *cobra.Command {
+	spec := scale.Spec{}
+	var seeds []uint
+	var out string
+	c := &cobra.Command{
+		Use:   "scale",
+		Short: "Play days of a large fleet: hollow sidecars beside real ones and real replicas of the list service",
+		Long: "Hollow sidecars are the program's own parts without requests, hundreds to a process. Beside them are real ones with load,\n" +
+			"and real replicas of the list service. Each day is judged from outside: every accepted change in force within 7 s at every\n" +
+			"process that can be reached, none lost, none overtaken by an older one, nothing that nobody issued, and what each process\n" +
+			"spends against 2 KB/s, 1.6% of a core and 32 MB. Exit status 1: a verdict did not hold; it names day, verdict and process.\n\n" +
+			"Days: " + strings.Join(scale.DayNames(), ", ") + ". Not played: " + strings.Join(scale.LeftOut, ", ") + "; " + scale.Gossip + ".",
+		Example: "  mosslead lab scale\n  mosslead lab scale --hollow 400 --days steady --length 20s -o json\n" +
+			"  mosslead lab scale --days cut --cut 20s --seeds 2",
+		Args: args(cobra.NoArgs),
+	}
+	format := outputFlag(c)
+	c.Flags().IntVar(&spec.Hollow, "hollow", 1800, "hollow sidecars")
+	c.Flags().IntVar(&spec.Real, "real", 12, "real sidecars, one in six of them without clients")
+	c.Flags().IntVar(&spec.Replicas, "replicas", 3, "replicas of the list service, of each region")
+	c.Flags().StringSliceVar(&spec.Days, "days", []string{"steady", "wave", "restarts", "zone", "leader", "return", "cut"}, "days, in this order but for cut, which comes last")
+	c.Flags().UintSliceVar(&seeds, "seeds", []uint{1}, "each plays all days")
+	c.Flags().DurationVar(&spec.Length, "length", time.Minute, "of the steady day and of the wave; restarts last twice as long")
+	c.Flags().DurationVar(&spec.Lease, "lease", 10*time.Second, "of upstreams")
+	c.Flags().DurationVar(&spec.Cut, "cut", 3*time.Minute, "how long regions are apart on that day")
+	c.Flags().StringVar(&out, "out", "", "directory of result.json, delays.svg and logs (logs/lab/scale-TIME)")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		for _, s := range seeds {
+			spec.Seeds = append(spec.Seeds, uint64(s))
+		}
+		if err := spec.Check(); err != nil {
+			return usageError{err}
+		}
+		if *format != "table" && *format != "json" { // now, and not after minutes
+			return usageError{fmt.Errorf("--output: table or json, not %q", *format)}
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return fmt.Errorf("finding this program: %w", err)
+		}
+		if out == "" {
+			out = filepath.Join("logs", "lab", "scale-"+time.Now().Format("20060102-150405"))
+		}
+		if spec.Dir, err = filepath.Abs(out); err != nil {
+			return err
+		}
+		if err := os.MkdirAll(spec.Dir, 0o755); err != nil {
+			return fmt.Errorf("directory of the result: %w", err)
+		}
+		root, err := build.Root(".")
+		if err != nil {
+			return usageError{err}
+		}
+		program, from, err := build.Sidecar(c.Context(), root, spec.Dir, build.Source{})
+		if err != nil {
+			return err
+		}
+		spec.Service, spec.Host, spec.Sidecar = []string{self, "registry", "serve"}, []string{self, "lab", "hollow"}, []string{program}
+		spec.Revision = from
+		spec.Progress = a.progress
+		// With more threads than processors, one that the kernel has set aside holds up fewer of the rest.
+		runtime.GOMAXPROCS(threadsEach * runtime.NumCPU())
+		r, err := scale.Run(c.Context(), spec)
+		if r != nil && len(r.Plays) > 0 {
+			if err := a.print(*format, r, func(w io.Writer) { scaleTable(w, r) }); err != nil {
+				return err
+			}
+			fmt.Fprintf(a.err, "result: %s\n", spec.Dir)
+		}
+		if err != nil {
+			return err
+		}
+		if !r.Held() {
+			return fmt.Errorf("%s", r.Why())
+		}
+		return nil
+	}
+	return c
+}
+
+func scaleTable(w io.Writer, r *scale.Result) {
+	fmt.Fprintf(w, "%d hollow in %d processes, %d real, %d replicas in a region; leases of %.3g s; %d processes, %d descriptors at most in one\n",
+		r.Hollow, r.Hosts, r.Real, r.Replicas, r.LeaseS, r.Processes, r.Descriptors)
+	fmt.Fprintf(w, "not played: %s; %s\n", strings.Join(r.LeftOut, ", "), r.Gossip)
+	fmt.Fprintln(w, "\nday\tseed\tverdicts\tcause\tchanges\tcounted\tp50 ms\tp99 ms\tlongest ms")
+	for _, p := range r.Plays {
+		word := "held"
+		if !p.Held {
+			word = "FAILED " + strings.Join(p.Failed, ", ")
+		}
+		if len(p.Delays) == 0 {
+			fmt.Fprintf(w, "%s\t%d\t%s\t-\t-\t-\t-\t-\t-\n", p.Day, p.Seed, word)
+		}
+		for _, d := range p.Delays {
+			fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\n", p.Day, p.Seed, word, d.Cause, d.Changes, d.Counted, d.P50Ms, d.P99Ms, d.MostMs)
+			word = ""
+		}
+	}
+	fmt.Fprintln(w, "\nday\tseed\trole\tprocesses\tbytes/s\tmost\tup\tdown\tmessages/s up\tdown\tKB\tmost\tCPU %\tmost")
+	for _, p := range r.Plays {
+		for _, x := range p.Roles {
+			fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%.2f\n", p.Day, p.Seed, x.Role, x.Count, x.BytesS, x.MostBytes,
+				x.UpS, x.DownS, x.UpMsgsS, x.DownMsgsS, x.KB, x.MostKB, 100*x.CPU, 100*x.MostCPU)
+		}
+	}
+	fmt.Fprintln(w, "\nday\tseed\tin s\tMB of all\trequests beside\tserved")
+	for _, p := range r.Plays {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%d\t%d\n", p.Day, p.Seed, p.Seconds, p.MemoryMB, p.Load.Sent, p.Load.Served)
+	}
+	fmt.Fprintln(w, "\nhollow beside real\twhat\thollow\treal\tratio")
+	for _, p := range r.Plays {
+		for _, x := range p.Comparisons {
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.3f\n", x.Phase, x.What, x.Hollow, x.Real, x.Ratio)
+		}
+	}
+	for _, p := range r.Plays {
+		for _, f := range p.Findings {
+			fmt.Fprintf(w, "\nFAILED %s, seed %d, %s, %s: %s", p.Day, p.Seed, f.Verdict, f.Process, f.Text)
+		}
+		if p.Error != "" {
+			fmt.Fprintf(w, "\nBROKEN OFF %s, seed %d: %s", p.Day, p.Seed, p.Error)
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+// labHollow is what the scale run starts: a host of hollow sidecars, which takes its orders from the standard input.
+func (a *app) labHollow() *cobra.Command {
+	return &cobra.Command{
+		Use:     "hollow",
+		Short:   "Host hollow sidecars for a scale run",
+		Example: "  mosslead lab hollow",
+		Hidden:  true,
+		Args:    args(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			slog.SetDefault(a.log) // what goes wrong with a sidecar, and not its counts
+			return scale.Host(c.Context(), c.InOrStdin(), a.out)
+		},
+	}
+}
--- a/internal/lab/scale/host.go
+++ b/internal/lab/scale/host.go
@@ -177,7 +177,9 @@
 	h.say(word{Number: g.Number, Up: now()})
 	h.done.Go(func() {
 		defer close(over)
-		runHollow(ctx, g.hollow, g.door.addresses(), func(m *Message) { h.saw(g.Number, m) })
+		if err := runHollow(ctx, g.hollow, g.door.addresses(), func(m *Message) { h.saw(g.Number, m) }); err != nil {
+			h.say(word{Failed: err.Error()})
+		}
 	})
 }
 
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	r := &Result{Hollow: spec.Hollow, Real: spec.Real, Hosts: spec.hosts(), Replicas: spec.Replicas, LeaseS: spec.Lease.Seconds(),
-		LengthS: spec.Length.Seconds(), Processes: spec.processes(), Descriptors: spec.descriptors(), MaxProcs: runtime.GOMAXPROCS(0),
+		LengthS: spec.Length.Seconds(), Processes: spec.processes(), Descriptors: spec.descriptors(), MaxProcs: runtime.GOMAXPROCS(0), Revision: spec.Revision,
 		Gossip: Gossip, LeftOut: LeftOut}
 	total, err := len(spec.Days)*len(spec.Seeds), error(nil)
 	for _, seed := range spec.Seeds {
--- a/internal/lab/scale/words.go
+++ b/internal/lab/scale/words.go
@@ -26,7 +26,7 @@
 	Name     string   `json:"name"`
 	Zone     string   `json:"zone"`
 	Upstream string   `json:"upstream"` // its address
-	Service  string   `json:"service,omitempty"`
+	Fleet    int      `json:"fleet"`
 	Replicas []string `json:"replicas"`
 	LeaseMs  int64    `json:"lease_ms"`
 	Along    bool     `json:"along,omitempty"` // its messages are counted
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -50,11 +50,11 @@
 	Length       time.Duration // of a day's plain part
 	Cut          time.Duration // how long regions are apart
 
-	Command []string // this program with its words up to "registry" or "lab"
-	Service []string // a replica, up to "--config"
-	Host    []string // a host of hollow sidecars
-	Sidecar []string // a real one
-	Dir     string
+	Service  []string // a replica's command, up to "--config"
+	Host     []string // that of a host of hollow sidecars
+	Sidecar  []string // that of a real one
+	Revision string   // that they are built from, for the result
+	Dir      string
 
 	Progress func(done, total int, what string)
 
@@ -178,7 +178,7 @@
 		r := w.regionOf(i % zoneCount)
 		name := fmt.Sprintf("h%05d", i)
 		hollows = append(hollows, hollow{Number: w.add(name, "hollow", r.name), Name: name, Zone: z[i%zoneCount], Replicas: r.addresses(),
-			LeaseMs: w.spec.Lease.Milliseconds(), Mute: w.spec.mute})
+			LeaseMs: w.spec.Lease.Milliseconds(), Fleet: w.spec.Hollow + w.spec.Real, Mute: w.spec.mute})
 	}
 	for i := range w.spec.Real {
 		r := w.regionOf(i % zoneCount)
