--- a/internal/lab/scale/host.go
+++ b/internal/lab/scale/host.go
@@ -206,7 +206,7 @@
 	defer h.mu.Unlock()
 	t := h.told[key]
 	if t == nil {
-		t = &told{Index: m.Index, Whole: m.Whole, Entries: m.Entries}
+		t = &told{Index: m.Index, Whole: m.Whole, InForce: m.InForce, Entries: m.Entries}
 		h.told[key] = t
 	}
 	t.By = append(t.By, int64(number), at)
@@ -218,7 +218,7 @@
 	for _, e := range m.Entries {
 		_, _ = io.WriteString(sum, e.Name+" "+e.Status+"\n") // a hash takes everything
 	}
-	return strconv.FormatInt(m.Index, 10) + strconv.FormatBool(m.Whole) + strconv.FormatUint(sum.Sum64(), 16)
+	return strconv.FormatInt(m.Index, 10) + strconv.FormatBool(m.Whole) + strconv.FormatBool(m.InForce) + strconv.FormatUint(sum.Sum64(), 16)
 }
 
 func (h *host) tell() {
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -1,10 +1,12 @@
 package scale
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +23,7 @@
 )
 
 const (
+	lookEvery   = 100 * time.Millisecond // at what is in force at a real one
 	readyWithin = 20 * time.Second
 	loadRate    = 4 // requests a second for each real sidecar that has clients
 
@@ -33,7 +36,9 @@
 	name      string
 	number    int // among the processes of the run
 	zone      string
-	bare      bool // without clients: all that it spends is control
+	service   string
+	ops       string // where it tells its figures
+	bare      bool   // without clients: all that it spends is control
 	listen    string
 	door      *door
 	child     *proc.Child
@@ -45,8 +50,8 @@
 }
 
 // newReal starts the upstream; the sidecar comes later.
-func newReal(name string, number int, zone string, bare bool, replicas []string, rec *record.Record, line func(api.Listing)) (*real, error) {
-	r := &real{name: name, number: number, zone: zone, bare: bare}
+func newReal(name string, number int, zone, service string, bare bool, replicas []string, rec *record.Record, line func(api.Listing)) (*real, error) {
+	r := &real{name: name, number: number, zone: zone, service: service, bare: bare}
 	var err error
 	r.door, err = newDoor(replicas, func(text []byte) {
 		var l api.Listing
@@ -93,7 +98,12 @@
 
 // start starts the sidecar.
 func (r *real) start(program []string, dir string, fleet int) error {
-	config := sidecarConfig(r.name, r.listen, r.zone, r.door.addresses(), r.number, fleet)
+	var err error
+	if r.ops, err = freeAddress(); err != nil {
+		return err
+	}
+	config := sidecarConfig(r.name, r.listen, r.zone, r.service, r.door.addresses(), r.number, fleet)
+	config["ops"] = r.ops
 	text, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return fmt.Errorf("configuration of %s: %w", r.name, err)
@@ -157,6 +167,32 @@
 	r.door.close()
 }
 
+// follows tells took of the version of its settings that is in force, as its operators' door says, until ctx ends.
+func (r *real) follows(ctx context.Context, took func(version int64)) {
+	for had := int64(0); sleep(ctx, lookEvery); {
+		c, err := net.DialTimeout("tcp", r.ops, time.Second)
+		if err != nil {
+			had = 0 // it is down, and begins anew
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(time.Second)) // where it fails, so does what follows
+		_, err = io.WriteString(c, "STATS\n")
+		for lines := bufio.NewScanner(c); err == nil && lines.Scan(); {
+			if v := int64(0); isVersion(lines.Text(), &v) && v != had {
+				had = v
+				took(v)
+			}
+		}
+		c.Close()
+	}
+}
+
+// isVersion reads the line of the figures that says which settings are in force.
+func isVersion(line string, v *int64) bool {
+	n, err := fmt.Sscanf(line, "gw.settings_version:%d|g", v)
+	return n == 1 && err == nil && *v > 0
+}
+
 // traffic sends even load to those with clients until ctx ends, and gives what share was served once it has.
 func traffic(ctx context.Context, rec *record.Record, all []*real, length time.Duration, seed uint64) (wait func() (sent, served int)) {
 	var names, at []string
--- a/internal/lab/scale/record.go
+++ b/internal/lab/scale/record.go
@@ -9,6 +9,9 @@
 	Cause  string // under which its delay is counted
 	Region string // that accepted it
 
+	// Service is whose settings this is of; empty: it is of an entry, and for everybody. Name and Status are made by the run then.
+	Service string
+
 	// Lo and Hi bound the region's list version that holds it: the same where the service said which, 0 where nothing is known.
 	Lo, Hi int64
 
@@ -26,6 +29,7 @@
 type Message struct {
 	Index   int64
 	Whole   bool // what is not named is gone
+	InForce bool // no list, but settings that are in force now; Index says nothing
 	Entries []Seen
 }
 
@@ -43,6 +47,7 @@
 	Name    string
 	Region  string
 	Kind    string // hollow, real or witness
+	Service string // whose settings it follows; empty: none
 	Lives   []Span
 	Sights  []Sight // by time, as its one reporter saw them
 	Control Control // over the day
--- a/internal/lab/scale/words.go
+++ b/internal/lab/scale/words.go
@@ -26,6 +26,7 @@
 	Name     string   `json:"name"`
 	Zone     string   `json:"zone"`
 	Upstream string   `json:"upstream"` // its address
+	Service  string   `json:"service"`
 	Fleet    int      `json:"fleet"`
 	Replicas []string `json:"replicas"`
 	LeaseMs  int64    `json:"lease_ms"`
@@ -48,6 +49,7 @@
 type told struct {
 	Index   int64   `json:"x"`
 	Whole   bool    `json:"w,omitempty"`
+	InForce bool    `json:"f,omitempty"`
 	Entries []Seen  `json:"e"`
 	By      []int64 `json:"by"`
 }
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -23,6 +23,8 @@
 	gone        = api.Gone
 	hostMost    = 300 // hollow ones of one process
 	alongEach   = 4   // of them, whose messages are counted too
+	serviceMost = 160
+	serviceSize = 11 // sidecars of one, on the mean
 	zoneCount   = 14
 	hollowFiles = 14 // descriptors of a hollow one in its host: three listeners, and three for each connection
 	ownFiles    = 256
@@ -126,11 +128,13 @@
 
 	mu       sync.Mutex
 	rec      *Record
-	last     []int64               // the version that a process was last told of
-	up       []bool                // a process runs
-	witness  map[int]*witness      // by number
-	lapsing  map[string]*Change    // by name, until a witness has seen it
-	current  map[string]*Change    // by name, the last one issued
+	last     []int64            // the version that a process was last told of
+	up       []bool             // a process runs
+	force    []string           // the settings that are in force at a process, as the record has them
+	witness  map[int]*witness   // by number
+	lapsing  map[string]*Change // by name, until a witness has seen it
+	current  map[string]*Change // by name, the last one issued
+	puts     int
 	bears    int64                 // the incarnation that was last given
 	restless map[int]bool          // did not run for the whole day
 	trouble  []string              // what hosts complained of
@@ -166,9 +170,14 @@
 // regionOf is where a zone belongs.
 func (w *world) regionOf(zone int) *region { return w.regions[zone%len(w.regions)] }
 
-func (w *world) add(name, kind, region string) int {
-	w.rec.Processes = append(w.rec.Processes, &Process{Name: name, Kind: kind, Region: region})
-	w.last, w.up = append(w.last, 0), append(w.up, false)
+// serviceOf is whose settings the sidecar of that number follows: as many services as the fleet ahead has, or fewer.
+func (w *world) serviceOf(i int) string {
+	return fmt.Sprintf("svc%03d", i%max(2, min(serviceMost, w.spec.Hollow/serviceSize)))
+}
+
+func (w *world) add(name, kind, region, service string) int {
+	w.rec.Processes = append(w.rec.Processes, &Process{Name: name, Kind: kind, Region: region, Service: service})
+	w.last, w.up, w.force = append(w.last, 0), append(w.up, false), append(w.force, "")
 	return len(w.last) - 1
 }
 
@@ -179,20 +188,22 @@
 	for i := range w.spec.Hollow {
 		r := w.regionOf(i % zoneCount)
 		name := fmt.Sprintf("h%05d", i)
-		hollows = append(hollows, hollow{Number: w.add(name, "hollow", r.name), Name: name, Zone: z[i%zoneCount], Replicas: r.addresses(),
+		hollows = append(hollows, hollow{Number: w.add(name, "hollow", r.name, w.serviceOf(i)), Name: name, Zone: z[i%zoneCount], Replicas: r.addresses(), Service: w.serviceOf(i),
 			LeaseMs: w.spec.Lease.Milliseconds(), Fleet: w.spec.Hollow + w.spec.Real, Mute: w.spec.mute})
 	}
 	for i := range w.spec.Real {
 		r := w.regionOf(i % zoneCount)
 		name := fmt.Sprintf("x%05d", i)
-		number := w.add(name, "real", r.name)
+		number := w.add(name, "real", r.name, w.serviceOf(i))
 		// One in six, and one at least, has no clients.
 		bare := i%6 == 1
-		x, err := newReal(name, number, z[i%zoneCount], bare, r.addresses(), w.load, func(l api.Listing) { w.saw(number, now(), message(l)) })
+		service := w.serviceOf(i)
+		x, err := newReal(name, number, z[i%zoneCount], service, bare, r.addresses(), w.load, func(l api.Listing) { w.saw(number, now(), message(l)) })
 		if err != nil {
 			return err
 		}
 		w.reals = append(w.reals, x)
+		w.done.Go(func() { x.follows(w.ctx, func(v int64) { w.saw(number, now(), inForce(service, v)) }) })
 	}
 	// Whatever a real sidecar is told to call answers: hollow ones' upstreams are real ones too, each many times.
 	for i := range hollows {
@@ -200,7 +211,7 @@
 	}
 	for _, r := range w.regions {
 		for _, x := range r.replicas {
-			number := w.add("witness at "+x.name, "witness", r.name)
+			number := w.add("witness at "+x.name, "witness", r.name, "")
 			w.witness[number] = &witness{region: r.name, names: map[string]bool{}}
 		}
 	}
@@ -374,7 +385,7 @@
 		w.rec.Changes = append(w.rec.Changes, &c)
 	}
 	for i, p := range before.Processes {
-		q := &Process{Name: p.Name, Kind: p.Kind, Region: p.Region}
+		q := &Process{Name: p.Name, Kind: p.Kind, Region: p.Region, Service: p.Service}
 		if w.up[i] {
 			q.Lives = []Span{{From: now()}}
 		}
@@ -403,7 +414,7 @@
 	p := w.rec.Processes[number]
 	w.up[number], w.restless[number] = up, true
 	if up {
-		p.Lives, w.last[number] = append(p.Lives, Span{From: at}), 0
+		p.Lives, w.last[number], w.force[number] = append(p.Lives, Span{From: at}), 0, ""
 	} else if n := len(p.Lives); n > 0 {
 		p.Lives[n-1].To = at
 	}
@@ -413,7 +424,7 @@
 func (w *world) heard(x word) {
 	switch {
 	case x.Told != nil:
-		m := &Message{Index: x.Told.Index, Whole: x.Told.Whole, Entries: x.Told.Entries}
+		m := &Message{Index: x.Told.Index, Whole: x.Told.Whole, InForce: x.Told.InForce, Entries: x.Told.Entries}
 		for i := 0; i+1 < len(x.Told.By); i += 2 {
 			w.saw(int(x.Told.By[i]), x.Told.By[i+1], m)
 		}
@@ -436,6 +447,10 @@
 	// Hosts tell of several messages at once, in any order.
 	i, _ := slices.BinarySearchFunc(p.Sights, at, func(s Sight, at int64) int { return cmp.Compare(s.At, at) })
 	p.Sights = slices.Insert(p.Sights, i, Sight{at, m})
+	if m.InForce {
+		w.force[number] = m.Entries[0].Status
+		return
+	}
 	w.last[number] = max(w.last[number], m.Index)
 	if x := w.witness[number]; x != nil {
 		w.attest(x, at, m)
