--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -383,6 +383,9 @@
 	}
 	begun := now()
 	v, err := r.client.Put(ctx, service, api.Put{Schema: 1, Settings: text, IfVersion: &had})
+	for api.IsCode(err, api.CodeOldPeer) && sleep(ctx, 50*time.Millisecond) { // a replica has not said yet what it understands
+		v, err = r.client.Put(ctx, service, api.Put{Schema: 1, Settings: text, IfVersion: &had})
+	}
 	if err != nil {
 		return fmt.Errorf("settings of %s (%s): not accepted: %w", service, cause, err)
 	}
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -259,22 +259,15 @@
 				return err.Error(), false
 			}
 			for _, x := range rs.Records {
-				w.mu.Lock()
-				if c := w.current[x.Name]; c == nil || c.Region == r.name {
-					w.current[x.Name] = &Change{Name: x.Name, Status: x.Status, Region: r.name, Lo: x.Version, Hi: x.Version}
-				}
-				w.mu.Unlock()
-			}
-			n = max(n, len(rs.Records))
-			if len(rs.Records) < all {
-				return fmt.Sprintf("%d of %d entries are there", len(rs.Records), all), false
+				w.current[x.Name] = &Change{Name: x.Name, Status: x.Status, Region: r.name, Lo: x.Version, Hi: x.Version}
 			}
+			n += len(rs.Records)
 		}
-		return "", true
+		return fmt.Sprintf("%d of %d entries are there", n, all), n == all
 	}); err != nil {
 		return err
 	}
-	if err := w.owners(); err != nil {
+	if err := w.until(fillMost, w.together); err != nil {
 		return err
 	}
 	w.begin()
@@ -310,22 +303,24 @@
 	})
 }
 
-// owners puts right which region each entry is of: every region lists those of the others too.
-func (w *world) owners() error {
-	z := zones()
-	home := func(zone string) string { return w.regionOf(slices.Index(z, zone)).name }
+// together tells whether each region has what the others have.
+func (w *world) together() (string, bool) {
 	for _, r := range w.regions {
-		rs, err := r.client.Records(w.ctx, true)
-		if err != nil {
-			return err
-		}
-		for _, x := range rs.Records {
-			if home(x.Zone) == r.name {
-				w.current[x.Name] = &Change{Name: x.Name, Status: x.Status, Region: r.name, Lo: x.Version, Hi: x.Version}
+		said, _ := r.client.Status(w.ctx)
+		n := 0
+		for _, s := range said {
+			for _, f := range s.Following {
+				n += f.Entries
+			}
+			if s.State == "leader" {
+				n += s.Entries
 			}
 		}
+		if all := w.spec.Hollow + w.spec.Real; len(w.regions) > 1 && n < all {
+			return fmt.Sprintf("region %q has %d of %d entries", r.name, n, all), false
+		}
 	}
-	return nil
+	return "", true
 }
 
 // until asks again and again.
