--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -247,7 +247,7 @@
 			return err
 		}
 	}
-	sleep(ctx, settleMost)
+	w.settle(ctx)
 	if err := w.part(true); err != nil {
 		return err
 	}
@@ -275,13 +275,12 @@
 	if err := errors.Join(append(errs, w.part(false))...); err != nil {
 		return err
 	}
-	sleep(ctx, settleMost)
+	w.settle(ctx)
 	for _, r := range w.regions {
 		if err := w.hand(ctx, r, w.pick(r, 1)[0], api.HandDrain, "after the heal"); err != nil {
 			return err
 		}
 	}
-	sleep(ctx, settleMost) // what one region has does not show how far the others are
 	return ctx.Err()
 }
 
@@ -490,7 +489,8 @@
 	}
 }
 
-// settle waits until all that run have what the witnesses in their region have, or longer than they may take.
+// settle waits until the witnesses have all that was issued, and all that run what the witnesses in their region have, or longer than
+// they may take.
 func (w *world) settle(ctx context.Context) {
 	for end := time.Now().Add(settleMost); time.Now().Before(end) && sleep(ctx, 100*time.Millisecond); {
 		w.mu.Lock()
@@ -505,6 +505,13 @@
 				behind++
 			}
 		}
+		for _, x := range w.witness {
+			for name, c := range w.current {
+				if view, there := x.view[name]; c.Service == "" && (there && view != c.Status || !there && c.Status != gone) {
+					behind++
+				}
+			}
+		}
 		w.mu.Unlock()
 		if behind == 0 {
 			return
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -145,7 +145,7 @@
 type witness struct {
 	region string
 	last   int64
-	names  map[string]bool
+	view   map[string]string // the list as it was told
 }
 
 func newWorld(ctx context.Context, spec Spec, seed uint64, names []string) (w *world, err error) {
@@ -212,7 +212,7 @@
 	for _, r := range w.regions {
 		for _, x := range r.replicas {
 			number := w.add("witness at "+x.name, "witness", r.name, "")
-			w.witness[number] = &witness{region: r.name, names: map[string]bool{}}
+			w.witness[number] = &witness{region: r.name, view: map[string]string{}}
 		}
 	}
 	for i := range w.spec.hosts() {
@@ -473,8 +473,14 @@
 			c.Hi = m.Index
 		}
 	}
+	if m.Whole {
+		clear(x.view)
+	}
 	for _, e := range m.Entries {
 		named[e.Name] = true
+		if x.view[e.Name] = e.Status; e.Status == gone {
+			delete(x.view, e.Name)
+		}
 		if e.Status == gone {
 			over(e.Name)
 		}
