lab: a gate that breaks its connections resets both sides of each

Found by the gate's own test: the side that was closed second ended in order. The test counts messages once the gate is closed, since they are read beside what passes.

--- a/internal/lab/scale/gate.go
+++ b/internal/lab/scale/gate.go
@@ -203,8 +203,10 @@
 func (g *Gate) Break() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for c := range g.conns {
+	for c := range g.conns { // all first: the end of one side has the other closed
 		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	for c := range g.conns {
 		c.Close()
 	}
 }
