--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -59,13 +59,15 @@
 
 // wave is twenty changes, evenly spread: of entries by operators' hands, and of services' settings.
 func (w *world) wave(ctx context.Context) error {
-	names := w.pick(w.regions[0], waveChanges/4)
+	names, err := w.pick(w.regions[0], waveChanges/4)
+	if err != nil {
+		return err
+	}
 	for i := range waveChanges {
 		k, hand := i/2, api.HandDrain
 		if k >= len(names) {
 			hand = api.HandNone
 		}
-		var err error
 		if i%2 == 0 {
 			err = w.hand(ctx, w.regions[0], names[k%len(names)], hand, "change by hand")
 		} else {
@@ -83,7 +85,10 @@
 // has lapsed; of the last quarter the upstream alone fails.
 func (w *world) restarts(ctx context.Context) error {
 	n := max(4, restartsFull*w.spec.Hollow/fleetFull)
-	names := w.pick(w.regions[0], n)
+	names, err := w.pick(w.regions[0], n)
+	if err != nil {
+		return err
+	}
 	var all sync.WaitGroup
 	errs := make([]error, len(names))
 	for i, name := range names {
@@ -175,7 +180,10 @@
 // leader is killed while changes come, and started again; the next one is stopped and let go.
 func (w *world) leader(ctx context.Context) error {
 	r := w.regions[0]
-	names := w.pick(r, 3)
+	names, err := w.pick(r, 3)
+	if err != nil {
+		return err
+	}
 	x := r.leader(ctx)
 	if x == nil {
 		return errors.New("nobody leads")
@@ -189,7 +197,6 @@
 		}
 	}
 	sleep(ctx, leaderAway/2)
-	var err error
 	if x.child, err = w.run.Start(x.name, "--config", x.config); err != nil {
 		return err
 	}
@@ -218,7 +225,10 @@
 
 // comeBack breaks all connections at once.
 func (w *world) comeBack(ctx context.Context) error {
-	names := w.pick(w.regions[0], 2)
+	names, err := w.pick(w.regions[0], 2)
+	if err != nil {
+		return err
+	}
 	if err := w.breakAll(); err != nil {
 		return err
 	}
@@ -243,7 +253,7 @@
 // cut takes the regions apart; each goes on with its own.
 func (w *world) cut(ctx context.Context) error {
 	for i, r := range w.regions {
-		if err := errors.Join(w.hand(ctx, r, w.pick(r, 1)[0], api.HandDrain, "before the cut"), w.put(ctx, r, w.serviceOf(i), "settings before the cut")); err != nil {
+		if err := errors.Join(w.any(ctx, r, "before the cut"), w.put(ctx, r, w.serviceOf(i), "settings before the cut")); err != nil {
 			return err
 		}
 	}
@@ -255,7 +265,11 @@
 	var all sync.WaitGroup
 	errs := make([]error, len(w.regions))
 	for i, r := range w.regions {
-		names := w.pick(r, 6)
+		names, err := w.pick(r, 6)
+		if err != nil {
+			errs[i] = err
+			break
+		}
 		all.Go(func() {
 			of := []int{w.number(names[4]), w.number(names[5])}
 			var lapses []*Change
@@ -277,7 +291,7 @@
 	}
 	w.settle(ctx)
 	for _, r := range w.regions {
-		if err := w.hand(ctx, r, w.pick(r, 1)[0], api.HandDrain, "after the heal"); err != nil {
+		if err := w.any(ctx, r, "after the heal"); err != nil {
 			return err
 		}
 	}
@@ -299,8 +313,17 @@
 	return errors.Join(errs...)
 }
 
+// any drains one of a region's.
+func (w *world) any(ctx context.Context, r *region, cause string) error {
+	names, err := w.pick(r, 1)
+	if err != nil {
+		return err
+	}
+	return w.hand(ctx, r, names[0], api.HandDrain, cause)
+}
+
 // pick draws names of hollow ones' upstreams that are as they were registered.
-func (w *world) pick(r *region, n int) (names []string) {
+func (w *world) pick(r *region, n int) (names []string, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, i := range w.rng.Perm(w.spec.Hollow) {
@@ -309,7 +332,10 @@
 			names = append(names, p.Name)
 		}
 	}
-	return names
+	if len(names) < n {
+		return nil, fmt.Errorf("%d hollow sidecars are too few for this day: %d of a region's are as they were registered, and it changes %d", w.spec.Hollow, len(names), n)
+	}
+	return names, nil
 }
 
 func (w *world) number(name string) int {
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -218,12 +218,11 @@
 
 // against plays what hollow and real ones are compared by, beside the steady day.
 func (w *world) against(ctx context.Context) (all []Comparison, err error) {
-	name := w.pick(w.regions[0], 1)[0]
 	for _, phase := range []struct {
 		name  string
 		begin func() error
 	}{
-		{"one change", func() error { return w.hand(ctx, w.regions[0], name, "drain", "one change") }},
+		{"one change", func() error { return w.any(ctx, w.regions[0], "one change") }},
 		{"coming back", w.breakAll},
 	} {
 		a, err := w.read(ctx)
