--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -28,7 +28,7 @@
 			"process that can be reached, none lost, none overtaken by an older one, nothing that nobody issued, and what each process\n" +
 			"spends against 2 KB/s, 1.6% of a core and 32 MB. Exit status 1: a verdict did not hold; it names day, verdict and process.\n\n" +
 			"Days: " + strings.Join(scale.DayNames(), ", ") + ". Not played: " + strings.Join(scale.LeftOut, ", ") + "; " + scale.Gossip + ".",
-		Example: "  mosslead lab scale\n  mosslead lab scale --hollow 400 --days steady --length 20s -o json\n" +
+		Example: "  mosslead lab scale\n  mosslead lab scale --hollow 400 --days steady --length 20s --compare=false -o json\n" +
 			"  mosslead lab scale --days cut --cut 20s --seeds 2",
 		Args: args(cobra.NoArgs),
 	}
@@ -41,6 +41,7 @@
 	c.Flags().DurationVar(&spec.Length, "length", time.Minute, "of the steady day and of the wave")
 	c.Flags().DurationVar(&spec.Lease, "lease", 10*time.Second, "of upstreams")
 	c.Flags().DurationVar(&spec.Cut, "cut", 3*time.Minute, "how long regions are apart on that day")
+	c.Flags().BoolVar(&spec.Compare, "compare", true, "hold hollow ones against real ones, for eight leases after the steady day")
 	c.Flags().StringVar(&out, "out", "", "directory of result.json, delays.svg and logs (logs/lab/scale-TIME)")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		for _, s := range seeds {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -175,7 +175,7 @@
 		leader = x.name
 	}
 	var extra []Finding
-	if name == "steady" {
+	if name == "steady" && w.spec.Compare {
 		rec := &Record{Processes: w.copies()}
 		w.spent(rec, a, b, false)
 		p.Comparisons = compare("steady", rec)
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Spec{Hollow: 60, Real: 4, Replicas: 3, Days: names, Seeds: []uint64{1}, Lease: 600 * time.Millisecond, Length: 3500 * time.Millisecond, Cut: 6 * time.Second,
+	return Spec{Hollow: 60, Real: 4, Replicas: 3, Days: names, Seeds: []uint64{1}, Lease: 600 * time.Millisecond, Length: 3500 * time.Millisecond, Cut: 6 * time.Second, Compare: true,
 		Service: []string{self, "replica"}, Host: []string{self, "host"}, Sidecar: []string{self, "sidecar"}, Dir: t.TempDir(),
 		Progress: func(int, int, string) {}, costless: true}
 }
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -52,6 +52,7 @@
 	Lease        time.Duration // of upstreams
 	Length       time.Duration // of a day's plain part
 	Cut          time.Duration // how long regions are apart
+	Compare      bool          // hollow ones are held against real ones, after the steady day
 
 	Service  []string // a replica's command, up to "--config"
 	Host     []string // that of a host of hollow sidecars
