client: an operator's word is not carried out a second time, over what was said since

The cause is read off the order of versions: the first try waited at the stopped replica, which passed it on. Hand is as it was, for callers that name a version.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -201,6 +201,28 @@
 	return done.Version, err
 }
 
+// SetHand has an operator's word stand for an entry, whatever it was. Other than with Hand without a version, a try whose answer did not
+// come can't be carried out later, over what was said since: each try is based on the version that was read, and void at any other.
+func (c *Client) SetHand(ctx context.Context, name, hand string) (version int64, err error) {
+	var p pace
+	for {
+		r, err := c.Record(ctx, name, true)
+		if err != nil {
+			return 0, err
+		}
+		if r.Hand == hand {
+			return r.Version, nil
+		}
+		version, err = c.Hand(ctx, name, api.Ask{Hand: hand, IfVersion: &r.Version})
+		if !api.IsCode(err, api.CodeUnknown) && !api.IsCode(err, api.CodeConflict) {
+			return version, err
+		}
+		if !p.wait(ctx) {
+			return 0, fmt.Errorf("%w (%w)", context.Cause(ctx), err)
+		}
+	}
+}
+
 // Renew gives signs of life, and gets the names of those that hold no lease.
 func (c *Client) Renew(ctx context.Context, leases []api.Lease) (lost []string, err error) {
 	var done api.Renewed
--- a/internal/registry/client/client_test.go
+++ b/internal/registry/client/client_test.go
@@ -242,3 +242,55 @@
 		}
 	}
 }
+
+// Guards against an operator's word that is carried out a second time, over what was said since: a try without an answer is void once
+// the entry has changed, whether it was carried out or not, and the next is based on what is there then.
+func TestAnOperatorsWordIsNotCarriedOutLate(t *testing.T) {
+	for name, x := range map[string]struct {
+		hands    []string // the entry's, at each read; its version is 5, and one more at each
+		outcomes []int    // of the tries
+		based    []int64
+		version  int64
+	}{
+		"at once":                              {[]string{""}, []int{200}, []int64{5}, 50},
+		"it stands already":                    {[]string{"drain"}, nil, nil, 5},
+		"carried out, and no answer":           {[]string{"", "drain"}, []int{504}, []int64{5}, 6},
+		"not carried out, and no answer":       {[]string{"", ""}, []int{504, 200}, []int64{5, 6}, 50},
+		"somebody else was first":              {[]string{"", "ban"}, []int{409, 200}, []int64{5, 6}, 50},
+		"no answer, and then somebody else is": {[]string{"", "ban", ""}, []int{504, 409, 200}, []int64{5, 6, 7}, 50},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reads, based := 0, []int64(nil)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodGet {
+					if r.FormValue("consistent") == "" {
+						t.Error("read what may be old")
+					}
+					_ = json.NewEncoder(w).Encode(api.Record{Version: int64(5 + reads), Hand: x.hands[reads]})
+					reads++
+					return
+				}
+				var ask api.Ask
+				if err := json.NewDecoder(r.Body).Decode(&ask); err != nil || ask.Hand != "drain" || ask.IfVersion == nil {
+					t.Errorf("asked for %+v, %v", ask, err)
+					return
+				}
+				based = append(based, *ask.IfVersion)
+				status := x.outcomes[len(based)-1]
+				w.WriteHeader(status)
+				if status == 200 {
+					_ = json.NewEncoder(w).Encode(api.Done{Version: 50})
+					return
+				}
+				_ = json.NewEncoder(w).Encode(api.Fail(map[int]string{504: api.CodeUnknown, 409: api.CodeConflict}[status], "test"))
+			}))
+			defer s.Close()
+			c := New([]string{s.Listener.Addr().String()})
+			defer c.Close()
+			version, err := c.SetHand(t.Context(), "u", "drain")
+			if err != nil || version != x.version || !slices.Equal(based, x.based) || reads != len(x.hands) {
+				t.Errorf("version %d, %v; tries based on %v, %d reads", version, err, based, reads)
+			}
+		})
+	}
+}
