--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -72,6 +72,9 @@
 		return nil, err
 	}
 	r.listen, err = freeAddress()
+	if err == nil {
+		r.ops, err = freeAddress()
+	}
 	return r, err
 }
 
@@ -101,10 +104,6 @@
 
 // start starts the sidecar.
 func (r *real) start(program []string, dir string, fleet int) error {
-	var err error
-	if r.ops, err = freeAddress(); err != nil {
-		return err
-	}
 	config := sidecarConfig(r.name, r.listen, r.zone, r.service, r.door.addresses(), r.number, fleet)
 	config["ops"] = r.ops
 	text, err := json.MarshalIndent(config, "", " ")
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -373,6 +373,11 @@
 func (w *world) begin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.anew()
+}
+
+// anew puts a new record in place of the one that there is; the caller holds mu.
+func (w *world) anew() {
 	before := w.rec
 	w.rec = &Record{}
 	for _, name := range slices.Sorted(maps.Keys(w.current)) {
@@ -390,7 +395,7 @@
 	clear(w.restless)
 }
 
-// finish ends the record of a day.
+// finish ends the record of a day: nothing is added to it any more.
 func (w *world) finish() *Record {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -400,7 +405,9 @@
 			p.Control.Measured = false
 		}
 	}
-	return w.rec
+	rec := w.rec
+	w.anew()
+	return rec
 }
 
 // lives notes that a process began or ended a life.
