--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -115,6 +115,9 @@
 			word = ""
 		}
 	}
+	fmt.Fprintln(w, "\nWhat a process spends is judged where it ran for the whole day; one that was restarted began with a whole list, and is in the means")
+	fmt.Fprintln(w, "and mosts below. Hollow ones have an even part of their host, with the gates that count; processor time and memory are judged on")
+	fmt.Fprintln(w, "real ones without load. Real ones are seen at their door, late by 200 ms at the most.")
 	fmt.Fprintln(w, "\nday\tseed\trole\tprocesses\tbytes/s\tmost\tup\tdown\tmessages/s up\tdown\tKB\tmost\tCPU %\tmost")
 	for _, p := range r.Plays {
 		for _, x := range p.Roles {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -49,7 +49,7 @@
 	LengthS     float64  `json:"length_s"`
 	Processes   int      `json:"processes"`
 	Descriptors int      `json:"descriptors"` // the most of one process, as reckoned
-	MaxProcs    int      `json:"gomaxprocs"`
+	MaxProcs    int      `json:"gomaxprocs"`  // of each process but this one
 	Revision    string   `json:"revision,omitempty"`
 	Gossip      string   `json:"gossip"`
 	LeftOut     []string `json:"left_out"`
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	r := &Result{Hollow: spec.Hollow, Real: spec.Real, Hosts: spec.hosts(), Replicas: spec.Replicas, LeaseS: spec.Lease.Seconds(),
-		LengthS: spec.Length.Seconds(), Processes: spec.processes(), Descriptors: spec.descriptors(), MaxProcs: runtime.GOMAXPROCS(0), Revision: spec.Revision,
+		LengthS: spec.Length.Seconds(), Processes: spec.processes(), Descriptors: spec.descriptors(), MaxProcs: runtime.NumCPU(), Revision: spec.Revision,
 		Gossip: Gossip, LeftOut: LeftOut}
 	total, err := len(spec.Days)*len(spec.Seeds), error(nil)
 	for _, seed := range spec.Seeds {
