--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -108,7 +108,7 @@
 }
 
 // roles sums a day up.
-func (w *world) roles(rec *Record, a, b reading, leader string) (all []Role) {
+func (w *world) roles(rec *Record, a, b reading, leaders []string) (all []Role) {
 	seconds := b.at.Sub(a.at).Seconds()
 	kinds := map[string]*Role{}
 	var names []string
@@ -144,7 +144,7 @@
 	for _, q := range w.regions {
 		for _, x := range q.replicas {
 			kind := "replica"
-			if x.name == leader {
+			if slices.Contains(leaders, x.name) {
 				kind = "leading replica"
 			}
 			add(kind, Control{}, cpu(x.name), b.use[x.name].MemoryMB)
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -170,9 +170,11 @@
 		wait()
 		return fail(err)
 	}
-	leader := ""
-	if x := w.regions[0].leader(ctx); x != nil {
-		leader = x.name
+	var leaders []string
+	for _, r := range w.regions {
+		if x := r.leader(ctx); x != nil {
+			leaders = append(leaders, x.name)
+		}
 	}
 	var extra []Finding
 	if name == "steady" && w.spec.Compare {
@@ -200,7 +202,7 @@
 	w.spent(w.rec, a, b, name != "steady" && w.spec.Length < judgedFrom)
 	rec := w.finish()
 	p.Seconds = time.Since(begun).Seconds()
-	p.Roles = w.roles(rec, a, b, leader)
+	p.Roles = w.roles(rec, a, b, leaders)
 	found, delays := Judge(rec)
 	found = append(extra, found...)
 	if p.MemoryMB = b.memory(); p.MemoryMB > memoryMost {
