--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -408,7 +408,16 @@
 	}
 	begun := now()
 	v, err := r.client.Put(ctx, service, api.Put{Schema: 1, Settings: text, IfVersion: &had})
-	for api.IsCode(err, api.CodeOldPeer) && sleep(ctx, 50*time.Millisecond) { // a replica has not said yet what it understands
+	// A replica has not said yet what it understands, or no answer came: then it is looked up, and done again where it was not.
+	again := func() bool {
+		return api.IsCode(err, api.CodeOldPeer) || api.IsCode(err, api.CodeUnknown) || api.IsCode(err, api.CodeConflict)
+	}
+	for again() && sleep(ctx, 50*time.Millisecond) {
+		var d api.Document
+		if d, err = r.client.Document(ctx, service, 0, true); err == nil && d.Version != had {
+			v = d.Version // nobody else puts
+			break
+		}
 		v, err = r.client.Put(ctx, service, api.Put{Schema: 1, Settings: text, IfVersion: &had})
 	}
 	if err != nil {
