--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -187,7 +187,7 @@
 		{"real_bytes", "bytes of a real sidecar without clients", "bytes/s", asked, o.SidecarBytesPerS.Value}, {"hollow_bytes", "bytes of a hollow sidecar", "bytes/s", asked, o.SidecarBytesPerS.Value},
 		{"real_mb", "memory of a real sidecar without clients", "MB", asked, o.SidecarMemoryMB.Value}} {
 		put(b.steady(x.series), Row{Role: whole, What: x.what, Day: Steady, Unit: x.unit, Budget: x.budget, BudgetFrom: x.from, Mechanism: "`internal/registry.Node`, watches, leases, acks; `internal/sidecar`", Carried: true, PerYear: daysPerYear,
-			Note: "leases of 10 s, so three times the renewals"})
+			Note: "settings, acknowledgements, renewals and the quorum in it"})
 	}
 
 	const regions = "regions that lose each other (a quorum for each)"
--- a/internal/lab/capacity/scale.go
+++ b/internal/lab/capacity/scale.go
@@ -82,14 +82,16 @@
 // FromScale makes the measure scale-DAY of several results of the scale run, and predicts that of so many sidecars.
 func FromScale(day string, results [][]byte, predict float64) (*Measure, error) {
 	m := &Measure{Name: "scale-" + day, Question: "What do sidecars and the list service spend on the scale run's day " + day + "?",
-		Command: "mosslead lab scale --days " + day + " --compare=false -o json; mosslead lab capacity take " + day, Machine: "as in the results",
+		Machine: "as in the results",
 		How: "hollow sidecars beside twelve real ones before one quorum; each role on the mean: bytes both ways between a sidecar and the list service without the kernel's headers, resident memory and processor time by the kernel's counts. " +
-			"Hollow ones share a process. Leases are shorter than the fleet's (lease_s), so that renewals are more",
+			"Hollow ones share a process",
 		Series: scaleSeries}
 	var err error
 	if m.Samples, m.Revision, err = samples(day, results); err != nil {
 		return nil, err
 	}
+	got := m.Samples[0].Got
+	m.Command = fmt.Sprintf("mosslead lab scale --hollow N --days %s --length %vs --lease %vs --compare=false -o json; mosslead lab capacity take %[1]s", day, got["length_s"], got["lease_s"])
 	if m.Revision == "" {
 		return nil, errors.New("a result without a revision")
 	}
