--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"math/rand/v2"
@@ -366,3 +367,22 @@
 		}
 	}
 }
+
+// TestARefutedPredictionIsSaid has a figure that rests on it say so.
+func TestARefutedPredictionIsSaid(t *testing.T) {
+	m := made("one", 3, 2, 0.1, 1, 2, 3, 4)
+	if err := m.Predict(map[string]float64{"x": 8}, "none"); err != nil {
+		t.Fatal(err)
+	}
+	for came, want := range map[float64]float64{19: 0, 20: 0, 190: 10, 9.5: 0.5} {
+		m.Checks = []Sample{{Sizes: map[string]float64{"x": 8}, Got: map[string]float64{"y": came}}}
+		if got := m.refuted("y"); math.Abs(got-want) > 0.02*want {
+			t.Errorf("%v came: %v, want %v", came, got, want)
+		}
+	}
+	var w bytes.Buffer
+	writeRows(&w, []Row{{Role: "r", What: "w", Unit: "MB", Slopes: []Slope{{Measure: "one", Series: "y", Refuted: 5.76}}, Carried: true}})
+	if !strings.Contains(w.String(), "refuted: 5.76 times") {
+		t.Error(w.String())
+	}
+}
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -99,6 +99,9 @@
 			if s.Beyond > 1.005 {
 				text += fmt.Sprintf(", %s times beyond what was played", number(s.Beyond))
 			}
+			if s.Refuted > 0 {
+				text += fmt.Sprintf(", **its prediction was refuted: %s times that came**", number(s.Refuted))
+			}
 			slopes = append(slopes, text)
 		}
 		measured := strings.Join(slopes, "; ")
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -71,6 +71,8 @@
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear, Note: "sent alone; virtual time"})
 	put(b.gossip(size("members", l.RegionSidecars)).times(2), Row{Role: sharing, What: "the same, sent and received", Day: Steady, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
 		Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
+	put(b.checked("gossip-large", "bytes_mean"), Row{Role: sharing, What: "bytes sent by a member, 1,000 of them, 20 to 50 s after all know each other", Day: Worst, Unit: "bytes/s", Budget: o.SidecarBytesPerS.Value, BudgetFrom: asked,
+		Mechanism: sharingPart, Carried: true, PerYear: o.CutsPerYear.Value, Note: "as it was played, no line; virtual time, one play; whether that is the tail of their start or the steady day was not measured"})
 	put(figure{}, Row{Role: sharing, What: "memory of the roster", Day: Steady, Unit: "MB", BudgetFrom: noBudget, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 	put(figure{}, Row{Role: sharing, What: "processor time", Day: Steady, Unit: "of a core", Budget: o.SidecarCoreShare.Value, BudgetFrom: asked, Mechanism: sharingPart, Carried: true, PerYear: daysPerYear})
 
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -50,6 +50,8 @@
 	Sizes    int      `json:"sizes"`
 	At       float64  `json:"at"`     // the form's value for the fleet
 	Beyond   float64  `json:"beyond"` // that, over the largest that was played
+	// Refuted is what came over what was predicted, where that was outside the interval and off by more than a quarter; else 0.
+	Refuted float64 `json:"refuted,omitempty"`
 	// Exchange is the processor time of both ends of a bare exchange in the same runs, in µs, and ExchangeMedian its time; 0: not
 	// measured.
 	Exchange       float64 `json:"exchange_cpu_us,omitempty"`
@@ -166,15 +168,43 @@
 		if m.Prediction != nil {
 			c.Sizes, c.Says = m.Prediction.Sizes, m.Prediction.Says[s.Name]
 		}
-		for _, x := range m.Checks {
-			c.Came += x.Got[s.Name] / float64(len(m.Checks))
-			c.Played = true
-		}
+		c.Came, c.Played = m.came(s.Name), len(m.Checks) > 0
 		all = append(all, c)
 	}
 	return all, nil
 }
 
+const refutedBy = 1.25
+
+// refuted is what came of a prediction over it, where it is far off; else 0.
+func (m *Measure) refuted(series string) float64 {
+	if m.Prediction == nil || len(m.Checks) == 0 {
+		return 0
+	}
+	says, came := m.Prediction.Says[series], m.came(series)
+	if off := came / says.Value; !says.Holds(came) && says.Value > 0 && (off > refutedBy || off < 1/refutedBy) {
+		return off
+	}
+	return 0
+}
+
+// came is the mean of what was played at the size that was predicted.
+func (m *Measure) came(series string) (mean float64) {
+	for _, x := range m.Checks {
+		mean += x.Got[series] / float64(len(m.Checks))
+	}
+	return mean
+}
+
+// checked is what came at the size that was predicted.
+func (b *builder) checked(measure, series string) figure {
+	m, ok := b.m[measure]
+	if !ok || len(m.Checks) == 0 {
+		return figure{}
+	}
+	return known(m.came(series))
+}
+
 // mean is that of what the samples have beside their series; 0: one has it not.
 func (m *Measure) mean(name string) (mean float64) {
 	for _, x := range m.Samples {
@@ -245,7 +275,7 @@
 	}
 	says := l.At(x)
 	return figure{&says, []Slope{{Measure: measure, Series: s.Name, Unit: s.Unit, Form: s.Form, Slope: l.Slope, Constant: l.Constant, Sizes: l.Sizes, At: x, Beyond: x / most,
-		Exchange: m.mean("exchange_cpu_us"), ExchangeMedian: m.mean("exchange_us"), Revision: m.Revision, Command: m.Command}}}
+		Refuted: m.refuted(series), Exchange: m.mean("exchange_cpu_us"), ExchangeMedian: m.mean("exchange_us"), Revision: m.Revision, Command: m.Command}}}
 }
 
 // slope is what one more of a form's sizes takes.
