--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -40,8 +40,25 @@
 		{[]string{"lab", "run", bad + ".missing"}, "no such file"},
 		{[]string{"lab", "run", "../../experiments/calm.toml", "--variants", "other"}, "no variant \"other\""},
 		{[]string{"lab", "run", "../../experiments/calm.toml", "-o", "xml"}, "neither table nor json"},
+		{[]string{"lab", "scale", "--days", "steady,sunny"}, "nothing is called \"sunny\""},
+		{[]string{"lab", "scale", "--days", "steady,steady"}, "there twice"},
+		{[]string{"lab", "scale", "--hollow", "13"}, "hollow: 14 to 10000"},
+		{[]string{"lab", "scale", "--hollow", "10000", "--lease", "1ms"}, "lease: at least"},
+		{[]string{"lab", "scale", "--real", "1"}, "real: 2 to 64"},
+		{[]string{"lab", "scale", "-o", "xml"}, "table or json"},
 		{[]string{"lab", "compare", bad, bad}, "invalid character"},
 		{[]string{"lab", "list", "--dir", t.TempDir()}, "no experiments"},
+		{[]string{"lab", "capacity", "--fleet", "none.toml"}, "none.toml"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/calm.toml"}, "unknown key"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "none"}, "measures"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "--page", "../../README.md"}, "worked out: fleet"},
+		{[]string{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "-o", "xml"}, "table or json"},
+		{[]string{"lab", "capacity", "measure"}, "accepts 1 arg"},
+		{[]string{"lab", "capacity", "take", "steady"}, "requires at least 2 arg"},
+		{[]string{"lab", "capacity", "take", "steady", bad}, "result 1: invalid character"},
+		{[]string{"lab", "capacity", "take", "none", "--check", bad, "--measures", "../../docs/capacity"}, "scale-none.json"},
+		{[]string{"lab", "capacity", "measure", "none", "--out", t.TempDir()}, "no measure is called \"none\""},
+		{[]string{"lab", "capacity", "measure", "none", "--check", "--measures", "../../docs/capacity"}, "none.json"},
 		{[]string{"state", "check", bad + ".missing"}, "no such file"},
 		{[]string{"state", "show", bad}, "is not a directory"},
 	} {
@@ -60,11 +77,14 @@
 			t.Errorf("%v --help: status %d, %q", path, status, out)
 		}
 	}
-	for _, path := range [][]string{{}, {"lab"}, {"lab", "run"}, {"lab", "list"}, {"lab", "compare"}, {"lab", "plot"}, {"lab", "faults"},
+	for _, path := range [][]string{{}, {"lab"}, {"lab", "run"}, {"lab", "list"}, {"lab", "compare"}, {"lab", "plot"}, {"lab", "faults"}, {"lab", "scale"}, {"lab", "hollow"},
+		{"lab", "capacity"}, {"lab", "capacity", "measure"}, {"lab", "capacity", "take"},
 		{"state"}, {"state", "show"}, {"state", "check"}, {"state", "repair"}} {
 		walk(path)
 	}
-	for _, args := range [][]string{{"--version"}, {"completion", "bash"}, {"lab", "faults"}, {"lab", "list", "--dir", "../../experiments"}} {
+	for _, args := range [][]string{{"--version"}, {"completion", "bash"}, {"lab", "faults"}, {"lab", "list", "--dir", "../../experiments"},
+		{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity"},
+		{"lab", "capacity", "--fleet", "../../experiments/capacity.toml", "--measures", "../../docs/capacity", "-o", "json"}} {
 		if status, out, said := call(t, args...); status != done || out == "" || said != "" {
 			t.Errorf("%v: status %d, said %q", args, status, said)
 		}
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -120,7 +121,7 @@
 
 // filled starts a replica and fills it. Nothing of it is left after an error.
 func (r Runner) filled(ctx context.Context, entries int) (b *bed, err error) {
-	at, err := freeAddress()
+	at, err := Address()
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +226,8 @@
 	Failed   int     `json:"failed"`
 	Lost     int     `json:"lost"` // leases that the service did not hold
 	P99Ms    float64 `json:"p99_ms"`
-	Cores    float64 `json:"cores"`     // of all replicas together
+	Cores    float64 `json:"cores"` // of all replicas together
+	Leader   float64 `json:"leader_cores"`
 	OwnCores float64 `json:"own_cores"` // of those who call
 }
 
@@ -261,7 +263,15 @@
 		}
 		return sum
 	}
-	before, ownBefore, begun := use(), ownCPU(), time.Now()
+	leads := leader(ctx, c)
+	ofLeader := func() time.Duration {
+		if leads < 0 {
+			return 0
+		}
+		u, _ := children[leads].Use() // one that has ended is seen by its failures
+		return u.CPU
+	}
+	before, leaderBefore, ownBefore, begun := use(), ofLeader(), ownCPU(), time.Now()
 	var mu sync.Mutex
 	var lags []time.Duration
 	var all sync.WaitGroup
@@ -291,11 +301,24 @@
 	all.Wait()
 	took := time.Since(begun).Seconds()
 	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (ownCPU()-ownBefore).Seconds()/took
+	m.Leader = (ofLeader() - leaderBefore).Seconds() / took
 	m.Took = float64(len(lags)-m.Failed) / took
 	m.P99Ms = quantile(lags, 99)
 	return m, ctx.Err()
 }
 
+// leader is the number of the replica that leads; -1: none says so.
+func leader(ctx context.Context, c *client.Client) int {
+	said, _ := c.Status(ctx)
+	for _, s := range said {
+		var n int
+		if _, err := fmt.Sscanf(s.Replica.Name, "r%d", &n); err == nil && s.State == "leader" {
+			return n
+		}
+	}
+	return -1
+}
+
 func renewOne(c *http.Client, at, name string) (lost int, err error) {
 	text, err := json.Marshal(api.Renewals{Leases: []api.Lease{{Name: name, Incarnation: 1}}})
 	if err != nil {
@@ -318,33 +341,49 @@
 
 // Quorum starts replicas that form one, r0 and so on. Their configurations are in Dir, each NAME.toml.
 func (r Runner) Quorum(n int) (at []string, children []*proc.Child, err error) {
-	var peers []map[string]any
+	peers, at, err := replicas(n)
+	if err != nil {
+		return nil, nil, err
+	}
+	children, err = r.quorum(peers, "", nil)
+	return at, children, err
+}
+
+// replicas are so many with addresses of their own; at is where they answer.
+func replicas(n int) (peers []map[string]any, at []string, err error) {
 	for i := range n {
-		a, err1 := freeAddress()
-		b, err2 := freeAddress()
+		a, err1 := Address()
+		b, err2 := Address()
 		if err1 != nil || err2 != nil {
 			return nil, nil, fmt.Errorf("no free address: %v %v", err1, err2)
 		}
 		peers = append(peers, map[string]any{"name": fmt.Sprint("r", i), "api": a, "raft": b})
 		at = append(at, a)
 	}
-	for i := range n {
-		name := fmt.Sprint("r", i)
-		text, err := toml.Marshal(map[string]any{"name": name, "dir": filepath.Join(r.Dir, name), "replica": peers})
+	return peers, at, nil
+}
+
+// quorum starts replicas; before each name of a file stands which, and in each configuration what more.
+func (r Runner) quorum(peers []map[string]any, which string, more map[string]any) (children []*proc.Child, err error) {
+	for i := range peers {
+		name := which + fmt.Sprint("r", i)
+		c := map[string]any{"name": fmt.Sprint("r", i), "dir": filepath.Join(r.Dir, name), "replica": peers}
+		maps.Copy(c, more)
+		text, err := toml.Marshal(c)
 		if err != nil {
-			return nil, children, err
+			return children, err
 		}
 		path := filepath.Join(r.Dir, name+".toml")
 		if err := os.WriteFile(path, text, 0o644); err != nil {
-			return nil, children, err
+			return children, err
 		}
 		child, err := r.Start(name, "--config", path)
 		if err != nil {
-			return nil, children, err
+			return children, err
 		}
 		children = append(children, child)
 	}
-	return at, children, nil
+	return children, nil
 }
 
 // Start starts a replica, or starts one again, with words after the command's.
@@ -374,16 +413,6 @@
 	}
 }
 
-// freeAddress is one that nobody listens at now.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -31,6 +31,9 @@
 	Env     []string // added to nothing: a child sees no variable of the laboratory's
 	Dir     string
 	LogFile string // where standard output and error go; appended to
+
+	// Stdin and Stdout are the child's ends of pipes to it, which are its starter's to close; nil: nothing, and the log.
+	Stdin, Stdout *os.File
 }
 
 // Child is a process that was started.
@@ -76,6 +79,12 @@
 		return nil, fmt.Errorf("log of %s: %w", s.Name, err)
 	}
 	cmd.Stdout, cmd.Stderr = write, write
+	if s.Stdin != nil {
+		cmd.Stdin = s.Stdin
+	}
+	if s.Stdout != nil {
+		cmd.Stdout = s.Stdout
+	}
 	c := &Child{Name: s.Name, cmd: cmd, ended: make(chan struct{})}
 	spawn()
 	done := make(chan error)
@@ -201,3 +210,36 @@
 	u.CPU = time.Duration(stat.CPUTime() * float64(time.Second))
 	return u, nil
 }
+
+// IO is what a process has read and written by system calls: files, and sockets of streams. What a socket sends and receives as
+// datagrams is not in it.
+type IO struct{ Read, Written int64 }
+
+// IO reads the counts; an error means that it has ended.
+func (c *Child) IO() (x IO, err error) {
+	p, err := procfs.NewProc(c.PID())
+	if err != nil {
+		return x, err
+	}
+	counts, err := p.IO()
+	if err != nil {
+		return x, err
+	}
+	return IO{int64(counts.RChar), int64(counts.WChar)}, nil
+}
+
+// Ran is the processor time of the threads that it has, to the nanosecond: Use counts in hundredths of a second.
+func (c *Child) Ran() (sum time.Duration, err error) {
+	threads, err := procfs.AllThreads(c.PID())
+	if err != nil {
+		return 0, err
+	}
+	for _, t := range threads {
+		s, err := t.Schedstat()
+		if err != nil {
+			return 0, err
+		}
+		sum += time.Duration(s.RunningNanoseconds)
+	}
+	return sum, nil
+}
