lab: real sidecars' upstreams are renewed from the hosts of hollow ones, and each run has its own addresses

What renewed real ones' upstreams ran in the run itself, at a higher priority than the hosts, so that short leases were renewed more often there.

--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -146,12 +146,16 @@
 		}
 	}
 	var lapses []*Change
+	var silent []int
 	for _, x := range gone {
 		lapses = append(lapses, w.lapse(x.number))
+		silent = append(silent, x.number)
+	}
+	if err := w.each(silent, doEnd); err != nil {
+		return err
 	}
 	return errors.Join(w.fails(ctx, of, doEnd, func() {
 		for _, x := range gone {
-			x.unregister()
 			_ = x.child.Kill() // whatever came of it
 			w.lives(x.number, now(), false)
 		}
@@ -160,17 +164,11 @@
 
 func (w *world) realsBack(ctx context.Context, all []*real) error {
 	for _, x := range all {
-		w.mu.Lock()
-		w.bears++
-		bears := w.bears
-		w.mu.Unlock()
-		c := w.change(x.number, api.Ready, "back after a failure")
 		w.lives(x.number, now(), true)
-		x.register(w.ctx, w.spec.Lease, bears)
 		if err := x.start(w.spec.Sidecar, w.spec.Dir, w.spec.Hollow+w.spec.Real); err != nil {
 			return err
 		}
-		if err := errors.Join(w.listed(ctx, c, bears), x.ready(ctx)); err != nil {
+		if err := errors.Join(w.back(ctx, []int{x.number}, "back after a failure"), x.ready(ctx)); err != nil {
 			return err
 		}
 	}
@@ -351,7 +349,7 @@
 	for _, h := range w.hosts {
 		var own []int
 		for _, i := range of {
-			if slices.Contains(h.of, i) {
+			if slices.Contains(h.of, i) || slices.Contains(h.also, i) {
 				own = append(own, i)
 			}
 		}
@@ -488,7 +486,7 @@
 	for _, h := range w.hosts {
 		var own []int
 		for _, i := range of {
-			if slices.Contains(h.of, i) {
+			if slices.Contains(h.of, i) || slices.Contains(h.also, i) {
 				own = append(own, i)
 			}
 		}
--- a/internal/lab/scale/host.go
+++ b/internal/lab/scale/host.go
@@ -57,13 +57,21 @@
 // guest is one hollow sidecar.
 type guest struct {
 	hollow
-	door      *door
+	door      *door // nil: it has none of its own
 	registrar *client.Registrar
 	signs     context.CancelFunc // ends the upstream's registrar; nil: none runs
 	stop      context.CancelFunc // ends the sidecar; nil: none runs
 	over      chan struct{}      // closed once it has ended, with all before it; nil: there was none
 }
 
+// addresses are where the list service is for it.
+func (g *guest) addresses() []string {
+	if g.door == nil {
+		return g.Replicas
+	}
+	return g.door.addresses()
+}
+
 func (h *host) say(w word) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -75,6 +83,9 @@
 		h.end(g)
 	}
 	for _, g := range h.own {
+		if g.door == nil {
+			continue
+		}
 		g.door.close() // its watch and calls end at once
 	}
 	h.done.Wait()
@@ -88,6 +99,10 @@
 			if x.Along {
 				line = func([]byte) {}
 			}
+			if x.Renews {
+				h.own[x.Number] = &guest{hollow: x}
+				continue
+			}
 			d, err := newDoor(x.Replicas, line)
 			if err != nil {
 				return fmt.Errorf("%s: %w", x.Name, err)
@@ -99,6 +114,9 @@
 		h.flush()
 		c := &counts{Count: o.Count, At: now()}
 		for i, g := range h.own {
+			if g.door == nil {
+				continue
+			}
 			c.Of = append(c.Of, int64(i), g.door.Up.Load(), g.door.Down.Load(), g.door.UpMsgs.Load(), g.door.DownMsgs.Load())
 		}
 		h.say(word{Counts: c})
@@ -129,7 +147,9 @@
 		case doEnd:
 			h.end(g)
 		case doBreak:
-			g.door.breakAll()
+			if g.door != nil { // else the run has its gates
+				g.door.breakAll()
+			}
 		default:
 			return fmt.Errorf("order: nothing is called %q", o.Do)
 		}
@@ -143,7 +163,7 @@
 		g.signs()
 	}
 	ctx, end := context.WithCancel(h.ctx)
-	c := client.New(g.door.addresses())
+	c := client.New(g.addresses())
 	wish := registration(g.Upstream, g.Zone, incarnation)
 	g.signs = end
 	if g.Mute { // held without a lease, and so without renewals: what the comparison has to notice
@@ -170,7 +190,7 @@
 
 // watch begins the life of a hollow sidecar, once the one before has ended.
 func (h *host) watch(g *guest) {
-	if g.stop != nil {
+	if g.stop != nil || g.Renews {
 		return
 	}
 	ctx, stop := context.WithCancel(h.ctx)
@@ -182,7 +202,7 @@
 			<-before
 		}
 		h.say(word{Number: g.Number, Up: now()})
-		err := runHollow(ctx, g.hollow, g.door.addresses(), func(m *Message) { h.saw(g.Number, m) })
+		err := runHollow(ctx, g.hollow, g.addresses(), func(m *Message) { h.saw(g.Number, m) })
 		h.flush() // what it saw comes before its end
 		h.say(word{Number: g.Number, Down: now()})
 		if err != nil {
--- a/internal/lab/scale/hosts.go
+++ b/internal/lab/scale/hosts.go
@@ -22,6 +22,7 @@
 type remote struct {
 	child  *proc.Child
 	of     []int // processes
+	also   []int // real ones, whose upstreams it renews
 	to     *os.File
 	from   *os.File
 	mu     sync.Mutex // held while an order is written
--- a/internal/lab/scale/quorum.go
+++ b/internal/lab/scale/quorum.go
@@ -17,7 +17,8 @@
 	"mosslead/internal/registry/client"
 )
 
-const listenHost = "127.9.0.1"
+// listenHost is this run's own.
+func listenHost() string { return fmt.Sprintf("127.9.%d.%d", os.Getpid()/250%256, 1+os.Getpid()%250) }
 
 // replica is one process of the list service, or one after another.
 type replica struct {
@@ -161,7 +162,7 @@
 // freeAddress is one that nobody listens at now, on a host of the loopback that no connection begins at: with thousands of those, a
 // free port of 127.0.0.1 would not stay free.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", listenHost+":0")
+	ln, err := net.Listen("tcp", listenHost()+":0")
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -20,7 +20,6 @@
 	"mosslead/internal/lab/record"
 	"mosslead/internal/lab/standin"
 	"mosslead/internal/registry/api"
-	"mosslead/internal/registry/client"
 )
 
 const (
@@ -34,22 +33,18 @@
 
 // real is a sidecar process with its upstream, which is registered as a hollow one's is.
 type real struct {
-	name      string
-	number    int // among the processes of the run
-	zone      string
-	service   string
-	ops       string // where it tells its figures
-	bare      bool   // without clients: all that it spends is control
-	listen    string
-	door      *door
-	child     *proc.Child
-	upstream  *standin.Upstream
-	client    *client.Client
-	registrar *client.Registrar
-	mu        sync.Mutex
-	lines     []*Message // that were carried to it since the door was asked last
-	end       context.CancelFunc
-	ended     chan struct{}
+	name     string
+	number   int // among the processes of the run
+	zone     string
+	service  string
+	ops      string // where it tells its figures
+	bare     bool   // without clients: all that it spends is control
+	listen   string
+	door     *door
+	child    *proc.Child
+	upstream *standin.Upstream
+	mu       sync.Mutex
+	lines    []*Message // that were carried to it since the door was asked last
 }
 
 // newReal starts the upstream; the sidecar comes later.
@@ -78,30 +73,6 @@
 	return r, err
 }
 
-// register begins the renewals of its upstream.
-func (r *real) register(ctx context.Context, lease time.Duration, incarnation int64) {
-	r.unregister()
-	ctx, r.end = context.WithCancel(ctx)
-	r.client = client.New(r.door.addresses())
-	r.registrar = client.NewRegistrar(r.client, lease, func(string, error) {}) // it tries again
-	r.registrar.Set(r.name, registration(r.upstream.Address(), r.zone, incarnation), api.Ready)
-	r.ended = make(chan struct{})
-	go func() {
-		defer close(r.ended)
-		r.registrar.Run(ctx)
-	}()
-}
-
-func (r *real) unregister() {
-	if r.end == nil {
-		return
-	}
-	r.end()
-	<-r.ended
-	r.client.Close()
-	r.end = nil
-}
-
 // start starts the sidecar.
 func (r *real) start(program []string, dir string, fleet int) error {
 	config := sidecarConfig(r.name, r.listen, r.zone, r.service, r.door.addresses(), r.number, fleet)
@@ -164,7 +135,6 @@
 	if r.child != nil {
 		_ = r.child.Kill() // whatever came of it
 	}
-	r.unregister()
 	r.upstream.Close()
 	r.door.close()
 }
--- a/internal/lab/scale/words.go
+++ b/internal/lab/scale/words.go
@@ -30,8 +30,9 @@
 	Fleet    int      `json:"fleet"`
 	Replicas []string `json:"replicas"`
 	LeaseMs  int64    `json:"lease_ms"`
-	Along    bool     `json:"along,omitempty"` // its messages are counted
-	Mute     bool     `json:"mute,omitempty"`  // a planted fault: its renewals are left out
+	Along    bool     `json:"along,omitempty"`  // its messages are counted
+	Renews   bool     `json:"renews,omitempty"` // it is a real one's upstream: it is registered from here as hollow ones' are, through the real one's gates
+	Mute     bool     `json:"mute,omitempty"`   // a planted fault: its renewals are left out
 }
 
 // word is a line from a host to the run.
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -233,6 +233,13 @@
 			own = append(own, hollows[j])
 			h.of = append(h.of, hollows[j].Number)
 		}
+		// Real ones' upstreams are renewed by hosts too: at this process's priority they would be renewed more often on a busy machine.
+		for j := i; j < len(w.reals); j += len(w.hosts) {
+			x := w.reals[j]
+			own = append(own, hollow{Number: x.number, Name: x.name, Zone: x.zone, Upstream: x.upstream.Address(), Replicas: x.door.addresses(),
+				LeaseMs: w.spec.Lease.Milliseconds(), Renews: true})
+			h.also = append(h.also, x.number)
+		}
 		if err := h.order(order{Do: doAdd, Add: own}); err != nil {
 			return err
 		}
@@ -248,9 +255,6 @@
 			return err
 		}
 	}
-	for _, x := range w.reals {
-		x.register(w.ctx, w.spec.Lease, w.bears)
-	}
 	all := w.spec.Hollow + w.spec.Real
 	if err := w.until(fillMost, func() (string, bool) {
 		n := 0
