--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -382,7 +382,7 @@
 	}
 	var w bytes.Buffer
 	writeRows(&w, []Row{{Role: "r", What: "w", Unit: "MB", Slopes: []Slope{{Measure: "one", Series: "y", Refuted: 5.76}}, Carried: true}})
-	if !strings.Contains(w.String(), "refuted: 5.76 times") {
+	if !strings.Contains(w.String(), "refuted: what came is 5.76 times it") {
 		t.Error(w.String())
 	}
 }
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -100,7 +100,7 @@
 				text += fmt.Sprintf(", %s times beyond what was played", number(s.Beyond))
 			}
 			if s.Refuted > 0 {
-				text += fmt.Sprintf(", **its prediction was refuted: %s times that came**", number(s.Refuted))
+				text += fmt.Sprintf(", **its prediction was refuted: what came is %s times it**", number(s.Refuted))
 			}
 			slopes = append(slopes, text)
 		}
