--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -27,7 +27,9 @@
 			"and real replicas of the list service. Each day is judged from outside: every accepted change in force within 7 s at every\n" +
 			"process that can be reached, none lost, none overtaken by an older one, nothing that nobody issued, and what each process\n" +
 			"spends against 2 KB/s, 1.6% of a core and 32 MB. Exit status 1: a verdict did not hold; it names day, verdict and process.\n\n" +
-			"Days: " + strings.Join(scale.DayNames(), ", ") + ". Not played: " + strings.Join(scale.LeftOut, ", ") + "; " + scale.Gossip + ".",
+			"Days: " + strings.Join(scale.DayNames(), ", ") + ". Not played: " + scale.Gossip + ".\n\n" +
+			"On slow, what regions tell each other takes 150 ms each way, and 1% of the pieces on a connection, and what is behind them, 200 ms more,\n" +
+			"as for what is sent again; a connection's handshake takes 300 ms.",
 		Example: "  mosslead lab scale\n  mosslead lab scale --hollow 400 --days steady --length 20s --compare=false -o json\n" +
 			"  mosslead lab scale --days cut --cut 20s --seeds 2",
 		Args: args(cobra.NoArgs),
@@ -36,7 +38,7 @@
 	c.Flags().IntVar(&spec.Hollow, "hollow", 1800, "hollow sidecars")
 	c.Flags().IntVar(&spec.Real, "real", 12, "real sidecars, one in six of them without clients")
 	c.Flags().IntVar(&spec.Replicas, "replicas", 3, "replicas of the list service, of each region")
-	c.Flags().StringSliceVar(&spec.Days, "days", []string{"steady", "wave", "restarts", "rack", "zone", "leader", "return", "cut"}, "days, in this order but for cut, which comes last")
+	c.Flags().StringSliceVar(&spec.Days, "days", []string{"steady", "wave", "restarts", "rack", "zone", "leader", "return", "cut", "slow"}, "days, in this order but for cut and slow, which come last: they need two regions")
 	c.Flags().UintSliceVar(&seeds, "seeds", []uint{1}, "each plays all days")
 	c.Flags().DurationVar(&spec.Length, "length", time.Minute, "of the steady day and of the wave")
 	c.Flags().DurationVar(&spec.Lease, "lease", 10*time.Second, "of upstreams")
@@ -100,7 +102,7 @@
 func scaleTable(w io.Writer, r *scale.Result) {
 	fmt.Fprintf(w, "%d hollow in %d processes, %d real, %d replicas in a region; leases of %.3g s; %d processes, %d descriptors at most in one\n",
 		r.Hollow, r.Hosts, r.Real, r.Replicas, r.LeaseS, r.Processes, r.Descriptors)
-	fmt.Fprintf(w, "not played: %s; %s\n", strings.Join(r.LeftOut, ", "), r.Gossip)
+	fmt.Fprintf(w, "not played: %s\n", r.Gossip)
 	fmt.Fprintln(w, "\nday\tseed\tverdicts\tcause\tchanges\tcounted\tp50 ms\tp99 ms\tlongest ms")
 	for _, p := range r.Plays {
 		word := "held"
--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/relay"
 	"mosslead/internal/registry/api"
 )
 
@@ -23,7 +24,10 @@
 	grace        = 2 * time.Second // of the service, from a lease's end to the entry's
 	shortAway    = 300 * time.Millisecond
 	leaderAway   = 3 * time.Second
-	regionCount  = 2 // of a day on which regions are cut off
+	regionCount  = 2 // of a day on which regions are cut off, or far from each other
+	slowRounds   = 5 // of changes in each region
+	slowDelay    = 150 * time.Millisecond
+	slowLoss     = 0.01
 )
 
 // day is what happens on one. It returns once all of it was issued.
@@ -33,7 +37,7 @@
 	play    func(w *world, ctx context.Context) error
 }
 
-// Cut needs regions; the other days one quorum.
+// Cut and slow need regions; the other days one quorum.
 const cutDay = "cut"
 
 var days map[string]day
@@ -47,6 +51,7 @@
 		"zone":     {"all of one zone silent at once, and back", 1, (*world).zone},
 		"leader":   {"the leader killed, and the next one stopped and let go", 1, (*world).leader},
 		"return":   {"all connections to the list service break at once", 1, (*world).comeBack},
+		"slow":     {"links between regions slow and lossy, with changes and settings on both sides", regionCount, (*world).slow},
 		cutDay:     {"a region cut off, with changes and deaths on both sides, and healed", regionCount, (*world).cut},
 	}
 }
@@ -322,11 +327,62 @@
 	return ctx.Err()
 }
 
-func (w *world) part(silent bool) error {
+// far is a link of the slow day. It has the delay each way, so that a round trip is twice that, and a connection's handshake takes
+// one of them more. Loss is what the relay makes of it on a connection: that share of the pieces read at once (32 KB at the most) is
+// held up by as long as Linux waits at least before it sends again, 200 ms, and all that comes after on the connection waits too. Nothing
+// arrives out of order, and no window shrinks.
+func far() relay.State { return relay.State{Delay: slowDelay, Setup: 2 * slowDelay, Loss: slowLoss} }
+
+// slow changes entries and settings on both sides while the regions are far from each other.
+func (w *world) slow(ctx context.Context) error {
+	if err := w.links(far()); err != nil {
+		return err
+	}
+	var all sync.WaitGroup
+	errs := make([]error, len(w.regions))
+	for i, r := range w.regions {
+		names, err := w.pick(r, slowRounds)
+		if err != nil {
+			errs[i] = err
+			break
+		}
+		all.Go(func() {
+			for k, name := range names {
+				errs[i] = errors.Join(errs[i], w.hand(ctx, r, name, api.HandDrain, "from afar"))
+				services := w.putBy(i)
+				errs[i] = errors.Join(errs[i], w.put(ctx, r, services[k%len(services)], "settings from afar"))
+				sleep(ctx, w.spec.Length/slowRounds)
+			}
+		})
+	}
+	all.Wait()
+	if err := errors.Join(append(errs, ctx.Err())...); err != nil {
+		return err
+	}
+	w.settle(ctx) // over the links as they are
+	return w.links(relay.State{})
+}
+
+// putBy are the services whose settings a region puts: of two, one has its sidecars in the other region where the number of services
+// is even. What it puts on the day cut is among them, as one region owns a service's settings.
+func (w *world) putBy(region int) []string {
+	if w.services() < 2*regionCount {
+		return []string{w.serviceOf(region)}
+	}
+	return []string{w.serviceOf(region), w.serviceOf(2*regionCount - 1 - region)}
+}
+
+// links sets those between regions.
+func (w *world) links(s relay.State) error {
 	var errs []error
 	for _, r := range w.regions {
-		errs = append(errs, r.cut(silent))
+		errs = append(errs, r.set(s))
 	}
+	return errors.Join(errs...)
+}
+
+func (w *world) part(silent bool) error {
+	err := w.links(relay.State{SilentForth: silent, SilentBack: silent})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if silent {
@@ -334,7 +390,7 @@
 	} else {
 		w.rec.Cuts[len(w.rec.Cuts)-1].To = now()
 	}
-	return errors.Join(errs...)
+	return err
 }
 
 // any drains one of a region's.
--- a/internal/lab/scale/days_test.go
+++ b/internal/lab/scale/days_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 )
 
 // more plays days in a small fleet, and gives how often each cause was counted and how long it took at 99 of 100.
@@ -55,3 +56,29 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// Guards against changes that do not come over slow and lossy links, and against links that are not slow: who is in the other region
+// has no change before it has crossed.
+func TestSmallSlow(t *testing.T) {
+	t.Parallel()
+	_, counted, p99 := more(t, "slow")
+	for _, cause := range []string{"from afar", "settings from afar"} {
+		if p99[cause] < ms(slowDelay) || counted[cause] < 44 {
+			t.Errorf("%s: counted %d times, 99 of 100 after %.1f ms", cause, counted[cause], p99[cause])
+		}
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / 1e6 }
+
+// Guards against settings of one service that two regions put: only its owner may.
+func TestEachServiceIsPutByOneRegion(t *testing.T) {
+	for _, hollow := range []int{14, 44, 60, 1800} {
+		w := &world{spec: Spec{Hollow: hollow}}
+		for _, name := range w.putBy(0) {
+			if slices.Contains(w.putBy(1), name) {
+				t.Errorf("%d hollow: %s is put by both", hollow, name)
+			}
+		}
+	}
+}
--- a/internal/lab/scale/quorum.go
+++ b/internal/lab/scale/quorum.go
@@ -121,11 +121,11 @@
 	return nil
 }
 
-// cut silences the links to the other regions, or lets them carry again.
-func (r *region) cut(silent bool) error {
+// set changes the links to the other regions.
+func (r *region) set(s relay.State) error {
 	var errs []error
 	for _, l := range r.links {
-		errs = append(errs, l.Set(relay.State{SilentForth: silent, SilentBack: silent}))
+		errs = append(errs, l.Set(s))
 	}
 	return errors.Join(errs...)
 }
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -17,9 +17,6 @@
 // Gossip says what is not played here.
 const Gossip = "the gossip of so many is played in virtual time, by internal/lab/spread, and not by this run"
 
-// LeftOut names the days that the issue asks for and that this run does not have.
-var LeftOut = []string{"slow"}
-
 const findingsKept = 20
 
 // Play is one day with one seed.
@@ -41,19 +38,18 @@
 
 // Result is a whole run.
 type Result struct {
-	Hollow      int      `json:"hollow"`
-	Real        int      `json:"real"`
-	Hosts       int      `json:"hosts"`
-	Replicas    int      `json:"replicas"`
-	LeaseS      float64  `json:"lease_s"`
-	LengthS     float64  `json:"length_s"`
-	Processes   int      `json:"processes"`
-	Descriptors int      `json:"descriptors"` // the most of one process, as reckoned
-	MaxProcs    int      `json:"gomaxprocs"`  // of each process but this one
-	Revision    string   `json:"revision,omitempty"`
-	Gossip      string   `json:"gossip"`
-	LeftOut     []string `json:"left_out"`
-	Plays       []Play   `json:"plays"`
+	Hollow      int     `json:"hollow"`
+	Real        int     `json:"real"`
+	Hosts       int     `json:"hosts"`
+	Replicas    int     `json:"replicas"`
+	LeaseS      float64 `json:"lease_s"`
+	LengthS     float64 `json:"length_s"`
+	Processes   int     `json:"processes"`
+	Descriptors int     `json:"descriptors"` // the most of one process, as reckoned
+	MaxProcs    int     `json:"gomaxprocs"`  // of each process but this one
+	Revision    string  `json:"revision,omitempty"`
+	Gossip      string  `json:"gossip"`
+	Plays       []Play  `json:"plays"`
 }
 
 // Held tells whether every verdict did.
@@ -83,7 +79,7 @@
 	}
 	r := &Result{Hollow: spec.Hollow, Real: spec.Real, Hosts: spec.hosts(), Replicas: spec.Replicas, LeaseS: spec.Lease.Seconds(),
 		LengthS: spec.Length.Seconds(), Processes: spec.processes(), Descriptors: spec.descriptors(), MaxProcs: runtime.NumCPU(), Revision: spec.Revision,
-		Gossip: Gossip, LeftOut: LeftOut}
+		Gossip: Gossip}
 	total, err := len(spec.Days)*len(spec.Seeds), error(nil)
 	for _, seed := range spec.Seeds {
 		for _, regions := range []int{1, regionCount} {
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -171,10 +171,11 @@
 // regionOf is where a zone belongs.
 func (w *world) regionOf(zone int) *region { return w.regions[zone%len(w.regions)] }
 
-// serviceOf is whose settings the sidecar of that number follows: as many services as the fleet ahead has, or fewer.
-func (w *world) serviceOf(i int) string {
-	return fmt.Sprintf("svc%03d", i%max(2, min(serviceMost, w.spec.Hollow/serviceSize)))
-}
+// services are as many as the fleet ahead has, or fewer.
+func (w *world) services() int { return max(2, min(serviceMost, w.spec.Hollow/serviceSize)) }
+
+// serviceOf is whose settings the sidecar of that number follows.
+func (w *world) serviceOf(i int) string { return fmt.Sprintf("svc%03d", i%w.services()) }
 
 func (w *world) add(name, kind, region, service string) int {
 	w.rec.Processes = append(w.rec.Processes, &Process{Name: name, Kind: kind, Region: region, Service: service})
