scale: what is served inside a region during a cut, against the time before it

Counted by region: requests at the real sidecars with clients whose first attempt went to an own upstream, or that had none; served are those that an own upstream answered; owed are whole requests, rounded down. A hollow one's upstream is now one of its region for any number of real ones. The cut is of the links between list services, as before: requests between regions are not cut, and are left out.

TestServedInsideCatchesItsFault: 3 of 200 lost are found, 2 are not; with the bar moved by 5 requests it fails.

--- a/internal/cli/scale.go
+++ b/internal/cli/scale.go
@@ -26,7 +26,9 @@
 		Long: "Hollow sidecars are the program's own parts without requests, hundreds to a process. Beside them are real ones with load,\n" +
 			"and real replicas of the list service. Each day is judged from outside: every accepted change in force within 7 s at every\n" +
 			"process that can be reached, none lost, none overtaken by an older one, nothing that nobody issued, and what each process\n" +
-			"spends against 2 KB/s, 1.6% of a core and 32 MB. Exit status 1: a verdict did not hold; it names day, verdict and process.\n\n" +
+			"spends against 2 KB/s, 1.6% of a core and 32 MB; on cut, what is served inside a region too, against 0.99 of the share before it.\n" +
+			"The cut is of the links between the list services: requests themselves go on between regions. Exit status 1: a verdict did not\n" +
+			"hold; it names day, verdict and process.\n\n" +
 			"Days: " + strings.Join(scale.DayNames(), ", ") + ". Not played: " + scale.Gossip + ".\n\n" +
 			"On slow, what regions tell each other takes 150 ms each way, and 1% of the pieces on a connection, and what is behind them, 200 ms more,\n" +
 			"as for what is sent again; a connection's handshake takes 300 ms.",
@@ -131,6 +133,12 @@
 	for _, p := range r.Plays {
 		fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%d\t%d\n", p.Day, p.Seed, p.Seconds, p.MemoryMB, p.Load.Sent, p.Load.Served)
 	}
+	fmt.Fprintln(w, "\nrequests inside a region\tregion\tseed\tbefore the cut\tserved\tduring it\tserved\tleft out, as they went to the other")
+	for _, p := range r.Plays {
+		for _, x := range p.Inside {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Day, x.Region, p.Seed, x.Before.Sent, x.Before.Served, x.During.Sent, x.During.Served, x.Outside)
+		}
+	}
 	fmt.Fprintln(w, "\nhollow beside real\ta second\thollow\treal\tratio")
 	for _, p := range r.Plays {
 		for _, x := range p.Comparisons {
--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -287,6 +287,11 @@
 		}
 	}
 	w.settle(ctx)
+	// What is served while nothing happens is what the cut is held against.
+	w.calm.from = w.load.Now()
+	sleep(ctx, w.spec.Length)
+	w.calm.to = w.load.Now()
+	w.apart.from = w.calm.to
 	if err := w.part(true); err != nil {
 		return err
 	}
@@ -315,6 +320,7 @@
 	}
 	all.Wait()
 	sleep(ctx, time.Until(healed))
+	w.apart.to = w.load.Now()
 	if err := errors.Join(append(errs, w.part(false))...); err != nil {
 		return err
 	}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -31,7 +31,8 @@
 	Roles       []Role       `json:"roles"`
 	Comparisons []Comparison `json:"comparisons,omitempty"`
 	Load        Served       `json:"load"`
-	MemoryMB    float64      `json:"memory_mb"` // of all processes
+	Inside      []Inside     `json:"inside,omitempty"` // of the day cut, by region
+	MemoryMB    float64      `json:"memory_mb"`        // of all processes
 	Seconds     float64      `json:"seconds"`
 	Error       string       `json:"error,omitempty"` // it could not be played to its end
 }
@@ -201,6 +202,10 @@
 	p.Roles = w.roles(rec, a, b, leaders)
 	found, delays := Judge(rec)
 	found = append(extra, found...)
+	if name == cutDay {
+		p.Inside = w.insideOf()
+		found = append(found, judgeInside(p.Inside)...)
+	}
 	if p.MemoryMB = b.memory(); p.MemoryMB > memoryMost {
 		found = append(found, Finding{"12 GiB", "all", fmt.Sprintf("%.0f MB", p.MemoryMB)})
 	}
--- a/internal/lab/scale/verdicts.go
+++ b/internal/lab/scale/verdicts.go
@@ -17,7 +17,7 @@
 	MemoryMost    = 32.0  // MB, a process
 )
 
-// The verdicts. Each is a pure function of a Record.
+// The verdicts. Each is a pure function of a Record; ServedInside is of the load's.
 const (
 	InForce   = "in force in 7 s"
 	NoneLost  = "none lost"
@@ -29,7 +29,7 @@
 )
 
 // Verdicts are all of them, in the order of the report.
-var Verdicts = []string{InForce, NoneLost, NoneOlder, Issued, Bytes, CPU, Memory}
+var Verdicts = []string{InForce, NoneLost, NoneOlder, Issued, Bytes, CPU, Memory, ServedInside}
 
 // Finding is a verdict that did not hold at a process.
 type Finding struct {
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -127,6 +127,8 @@
 	rng     *rand.Rand
 	counted int
 
+	calm, apart window // of the day cut: before it, and while it lasts
+
 	mu       sync.Mutex
 	rec      *Record
 	last     []int64            // the version that a process was last told of
@@ -208,8 +210,12 @@
 		w.done.Go(func() { x.follows(w.ctx, func(m *Message) { w.saw(number, now(), m) }) })
 	}
 	// Whatever a real sidecar is told to call answers: hollow ones' upstreams are real ones too, each many times.
+	// They are in the region of the hollow one, where there is a real one.
 	for i := range hollows {
-		hollows[i].Upstream = w.reals[i%len(w.reals)].upstream.Address()
+		own := slices.DeleteFunc(slices.Clone(w.reals), func(x *real) bool {
+			return w.rec.Processes[x.number].Region != w.rec.Processes[hollows[i].Number].Region
+		})
+		hollows[i].Upstream = own[i/len(w.regions)%len(own)].upstream.Address()
 	}
 	for _, r := range w.regions {
 		for _, x := range r.replicas {
