--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -369,13 +369,13 @@
 	return w.links(relay.State{})
 }
 
-// putBy are the services whose settings a region puts: of two, one has its sidecars in the other region where the number of services
+// putBy are the services whose settings a region puts: of two, the first has its sidecars in the other region where the number of services
 // is even. What it puts on the day cut is among them, as one region owns a service's settings.
 func (w *world) putBy(region int) []string {
 	if w.services() < 2*regionCount {
 		return []string{w.serviceOf(region)}
 	}
-	return []string{w.serviceOf(region), w.serviceOf(2*regionCount - 1 - region)}
+	return []string{w.serviceOf(2*regionCount - 1 - region), w.serviceOf(region)}
 }
 
 // links sets those between regions.
--- a/internal/lab/scale/days_test.go
+++ b/internal/lab/scale/days_test.go
@@ -66,7 +66,8 @@
 	if d := by["from afar"]; d.P50Ms < least || d.Counted < 10*44 {
 		t.Errorf("%+v", d)
 	}
-	if d := by["settings from afar"]; d.P99Ms < least || d.Counted < 44 {
+	// Three of five, at four services: see putBy.
+	if d := by["settings from afar"]; d.P50Ms < least || d.Counted < 44 {
 		t.Errorf("%+v", d)
 	}
 }
