follow: how a leader stands, and the bound of pieces, apart from the replica

Stand is the follower's whole, odd and refused with the two rules about them; Bound is how much goes into a piece, and Pieces has the program's as before. The test of the follower reads the same two words by their new names. Nothing behaves otherwise.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,12 +18,20 @@
 	entryBytes  = 128 // of an entry beside its words, as it is written at the most
 )
 
+// Bound is how much goes into one piece; one entry or document does in any case.
+type Bound struct{ Entries, Bytes int }
+
+// Pieces are those of the program's bounds, see Bound.Pieces.
+func Pieces(region string, held list.Held, l api.Listing) (pieces []list.Piece, odd, refused string) {
+	return Bound{MostEntries, MostBytes}.Pieces(region, held, l)
+}
+
 // Pieces are the way from what is held of a region to what its list tells; none where there is no news. refused says why the
 // listing is not taken in, and then there are no pieces; odd what of it is not, beside pieces that are.
 //
 // An entry that a whole list does not name is gone. A document is not: whoever deletes one keeps that it is deleted, so a list that
 // does not name it has lost it.
-func Pieces(region string, held list.Held, l api.Listing) (pieces []list.Piece, odd, refused string) {
+func (b Bound) Pieces(region string, held list.Held, l api.Listing) (pieces []list.Piece, odd, refused string) {
 	switch {
 	case l.Region != region:
 		return nil, "", fmt.Sprintf("it says that it is region %q", l.Region)
@@ -61,7 +69,7 @@
 	if len(entries) == 0 && len(documents) == 0 && l.Index == held.Version && held.Seen == held.Version {
 		return nil, odd, ""
 	}
-	return cut(list.Piece{Region: region, From: held.Version, To: l.Index}, entries, documents), odd, ""
+	return b.cut(list.Piece{Region: region, From: held.Version, To: l.Index}, entries, documents), odd, ""
 }
 
 // changed are the entries that are not held as the listing tells them, in its order, and then those that it takes away.
@@ -85,10 +93,10 @@
 }
 
 // cut makes pieces of bounded size, documents first: settings are to be in force before the many entries of a heal.
-func cut(p list.Piece, entries []api.Entry, documents []api.Document) (pieces []list.Piece) {
+func (b Bound) cut(p list.Piece, entries []api.Entry, documents []api.Document) (pieces []list.Piece) {
 	size := 0
 	next := func(bytes int) {
-		if full := len(p.Entries) == MostEntries || size+bytes > MostBytes; full && size > 0 {
+		if full := len(p.Entries) == b.Entries || size+bytes > b.Bytes; full && size > 0 {
 			pieces = append(pieces, p)
 			p.Part, p.Entries, p.Documents, size = p.Part+1, nil, nil, 0
 		}
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -30,7 +30,7 @@
 			t.Errorf("step %d: from %d, want %d", i, f.from(), step.want)
 		}
 	}
-	if f.stands(false, "", ""); f.odd != "" || f.refused != "" {
-		t.Errorf("%q, %q", f.odd, f.refused)
+	if f.stands(false, "", ""); f.stand.Odd != "" || f.stand.Refused != "" {
+		t.Errorf("%q, %q", f.stand.Odd, f.stand.Refused)
 	}
 }
--- a/internal/registry/regions.go
+++ b/internal/registry/regions.go
@@ -26,11 +26,9 @@
 	region string
 	client *client.Client
 
-	mu      sync.Mutex
-	heard   time.Duration // when the other last gave a sign of life; 0: not since this replica leads
-	whole   bool          // all of its list was taken in since, and nothing in doubt after that
-	odd     string        // what of it is not taken in
-	refused string        // why the last of it was not
+	mu    sync.Mutex
+	heard time.Duration // when the other last gave a sign of life; 0: not since this replica leads
+	stand follow.Stand
 }
 
 // followOthers follows the other regions until stop is called, which waits for their end.
@@ -81,10 +79,7 @@
 func (f *follower) from() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.whole = f.whole && f.n.now()-f.heard < anewAfter; !f.whole {
-		return -1
-	}
-	return f.n.held(f.region).Version
+	return f.stand.From(f.n.held(f.region).Version, f.n.now()-f.heard >= anewAfter)
 }
 
 func (n *Node) held(region string) (h list.Held) {
@@ -121,19 +116,11 @@
 	return nil
 }
 
-// stands notes what came of a listing. After one that was not taken in, or not all of it, the whole list is asked for.
+// stands notes what came of a listing.
 func (f *follower) stands(snapshot bool, odd, refused string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refused = refused
-	switch {
-	case refused != "":
-		f.whole = false
-	case snapshot:
-		f.whole, f.odd = true, odd
-	case odd != "":
-		f.odd = odd
-	}
+	f.stand.Took(snapshot, odd, refused)
 }
 
 // following is how far this replica has followed others, as the leader; nil elsewhere.
@@ -154,9 +141,9 @@
 		if f.heard > 0 {
 			x.AgeMs = (n.now() - f.heard).Milliseconds()
 		}
-		x.Aside = f.refused
+		x.Aside = f.stand.Refused
 		if x.Aside == "" {
-			x.Aside = f.odd
+			x.Aside = f.stand.Odd
 		}
 		f.mu.Unlock()
 		all = append(all, x)
