follow: other settings at a version that is held are told, not passed over

An owner that is put back to an old copy, and goes on from there, can put other settings at a version that its followers hold from before.

They are still not taken in, since a version says one thing only, but set aside and told, as those that go back are.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"slices"
@@ -55,6 +56,8 @@
 			odd = fmt.Sprintf("the settings of %s are at version %d of a list at %d", d.Service, d.Version, l.Index)
 		case there && d.Version < was.Version:
 			odd = fmt.Sprintf("the settings of %s go back from version %d to %d", d.Service, was.Version, d.Version)
+		case there && d.Version == was.Version && !alike(d, was):
+			odd = fmt.Sprintf("the settings of %s at version %d are others than those that are held", d.Service, d.Version)
 		case !there || d.Version > was.Version:
 			documents = append(documents, d)
 		}
@@ -72,6 +75,11 @@
 	return b.cut(list.Piece{Region: region, From: held.Version, To: l.Index}, entries, documents), odd, ""
 }
 
+// alike tells whether two documents of one version say the same.
+func alike(a, b api.Document) bool {
+	return a.Deleted == b.Deleted && a.Schema == b.Schema && bytes.Equal(a.Settings, b.Settings)
+}
+
 // changed are the entries that are not held as the listing tells them, in its order, and then those that it takes away.
 func changed(held list.Held, l api.Listing) (entries []api.Entry) {
 	named := make(map[string]bool, len(l.Endpoints))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -418,3 +418,46 @@
 		t.Error("another region's list is taken for north's")
 	}
 }
+
+// An owner that was put back to an old copy can put other settings at a version that was told before: they are not taken in, which
+// would change what a version says, and that is told.
+func TestOtherSettingsAtOneVersion(t *testing.T) {
+	north, south := newRegion("north", list.History), newRegion("south", list.History)
+	take := func(of *region) (odd string) {
+		t.Helper()
+		pieces, odd, refused := Pieces("north", south.list.Held("north"), of.tells(-1))
+		if refused != "" {
+			t.Fatal(refused)
+		}
+		for _, p := range pieces {
+			if r := south.apply(list.Command{Op: list.Follow, Piece: &p}); r.Err != nil {
+				t.Fatal(r.Err)
+			}
+		}
+		return odd
+	}
+	old := north.copied(t, list.History)
+	north.settle(list.Put, "s", `1`, 0)
+	old.settle(list.Put, "s", `2`, 0)
+	for range 2 { // what is the same is not odd
+		if odd := take(north); odd != "" {
+			t.Errorf("the owner: %q", odd)
+		}
+	}
+	for range 2 { // at the same version of the list, and at a higher one
+		if odd := take(old); !strings.Contains(odd, "settings of s at version 1 are others") {
+			t.Errorf("an old copy that went on: %q", odd)
+		}
+		old.register("u", "127.0.0.1:1")
+	}
+	if d, _ := south.list.Document("s"); string(d.Settings) != `1` {
+		t.Errorf("held: %+v", d)
+	}
+	old.settle(list.Delete, "s", "", 1)
+	if odd := take(old); odd != "" {
+		t.Errorf("a version later: %q", odd)
+	}
+	if d, _ := south.list.Document("s"); !d.Deleted {
+		t.Errorf("held: %+v", d)
+	}
+}
