follow/explore: following, healing and putting back, state by state

This takes an owner's two sources, two replicas that both take themselves for the follower's leader, and a sidecar through every order of what may happen to a depth, on the program's own lists, pieces and stand, and heals from each state reached.

--- /dev/null
+++ b/internal/follow/explore/explore.go
@@ -0,0 +1,142 @@
+// Package explore owns the proof by exhaustion that a region's documents and entries are followed without going back: an owner of
+// two replicas, a fresh one and one that may lag; a follower's log, in which two replicas may both take themselves for the leader
+// that follows; and a sidecar that reads at a replica of the follower that is up to date or at one that lags. They are taken through
+// every order of what may happen, to a depth.
+//
+// A step is one of: a change by the owner, which forgets what changed before the last few; a replica that catches up; a watch that
+// begins at either source, and one line more on it; one that is lost with all that is under way; a line that is taken in, or comes
+// twice; a piece that is carried out, is lost, or is given up by who proposed it and carried out later; another leader, beside the
+// former, and the former's end; a follower that starts again from its snapshot; an owner that is put back to the copy that lagged,
+// and goes on from there; a sidecar that reads. How often each happens on a path is bounded, when is not.
+//
+// Lists, pieces and how a leader stands are the program's own; the sidecar's rule and the order of a watch's lines are worded anew
+// in a few lines. An owner that is put back is unheard for so long that a leader asks for the whole list, as the program's is after
+// its 10 s; one that is back beyond what was seen before that is not explored, nor is what several owners say of one service.
+package explore
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Bounds are how often something may happen on a path, and how long the paths are.
+type Bounds struct {
+	Depth     int  // steps
+	Empty     bool // the follower holds nothing at first; else all of the owner's first two changes, of which one source has one
+	Changes   int  // by the owner
+	Losses    int  // a watch or a piece is lost
+	Lates     int  // a piece is carried out after who proposed it gave it up
+	Repeats   int  // a line is taken in a second time, or a piece carried out
+	Elections int  // another leader begins
+	Starts    int  // the follower starts again
+	Backs     int  // the owner is put back
+	Reads     int  // of the sidecar
+}
+
+// Faults are planted, to see that they are found.
+type Faults struct {
+	NoSeen    bool // neither the leader nor the log looks at the highest version that was begun
+	NoFrom    bool // the log does not look at where a piece goes on from
+	NoTurns   bool // the log does not look at which piece comes next
+	GoesOn    bool // a leader goes on behind a piece that was lost
+	Forgets   bool // documents that a whole list does not name are gone
+	NoSilence bool // a leader asks for what changed however long the owner was unheard
+	NoHighest bool // the sidecar takes in whatever it is told
+}
+
+// Found is what an exploration came to.
+type Found struct {
+	States int      // that differ
+	Depth  int      // to which all were seen
+	Broken string   // the promise that does not hold; empty: all do
+	Path   []string // the steps to where it breaks, one of the shortest
+}
+
+// node is a state with the way to it.
+type node struct {
+	s    *state
+	from *node
+	step string
+}
+
+func (n *node) path() (steps []string) {
+	for ; n.from != nil; n = n.from {
+		steps = append(steps, n.step)
+	}
+	slices.Reverse(steps)
+	return steps
+}
+
+// Run explores breadth first. Whether what is held can be healed is looked at in each state.
+func Run(b Bounds, f Faults) Found {
+	first := begin(b, f)
+	seen := map[hash]struct{}{first.hash(): {}}
+	level := []*node{{s: first}}
+	for depth := 0; ; depth++ {
+		var next []*node
+		for part := range slices.Chunk(level, 1024) {
+			for i, x := range expand(part, depth < b.Depth) {
+				if x.unhealed != "" {
+					return Found{len(seen), depth, x.unhealed, part[i].path()}
+				}
+				for _, x := range x.steps {
+					if x.broken != "" {
+						return Found{len(seen), depth, x.broken, append(part[i].path(), x.name)}
+					}
+					if _, ok := seen[x.hash]; ok {
+						continue
+					}
+					seen[x.hash] = struct{}{}
+					next = append(next, &node{x.s, part[i], x.name})
+				}
+				part[i].s = nil // its way stays, itself is not needed any more
+			}
+		}
+		if level = next; len(level) == 0 {
+			return Found{States: len(seen), Depth: min(depth, b.Depth)}
+		}
+	}
+}
+
+// expanded is what can happen in one state.
+type expanded struct {
+	unhealed string
+	steps    []step
+}
+
+// expand looks at each node, on all processors; the order does not depend on them.
+func expand(part []*node, further bool) []expanded {
+	all := make([]expanded, len(part))
+	var at atomic.Int64
+	var work sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		work.Go(func() {
+			for i := int(at.Add(1)) - 1; i < len(part); i = int(at.Add(1)) - 1 {
+				s := part[i].s
+				if all[i].unhealed = s.heal(); !further || all[i].unhealed != "" {
+					continue
+				}
+				all[i].steps = s.steps()
+				for j := range all[i].steps {
+					x := &all[i].steps[j]
+					x.broken, x.hash = x.s.broken(s), x.s.hash()
+				}
+			}
+		})
+	}
+	work.Wait()
+	return all
+}
+
+const (
+	north   = "north" // the owner
+	south   = "south" // the follower
+	service = "s"     // the one that the sidecar is of
+)
+
+func source(at int) string { return [...]string{"the fresh source", "the lagging source"}[at] }
+
+func leading(who int) string { return fmt.Sprint("leader ", who) }
--- /dev/null
+++ b/internal/follow/explore/promises.go
@@ -0,0 +1,151 @@
+package explore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"mosslead/internal/registry/api"
+	"mosslead/internal/registry/list"
+)
+
+// broken names a promise that does not hold, in what a step came to.
+func (s *state) broken(before *state) string {
+	if s.why != "" {
+		return s.why
+	}
+	if s.sidecar.Version < before.sidecar.Version {
+		return fmt.Sprintf("the sidecar has version %d after %d", s.sidecar.Version, before.sidecar.Version)
+	}
+	if s.follower.List == before.follower.List {
+		return ""
+	}
+	held, was := s.follower.Held(north), before.follower.Held(north)
+	if held.Version < was.Version || held.Seen < was.Seen {
+		return fmt.Sprintf("held at %d, seen %d, after %d, seen %d", held.Version, held.Seen, was.Version, was.Seen)
+	}
+	for name, w := range was.Documents {
+		d, there := held.Documents[name]
+		switch {
+		case !there:
+			return fmt.Sprintf("the settings of %s are held no more; they were at version %d, deleted %v", name, w.Version, w.Deleted)
+		case d.Version < w.Version, d.Version == w.Version && !alike(d, w):
+			return fmt.Sprintf("the settings of %s are %+v after %+v", name, d, w)
+		}
+	}
+	for name, e := range held.Entries {
+		if w, there := was.Entries[name]; there && !s.back && number(e) < number(w) {
+			return fmt.Sprintf("the entry %s is as of change %d after %d", name, number(e), number(w))
+		}
+	}
+	if wrong := s.unissued(held); wrong != "" {
+		return wrong
+	}
+	if !s.back && held.Version > 0 && held.Version == held.Seen {
+		if p := s.issued[held.Version-1]; !p.is(held) {
+			return fmt.Sprintf("held whole at %d is %+v, and it was %+v", held.Version, held, p)
+		}
+	}
+	return s.ownTouched()
+}
+
+// unissued names what is held that the owner never issued.
+func (s *state) unissued(held list.Held) string {
+	for name, d := range held.Documents {
+		if !slices.ContainsFunc(s.issued, func(p past) bool { i, there := p.documents[name]; return there && alike(i, d) }) {
+			return fmt.Sprintf("the owner never issued %+v", d)
+		}
+	}
+	for name, e := range held.Entries {
+		if !slices.ContainsFunc(s.issued, func(p past) bool { i, there := p.entries[name]; return there && i == e }) {
+			return fmt.Sprintf("the owner never issued %+v", e)
+		}
+	}
+	return ""
+}
+
+// ownTouched names what of the follower's own is not as it wrote it.
+func (s *state) ownTouched() string {
+	own := s.follower.OwnSince(-1)
+	if len(own.Endpoints) != 2 || len(own.Documents) != 1 || own.Documents[0].Version != 3 || own.Documents[0].Region != south {
+		return fmt.Sprintf("the follower's own are %+v", own)
+	}
+	for _, e := range s.follower.Whole().Endpoints {
+		if (e.Name == "a" || e.Name == "o") && e.Address != "own" {
+			return fmt.Sprintf("the follower's own entry is told as %+v", e)
+		}
+	}
+	return ""
+}
+
+// is tells whether what is held is all of what the owner told once.
+func (p past) is(held list.Held) bool {
+	return maps.Equal(held.Entries, p.entries) && maps.EqualFunc(held.Documents, p.documents, alike)
+}
+
+func alike(a, b api.Document) bool {
+	return a.Service == b.Service && a.Region == b.Region && a.Version == b.Version && a.Deleted == b.Deleted && string(a.Settings) == string(b.Settings)
+}
+
+// number is which of the owner's changes an entry is of.
+func number(e api.Entry) int {
+	n, _ := strconv.Atoi(e.Address)
+	return n
+}
+
+// settleMost is more steps than any heal takes here.
+const settleMost = 64
+
+// settle is a fair continuation: one leader, the one that began last, and all links up, until there is nothing more to do. It is
+// false where that does not come to an end.
+func (s *state) settle() bool {
+	s.behind, s.late, s.left = s.owner, nil, Bounds{}
+	s.leaders[1-s.newest] = leader{}
+	refused := 0
+	for range settleMost {
+		l := &s.leaders[s.newest]
+		switch {
+		case len(l.pieces) > 0:
+			s.propose(s.newest)
+		case len(l.lines) > 0:
+			s.take(s.newest)
+			if l.stand.Refused != "" {
+				if refused++; refused > 2 {
+					return true // it is said, and stays so until the owner goes on
+				}
+			}
+		case !l.watches:
+			s.watch(s.newest, 0)
+		default:
+			if s.line(s.newest); len(l.lines) == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// heal names what a fair continuation from here leaves undone: the follower has all of the owner's, or says what it sets aside,
+// which it has no cause for where the owner was not put back; and the sidecar has what the follower tells.
+func (s *state) heal() string {
+	n := s.clone()
+	if !n.settle() {
+		return "healing does not end"
+	}
+	stand, held := n.leaders[n.newest].stand, n.follower.Held(north)
+	owner := n.told()
+	switch {
+	case !s.back && (stand.Refused != "" || stand.Odd != ""):
+		return fmt.Sprintf("set aside without cause: %s%s", stand.Refused, stand.Odd)
+	case stand.Refused == "" && !maps.Equal(held.Entries, owner.entries), stand.Refused == "" && held.Version != n.owner.Version():
+		return fmt.Sprintf("healed at %d: entries are %v, and the owner's at %d %v", held.Version, held.Entries, n.owner.Version(), owner.entries)
+	case stand.Refused == "" && stand.Odd == "" && !maps.EqualFunc(held.Documents, owner.documents, alike):
+		return fmt.Sprintf("healed, nothing said: documents are %+v, and the owner's %+v", held.Documents, owner.documents)
+	}
+	n.read(n.follower)
+	if d, _ := n.follower.Document(service); !alike(d, n.sidecar) {
+		return fmt.Sprintf("healed: the sidecar has %+v, and is told %+v", n.sidecar, d)
+	}
+	return ""
+}
