list: a piece counts only if none was taken in since it was worked out

The first piece of a listing was taken in on any way that was begun from the same complete version. One that its leader gave up and that is carried out after the next listing was worked out can take in an entry that this one does not take away, since it was not held by then: the follower then has whole, at a version, what the owner never had at it, and no listing of changes mends that. Found by exploring the protocol state by state, nine steps from the start. A replica that begins to lead waits for what is in the log before it follows, so it takes leadership that goes and comes back in the middle of a listing to happen; the log is there to say no.

Pieces are numbered from when From was held whole, not anew with each listing, and the log takes in the next number alone.

--- a/internal/follow/explore/state.go
+++ b/internal/follow/explore/state.go
@@ -20,19 +20,20 @@
 // one is the bound of pieces here: each is one entry or document.
 var one = follow.Bound{Entries: 1, Bytes: 1}
 
-// frozen is a list that does not change any more, and may be shared by states. Each change goes through a snapshot.
+// frozen is a list that states may share once it has a key. Each change of such a one goes through a snapshot.
 type frozen struct {
 	*list.List
 	key []byte
 }
 
 func (f *frozen) change(do func(*list.List)) {
-	l := list.Load(f.State(), history)
-	do(l)
-	*f = frozen{List: l}
+	if f.key != nil {
+		*f = frozen{List: list.Load(f.State(), history)}
+	}
+	do(f.List)
 }
 
-// freeze makes the key, after which the list may be shared.
+// freeze makes the key.
 func (f *frozen) freeze() {
 	if f.key == nil {
 		f.key, _ = json.Marshal(f.State()) // of plain words and numbers
@@ -70,6 +71,7 @@
 	follower frozen
 	lags     frozen // the follower's replica that does
 	issued   []past // by the owner's changes
+	now      past   // what the owner tells
 	changes  string // the owner's, in one word each
 	back     bool   // the owner was put back
 	leaders  [2]leader
@@ -91,14 +93,15 @@
 		on := int64(0)
 		l.Apply(list.Command{Op: list.Put, Region: south, Name: "own", IfVersion: &on, Document: &api.Document{Schema: 1, Settings: json.RawMessage(`{}`)}})
 	})
-	s.lags = s.follower
 	s.leaders[0].leads = true
 	s.issue("+a")
-	s.behind = s.owner
+	s.freeze()
+	s.lags, s.behind = s.follower, s.owner
 	s.issue("+" + service)
 	if !b.Empty {
 		behind := s.behind
 		s.settle()
+		s.freeze()
 		s.left, s.behind, s.lags = b, behind, s.follower
 	}
 	s.freeze()
@@ -143,7 +146,8 @@
 			s.why = fmt.Sprintf("the owner refuses %s: %v", what, r.Err)
 		}
 	})
-	s.issued = append(s.issued, s.told())
+	s.now = s.told()
+	s.issued = append(s.issued, s.now)
 }
 
 // told is what the owner's list tells now.
@@ -231,7 +235,7 @@
 			p.From = l.Held(north).Version
 		}
 		if s.faults.NoTurns {
-			p.Part = 0
+			p.Part = l.Held(north).Part
 		}
 		if s.faults.NoSeen || p.Last && len(forgets) > 0 {
 			of := l.State()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -72,7 +72,7 @@
 	if len(entries) == 0 && len(documents) == 0 && l.Index == held.Version && held.Seen == held.Version {
 		return nil, odd, ""
 	}
-	return b.cut(list.Piece{Region: region, From: held.Version, To: l.Index}, entries, documents), odd, ""
+	return b.cut(list.Piece{Region: region, From: held.Version, To: l.Index, Part: held.Part}, entries, documents), odd, ""
 }
 
 // alike tells whether two documents of one version say the same.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -167,12 +167,11 @@
 			if careless {
 				held.Seen, held.Documents = 0, nil
 			}
-			pieces, _, refused := Pieces("north", held, told)
+			// One entry or document a piece, so that small plays have many.
+			pieces, _, refused := Bound{Entries: 1, Bytes: 1}.Pieces("north", held, told)
 			if !careless && (refused != "") != (told.Index < held.Seen) {
 				return fmt.Sprintf("seen up to %d, told version %d: %q", held.Seen, told.Index, refused)
 			}
-			// One entry a piece, so that small plays have many.
-			pieces = split(pieces)
 			for _, p := range pieces[:rapid.IntRange(0, len(pieces)).Draw(t, "pieces that arrive")] {
 				if r := south.apply(list.Command{Op: list.Follow, Piece: &p}); r.Err != nil {
 					return fmt.Sprintf("%+v: %v", p, r.Err)
@@ -235,25 +234,6 @@
 	return w.hear(south.list)
 }
 
-// split makes pieces of one entry or document each.
-func split(pieces []list.Piece) (all []list.Piece) {
-	for _, p := range pieces {
-		for _, d := range p.Documents {
-			all = append(all, list.Piece{Region: p.Region, From: p.From, To: p.To, Documents: []api.Document{d}})
-		}
-		for _, e := range p.Entries {
-			all = append(all, list.Piece{Region: p.Region, From: p.From, To: p.To, Entries: []api.Entry{e}})
-		}
-		if len(all) == 0 {
-			all = append(all, p)
-		}
-	}
-	for i := range all {
-		all[i].Part, all[i].Last = i, i == len(all)-1
-	}
-	return all
-}
-
 // Whatever order things come in, a follower goes on only, takes no harm from what comes twice, late or not at all, and has in the
 // end what the other has; its watchers have its list at each step.
 func TestAFollowerOnlyGoesOn(t *testing.T) {
@@ -461,3 +441,49 @@
 		t.Errorf("held: %+v", d)
 	}
 }
+
+// A piece that its leader gave up is carried out after the next listing was worked out, and takes in an entry that this one, since it
+// was not held by then, does not take away: what was worked out is refused, and worked out anew.
+func TestAPieceThatComesLate(t *testing.T) {
+	north, south := newRegion("north", list.History), newRegion("south", list.History)
+	north.settle(list.Put, "s", `1`, 0)
+	north.register("a", "127.0.0.1:1")
+	north.register("b", "127.0.0.1:2")
+	one := Bound{Entries: 1, Bytes: 1}
+	take := func(p list.Piece) error {
+		if r := south.apply(list.Command{Op: list.Follow, Piece: &p}); r.Err != nil {
+			return r.Err
+		}
+		return nil
+	}
+	first, _, _ := one.Pieces("north", south.list.Held("north"), north.tells(-1))
+	if len(first) != 3 {
+		t.Fatalf("%d pieces", len(first))
+	}
+	if err := take(first[0]); err != nil {
+		t.Fatal(err)
+	}
+	north.apply(list.Command{Op: list.Leave, Name: "a"})
+	for _, late := range []bool{true, false} {
+		pieces, _, _ := one.Pieces("north", south.list.Held("north"), north.tells(-1))
+		if late {
+			_ = take(first[1])
+		}
+		for _, p := range pieces {
+			if take(p) != nil {
+				break
+			}
+		}
+		held := south.list.Held("north")
+		if want := byName(north.tells(-1).Endpoints); held.Version == north.list.Version() && !maps.Equal(held.Entries, want) {
+			t.Fatalf("held whole at %d: %v, and it is %v", held.Version, held.Entries, want)
+		} else if !late && held.Version != north.list.Version() {
+			t.Errorf("held at %d of %d", held.Version, north.list.Version())
+		}
+	}
+	for _, p := range first { // of what is over
+		if take(p) == nil {
+			t.Errorf("%+v was taken in", p)
+		}
+	}
+}
--- a/internal/registry/list/regions.go
+++ b/internal/registry/list/regions.go
@@ -14,7 +14,7 @@
 	Region    string         `json:"region"`
 	From      int64          `json:"from"` // all of the other's changes up to it are held
 	To        int64          `json:"to"`
-	Part      int            `json:"part"` // of the pieces on the way from From to To; from 0
+	Part      int            `json:"part"` // how many pieces were taken in since From was held whole
 	Last      bool           `json:"last"`
 	Entries   []api.Entry    `json:"entries,omitempty"`
 	Documents []api.Document `json:"documents,omitempty"`
@@ -34,7 +34,7 @@
 type other struct {
 	version   int64 // all of its changes up to it are held
 	seen      int64 // the highest version of which a piece was taken in; nothing below it ever is again
-	part      int   // which piece on the way to seen comes next
+	part      int   // how many pieces were taken in since version was
 	entries   map[string]api.Entry
 	documents map[string]api.Document
 }
@@ -73,6 +73,7 @@
 // Held is what is held of another region, to be read only, and only while the list does not change.
 type Held struct {
 	Version, Seen int64
+	Part          int // of the next piece
 	Entries       map[string]api.Entry
 	Documents     map[string]api.Document
 }
@@ -83,7 +84,7 @@
 	if o == nil {
 		return Held{}
 	}
-	return Held{Version: o.version, Seen: o.seen, Entries: o.entries, Documents: o.documents}
+	return Held{Version: o.version, Seen: o.seen, Part: o.part, Entries: o.entries, Documents: o.documents}
 }
 
 // Others are the names of the regions of which anything is held.
@@ -93,8 +94,9 @@
 // never elsewhere.
 func (l *List) Careless() { l.careless = true }
 
-// follow takes in a piece. One that does not go on from what is held, that comes out of its turn, or that is older than what was
-// begun changes nothing: so a leader that was followed by another, a piece that comes twice and a source that went back do no harm.
+// follow takes in a piece. One that does not go on from what is held, that was worked out before another was taken in, or that is
+// older than what was begun changes nothing: so a leader that was followed by another, a piece that comes twice or late and a source
+// that went back do no harm.
 func (l *List) follow(p *Piece) Result {
 	if p == nil || p.Region == "" || p.Region == l.region {
 		return Result{Err: api.Fail(api.CodeBad, "a piece of another region's list is needed")}
@@ -103,15 +105,15 @@
 	if o == nil {
 		o = newOther()
 	}
-	if !l.careless && (p.From != o.version || p.To < o.seen || p.To < p.From || p.Part != 0 && (p.To != o.seen || p.Part != o.part)) {
-		return Result{Version: l.version, Err: api.Fail(api.CodeConflict, "region %s is held at %d, with piece %d to %d next: not piece %d from %d to %d",
+	if !l.careless && (p.From != o.version || p.To < o.seen || p.To < p.From || p.Part != o.part) {
+		return Result{Version: l.version, Err: api.Fail(api.CodeConflict, "region %s is held at %d, and piece %d on from there, to %d or above, is next: not piece %d from %d to %d",
 			p.Region, o.version, o.part, o.seen, p.Part, p.From, p.To)}
 	}
 	if n := l.followed() + len(p.Entries); n > api.MaxEntries && n-l.goneIn(p) > api.MaxEntries {
 		return Result{Version: l.version, Err: api.Fail(api.CodeFull, "%d entries of other regions", n)}
 	}
 	l.others[p.Region] = o
-	o.seen, o.part = p.To, p.Part+1
+	o.seen, o.part = p.To, o.part+1
 	changed := false
 	for _, d := range p.Documents {
 		if held, there := o.documents[d.Service]; there && d.Version <= held.Version && !l.careless {
