follow/explore: the mended fault is planted too, and each play is a test

A log that does not look at how many pieces were taken in is a planted fault: seven plays break now, as they should. go test ./internal/follow/explore: 3.6 s beside other work.

--- a/internal/follow/explore/promises.go
+++ b/internal/follow/explore/promises.go
@@ -134,7 +134,7 @@
 		return "healing does not end"
 	}
 	stand, held := n.leaders[n.newest].stand, n.follower.Held(north)
-	owner := n.told()
+	owner := s.now
 	switch {
 	case !s.back && (stand.Refused != "" || stand.Odd != ""):
 		return fmt.Sprintf("set aside without cause: %s%s", stand.Refused, stand.Odd)
