follow/explore: the barrier behind which leaders begin, where an owner is put back

The program rules that out elsewhere: a replica begins to lead behind a barrier, and a piece is given up by one that leads no more. Plays with an owner put back now begin leaders so; one play without shows what the barrier is for. Elsewhere the log alone keeps two leaders apart, as before.

--- a/internal/follow/explore/explore.go
+++ b/internal/follow/explore/explore.go
@@ -11,7 +11,9 @@
 //
 // Lists, pieces and how a leader stands are the program's own; the sidecar's rule and the order of a watch's lines are worded anew
 // in a few lines. An owner that is put back is unheard for so long that a leader asks for the whole list, as the program's is after
-// its 10 s; one that is back beyond what was seen before that is not explored, nor is what several owners say of one service.
+// its 10 s; one that is back beyond what was seen before that is not explored, nor is what several owners say of one service, nor a
+// takeover. Where an owner is put back, leaders begin behind a barrier: a piece of before that were carried out behind the first
+// listing after it would not be undone until the whole list is told again.
 package explore
 
 import (
@@ -33,6 +35,7 @@
 	Elections int  // another leader begins
 	Starts    int  // the follower starts again
 	Backs     int  // the owner is put back
+	Barrier   bool // a leader begins as the program's does, see begins; else the log alone keeps leaders apart
 	Reads     int  // of the sidecar
 }
 
--- a/internal/follow/explore/promises.go
+++ b/internal/follow/explore/promises.go
@@ -102,6 +102,9 @@
 func (s *state) settle() bool {
 	s.behind, s.late, s.left = s.owner, nil, Bounds{}
 	s.leaders[1-s.newest] = leader{}
+	if !s.leaders[s.newest].leads {
+		s.lead(s.newest)
+	}
 	refused := 0
 	for range settleMost {
 		l := &s.leaders[s.newest]
--- a/internal/follow/explore/state.go
+++ b/internal/follow/explore/state.go
@@ -278,6 +278,15 @@
 	s.newest = who
 }
 
+// begins is lead for one that did not lead. With a barrier, as in the program, all that is in the log was carried out by then and
+// the rest never is: what was given up, whose leader leads no more, and whatever the former leader still proposes.
+func (s *state) begins(who int) {
+	if s.left.Barrier {
+		s.late, s.leaders[1-who] = nil, leader{}
+	}
+	s.lead(who)
+}
+
 // read has the sidecar read at a replica of the follower.
 func (s *state) read(at frozen) {
 	if d, found := at.Document(service); found && (d.Version >= s.sidecar.Version || s.faults.NoHighest) {
