registry: a server's own word is based on a version, and void once the entry has changed

Cause: the registrar did a registration, drain or leave again whose answer had not come, without a condition. The first try could be carried out after what the server said next: a registration over the drain that followed, so that work went to a draining server; a drain or a leave over the registration that followed. Known by reading, and shown by a stand-in in front of a list that holds a try back.

Change: Client.SetStatus bases each try on a version of the entry, as SetHand does: the first on what the registrar knows from its last answer (0, no entry, at a start and after a lost lease), the next on what is read after an unknown outcome or a conflict. Where answers come, a start, a drain, a leave and a renewed registration are one call each as before; renewals are untouched; the call of a change carries if_version in addition. Three calls instead of one (the conflict, a read, the next try) has a change whose guess is wrong: a process that takes the place of one whose entry still stands, and the first change after an operator's word. A drain or leave of which the registrar knows no entry reads first. A conditional call without an answer also turns to the next replica now, as others do.

Left: a registration based on "no entry" is not void while there is none again, so one that comes after the server has left lists it until its lease and grace are over (nobody renews it). Versions of entries that are gone would mend that; they need a new schema.

Measured: TestAServersWordIsNotCarriedOutLate fails before in all four cases (Ready after the drain, Gone after the return), and TestWhatAServersWordCosts in six of seven, with "answers come" passing before and after; all pass after, 3 times with -race.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -117,6 +117,7 @@
 		case errors.As(err, &said) && said.Code != api.CodeNoLeader && said.Code != api.CodeStale && !(said.Code == api.CodeUnknown && again):
 			return err
 		case !again && !notSent(err):
+			c.next(at) // the question what came of it goes elsewhere
 			return api.Fail(api.CodeUnknown, "%v", err)
 		}
 		c.next(at)
@@ -227,6 +228,44 @@
 	}
 }
 
+// SetStatus has a server's own word stand for its entry: Ready, Terminating or Gone, of which the last two need no more of g than the
+// incarnation. As with SetHand, a try whose answer did not come is void once the entry has changed. The first try is based on known, the
+// version that the entry is thought to have, 0: there is none; nil: it is read before. What has no entry fails with CodeNone at those two.
+//
+// A registration that is based on 0 is the exception: it is not void while there is no entry again.
+func (c *Client) SetStatus(ctx context.Context, name string, g api.Registration, status string, known *int64) (version int64, err error) {
+	var p pace
+	for guessed := known != nil; ; guessed = false {
+		if known == nil {
+			r, err := c.Record(ctx, name, true)
+			if err != nil {
+				return 0, err
+			}
+			known = &r.Version
+		}
+		ask := api.Ask{Incarnation: g.Incarnation, IfVersion: known}
+		switch status {
+		case api.Ready:
+			g.IfVersion = known
+			version, err = c.Register(ctx, name, g)
+		case api.Terminating:
+			version, err = c.Drain(ctx, name, ask)
+		default:
+			err = c.Leave(ctx, name, ask)
+		}
+		if !api.IsCode(err, api.CodeUnknown) && !api.IsCode(err, api.CodeConflict) {
+			return version, err
+		}
+		known = nil
+		if guessed && api.IsCode(err, api.CodeConflict) { // an answer: there is nothing to wait for
+			continue
+		}
+		if !p.wait(ctx) {
+			return 0, fmt.Errorf("%w (%w)", context.Cause(ctx), err)
+		}
+	}
+}
+
 // Renew gives signs of life, and gets the names of those that hold no lease.
 func (c *Client) Renew(ctx context.Context, leases []api.Lease) (lost []string, err error) {
 	var done api.Renewed
--- a/internal/registry/client/registrar.go
+++ b/internal/registry/client/registrar.go
@@ -18,8 +18,9 @@
 	says  func(name string, err error)
 	wake  chan struct{}
 
-	mu   sync.Mutex
-	want map[string]*wish
+	mu       sync.Mutex
+	want     map[string]*wish
+	versions map[string]int64 // of the entries, as they were last known; absent: there is none
 }
 
 // wish is what a server wants to be.
@@ -32,7 +33,7 @@
 
 // NewRegistrar keeps servers registered with c, with leases of that length. says is told of failures.
 func NewRegistrar(c *Client, lease time.Duration, says func(name string, err error)) *Registrar {
-	return &Registrar{c: c, lease: lease, says: says, wake: make(chan struct{}, 1), want: map[string]*wish{}}
+	return &Registrar{c: c, lease: lease, says: says, wake: make(chan struct{}, 1), want: map[string]*wish{}, versions: map[string]int64{}}
 }
 
 // Set wants a server listed as status says; Gone ends its entry. It returns at once.
@@ -85,21 +86,17 @@
 	return names
 }
 
-// settle has the service know what a server wants.
+// settle has the service know what a server wants. What it says is based on the version that was last known, so that a try whose
+// answer did not come is not carried out over what the server, another process of it or an operator has said since.
 func (r *Registrar) settle(ctx context.Context, name string) {
 	r.mu.Lock()
 	w := *r.want[name]
-	r.mu.Unlock()
-	ask := api.Ask{Incarnation: w.g.Incarnation}
-	var err error
-	switch w.status {
-	case api.Ready:
-		_, err = r.c.Register(ctx, name, w.g)
-	case api.Terminating:
-		_, err = r.c.Drain(ctx, name, ask)
-	default:
-		err = r.c.Leave(ctx, name, ask)
+	var known *int64
+	if v, ok := r.versions[name]; ok || w.status == api.Ready { // most that are registered have no entry
+		known = &v
 	}
+	r.mu.Unlock()
+	version, err := r.c.SetStatus(ctx, name, w.g, w.status, known)
 	if api.IsCode(err, api.CodeNone) && w.status != api.Ready { // gone already
 		err = nil
 	}
@@ -113,6 +110,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch {
+	case version > 0:
+		r.versions[name] = version
+	case err == nil: // gone, or another's
+		delete(r.versions, name)
+	}
 	now := r.want[name]
 	if now == nil || now.g.Incarnation != w.g.Incarnation || now.status != w.status {
 		return // wants something else by now
@@ -152,6 +155,7 @@
 		}
 		r.mu.Lock()
 		for _, name := range lost {
+			delete(r.versions, name) // there is no entry: where that is wrong, a try is void, and the entry is read
 			if w := r.want[name]; w != nil && w.status == api.Ready {
 				w.settled = false
 			}
