cli: a registration and a removal by hand are based on the version that was read

Cause: mosslead list register and mosslead list remove did a call again whose answer had not come, without a condition: the first try could end, or list again, what a server had said of itself since. drain, ban and lift read first already. Change: both read the entry and base the call on its version, with Client.SetStatus: one read more per command.

--- a/internal/cli/list.go
+++ b/internal/cli/list.go
@@ -113,7 +113,7 @@
 				return usageError{err}
 			}
 			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
-				_, err := service.Register(ctx, given[0], g)
+				_, err := service.SetStatus(ctx, given[0], g, api.Ready, nil)
 				return err
 			})
 		},
@@ -152,7 +152,7 @@
 		Args:    args(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, given []string) error {
 			return ask(c, *at, func(ctx context.Context, service *client.Client) error {
-				err := service.Leave(ctx, given[0], api.Ask{})
+				_, err := service.SetStatus(ctx, given[0], api.Registration{}, api.Gone, nil)
 				if api.IsCode(err, api.CodeNone) {
 					return errors.New(given[0] + " is not in the list")
 				}
