--- a/internal/lab/scale/quorum.go
+++ b/internal/lab/scale/quorum.go
@@ -17,9 +17,6 @@
 	"mosslead/internal/registry/client"
 )
 
-// listenHost is this run's own.
-func listenHost() string { return fmt.Sprintf("127.9.%d.%d", os.Getpid()/250%256, 1+os.Getpid()%250) }
-
 // replica is one process of the list service, or one after another.
 type replica struct {
 	name      string
@@ -48,8 +45,8 @@
 	for _, name := range names {
 		r := &region{name: name}
 		for i := range replicas {
-			a, err1 := freeAddress()
-			b, err2 := freeAddress()
+			a, err1 := burden.Address()
+			b, err2 := burden.Address()
 			if err := errors.Join(err1, err2); err != nil {
 				return all, fmt.Errorf("no free address: %w", err)
 			}
@@ -159,17 +156,6 @@
 	}
 }
 
-// freeAddress is one that nobody listens at now, on a host of the loopback that no connection begins at: with thousands of those, a
-// free port of 127.0.0.1 would not stay free.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", listenHost()+":0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -66,9 +66,9 @@
 		r.door.close()
 		return nil, err
 	}
-	r.listen, err = freeAddress()
+	r.listen, err = burden.Address()
 	if err == nil {
-		r.ops, err = freeAddress()
+		r.ops, err = burden.Address()
 	}
 	return r, err
 }
