lab: processes of the scale run listen at addresses that nobody else is given

Cause: the run took a port from the kernel, gave it back and had it listened at later: two sidecars could be given one, and one then ended before it was ready (seen once in about ten small starts).

--- a/internal/lab/scale/quorum.go
+++ b/internal/lab/scale/quorum.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"mosslead/internal/lab/burden"
 	"mosslead/internal/lab/load"
 	"mosslead/internal/lab/model"
 	"mosslead/internal/lab/proc"
