relay: a silent link's queue stays full when what filled it has been accepted

Cause: TestSilence failed once in ./test.sh ('a new connection came up on a silent link'). Change: whoever accepts what was stuffed in fills the queue again.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -105,26 +106,33 @@
 		if err != nil {
 			return // closed by Set or Close
 		}
-		l.mu.Lock()
-		if l.closed || l.listener != ln {
-			l.mu.Unlock()
-			abort(c)
-			continue
-		}
-		if l.state.SilentForth || l.state.SilentBack { // accepted just before: it hangs with the others
-			l.stuffing = append(l.stuffing, c)
-			l.mu.Unlock()
-			continue
+		l.accepts(ln, c)
+	}
+}
+
+// accepts carries on with a connection that was accepted.
+func (l *Link) accepts(ln *net.TCPListener, c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.listener != ln {
+		abort(c)
+		return
+	}
+	if l.state.SilentForth || l.state.SilentBack { // accepted just before: it hangs with the others
+		stuffed := slices.ContainsFunc(l.stuffing, func(s net.Conn) bool { return s.LocalAddr().String() == c.RemoteAddr().String() })
+		l.stuffing = append(l.stuffing, c)
+		if stuffed { // it was to keep the queue full
+			_ = l.stuff() // nobody to tell; new connections would come up and hang
 		}
-		p := &pair{in: c}
-		l.accepted++
-		// Evenly spread over the connections, so that a play repeats: every 8th for a share of 0.125.
-		p.broken = int(float64(l.accepted)*l.state.ResetShare) > int(float64(l.accepted-1)*l.state.ResetShare)
-		l.conns[p] = true
-		l.done.Add(1)
-		l.mu.Unlock()
-		go l.carry(p)
+		return
 	}
+	p := &pair{in: c}
+	l.accepted++
+	// Evenly spread over the connections, so that a play repeats: every 8th for a share of 0.125.
+	p.broken = int(float64(l.accepted)*l.state.ResetShare) > int(float64(l.accepted-1)*l.state.ResetShare)
+	l.conns[p] = true
+	l.done.Add(1)
+	go l.carry(p)
 }
 
 // Set changes what the link does, from now on, also to connections that are open.
@@ -195,7 +203,12 @@
 	if !silent {
 		return l.listener.SetDeadline(time.Time{})
 	}
-	// The queue is full with one connection: the kernel drops what else comes, and the other side waits.
+	return l.stuff()
+}
+
+// stuff fills the accept queue, which takes one connection: the kernel drops what else comes, and the other side waits. The caller
+// holds mu.
+func (l *Link) stuff() error {
 	c, err := net.DialTimeout("tcp", l.address, dialLimit)
 	if err != nil {
 		return fmt.Errorf("link %s to %s: filling its queue: %w", l.From, l.To, err)
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// Guards against a queue that is empty once what was to fill it has been accepted, by a call to accept that had begun before the
+// silence and was held up.
+func TestSilenceWhoseQueueWasTakenFrom(t *testing.T) {
+	l := link(t, nil)
+	set(t, l, State{SilentBack: true})
+	if err := l.listener.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.listener.SetDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	l.accepts(l.listener, c)
+	if fresh, err := net.DialTimeout("tcp", l.Address(), 100*time.Millisecond); err == nil {
+		fresh.Close()
+		t.Error("a new connection came up on a silent link")
+	}
+}
+
 func TestResetBreaksAndRefuses(t *testing.T) {
 	l := link(t, nil)
 	c := dial(t, l)
