sidecar: the drawn clients of TestOrders no longer write into each other's bodies

Its client sent another request behind a slow body, in the moment between the connection being found and its being marked as in the middle of one: the upstream rightly got 'the bodGET /s'. The program is right; the client broke its own rule. Change: a connection is marked under the lock under which it is found or made, and whoever sends behind marks it too.

--- a/internal/sidecar/orders_world_test.go
+++ b/internal/sidecar/orders_world_test.go
@@ -287,9 +287,11 @@
 	}
 	c.w.mu.Lock()
 	half := line.half
+	line.half = true
 	c.w.mu.Unlock()
 	if !half {
 		_, _ = io.WriteString(line, text(line)) // where it fails the connection has ended
+		c.sends(line, false)
 	}
 }
 
@@ -329,6 +331,7 @@
 	for i := len(c.conns) - 1; i >= 0 && !fresh; i-- {
 		if l := c.conns[i]; !l.dead && !l.half && l.out == 0 {
 			l.out++
+			l.half = true // before anybody else finds it: what is sent behind must not come into its body
 			w.mu.Unlock()
 			return l
 		}
@@ -346,7 +349,7 @@
 	if err != nil {
 		return nil
 	}
-	line := &orderConn{Conn: raw, out: out}
+	line := &orderConn{Conn: raw, out: out, half: out > 0}
 	w.mu.Lock()
 	c.conns = append(c.conns, line)
 	w.mu.Unlock()
