strict: one reader of TOML that names line and key, where three stood

Change: internal/strict reads, and says where; the list service words FILE:LINE:COLUMN as before. Of a fleet, an error that belongs to no key no longer prints an empty one.

--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -3,14 +3,11 @@
 package capacity
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"reflect"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"mosslead/internal/strict"
 )
 
 // Figure is one number of a fleet and where it comes from.
@@ -96,17 +93,7 @@
 // ParseFleet reads a fleet. Every figure has to be there, with where it comes from.
 func ParseFleet(text []byte) (*Fleet, error) {
 	f := &Fleet{}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(f); err != nil {
-		var unknown *toml.StrictMissingError
-		if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-			line, _ := unknown.Errors[0].Position()
-			return nil, fmt.Errorf("line %d: unknown key %s", line, strings.Join(unknown.Errors[0].Key(), "."))
-		}
-		var bad *toml.DecodeError
-		if errors.As(err, &bad) {
-			line, column := bad.Position()
-			return nil, fmt.Errorf("line %d, column %d: %s: %w", line, column, strings.Join(bad.Key(), "."), err)
-		}
+	if err := strict.TOML(text, f); err != nil {
 		return nil, err
 	}
 	for _, x := range f.Figures() {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -3,7 +3,6 @@
 package experiment
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -11,9 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"mosslead/internal/lab/verdict"
+	"mosslead/internal/strict"
 )
 
 // Duration is a time in TOML, like "250ms".
@@ -311,34 +309,13 @@
 // Parse reads an experiment and fills in what is absent.
 func Parse(text []byte) (*Experiment, error) {
 	e := &Experiment{Text: string(text)}
-	dec := toml.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(e); err != nil {
-		return nil, place(err)
+	if err := strict.TOML(text, e); err != nil {
+		return nil, err
 	}
 	e.fill()
 	return e, e.check()
 }
 
-// place words where in the file an error is.
-func place(err error) error {
-	var unknown *toml.StrictMissingError
-	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-		first := unknown.Errors[0]
-		line, _ := first.Position()
-		return fmt.Errorf("line %d: unknown key %s", line, strings.Join(first.Key(), "."))
-	}
-	var bad *toml.DecodeError
-	if errors.As(err, &bad) {
-		line, column := bad.Position()
-		if key := strings.Join(bad.Key(), "."); key != "" {
-			return fmt.Errorf("line %d, column %d: %s: %w", line, column, key, err)
-		}
-		return fmt.Errorf("line %d, column %d: %w", line, column, err)
-	}
-	return err
-}
-
 // check names the first thing that can't be played.
 func (e *Experiment) check() error {
 	if e.Name == "" || strings.ContainsAny(e.Name, "/\\ \t") {
--- a/internal/registry/config.go
+++ b/internal/registry/config.go
@@ -1,17 +1,14 @@
 package registry
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"mosslead/internal/registry/api"
+	"mosslead/internal/strict"
 )
 
 // Duration is one that a file words as time.ParseDuration reads it.
@@ -77,19 +74,15 @@
 		return nil, err
 	}
 	c := &Config{}
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(c); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, column := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d:%d: unknown key %s", path, row, column, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			row, column := at.Position()
-			return nil, fmt.Errorf("%s:%d:%d: %s: %w", path, row, column, strings.Join(at.Key(), "."), err)
+	if err := strict.TOML(text, c); err != nil {
+		var at *strict.Error
+		switch {
+		case !errors.As(err, &at):
+			return nil, fmt.Errorf("%s: %w", path, err)
+		case at.Err == nil:
+			return nil, fmt.Errorf("%s:%d:%d: unknown key %s", path, at.Line, at.Column, at.Key)
 		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s:%d:%d: %s: %w", path, at.Line, at.Column, at.Key, at.Err)
 	}
 	if err := c.complete(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
