statespace: one search for the models of duties and of following

Need: the exploration of following was written beside that of duties: the same search, nodes, paths and parallel expansion twice. Change: internal/statespace searches; a model gives its clone, steps, hash and promises, and may have each state looked at.

--- a/internal/duty/explore/explore.go
+++ b/internal/duty/explore/explore.go
@@ -10,13 +10,10 @@
 
 import (
 	"fmt"
-	"runtime"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"mosslead/internal/duty"
+	"mosslead/internal/statespace"
 )
 
 // The scale of the model: a lease is three ticks, a margin one, an answer is waited for two, and a clock stands still at most once in a lease, which is
@@ -47,75 +44,10 @@
 }
 
 // Found is what an exploration came to.
-type Found struct {
-	States int      // that differ
-	Depth  int      // to which all were seen
-	Broken string   // the promise that does not hold; empty: all do
-	Path   []string // the steps to where it breaks, one of the shortest
-}
-
-// node is a state with the way to it.
-type node struct {
-	s    *state
-	from *node
-	step string
-}
-
-func (n *node) path() (steps []string) {
-	for ; n.from != nil; n = n.from {
-		steps = append([]string{n.step}, steps...)
-	}
-	return steps
-}
+type Found = statespace.Found
 
 // Run explores breadth first.
-func Run(b Bounds, f Faults) Found {
-	first := begin(b, f)
-	seen := map[hash]struct{}{first.hash(): {}}
-	level := []*node{{s: first}}
-	for depth := range b.Depth {
-		var next []*node
-		for part := range slices.Chunk(level, 1024) {
-			for i, steps := range expand(part) {
-				for _, x := range steps {
-					if x.broken != "" {
-						return Found{len(seen), depth, x.broken, append(part[i].path(), x.name)}
-					}
-					if _, ok := seen[x.hash]; ok {
-						continue
-					}
-					seen[x.hash] = struct{}{}
-					next = append(next, &node{x.s, part[i], x.name})
-				}
-				part[i].s = nil // its way stays, itself is not needed any more
-			}
-		}
-		if level = next; len(level) == 0 {
-			return Found{States: len(seen), Depth: depth}
-		}
-	}
-	return Found{States: len(seen), Depth: b.Depth}
-}
-
-// expand finds the steps of each node, on all processors; the order does not depend on them.
-func expand(part []*node) [][]step {
-	all := make([][]step, len(part))
-	var at atomic.Int64
-	var work sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		work.Go(func() {
-			for i := int(at.Add(1)) - 1; i < len(part); i = int(at.Add(1)) - 1 {
-				all[i] = part[i].s.steps()
-				for j := range all[i] {
-					x := &all[i][j]
-					x.broken, x.hash = x.s.broken(), x.s.hash()
-				}
-			}
-		})
-	}
-	work.Wait()
-	return all
-}
+func Run(b Bounds, f Faults) Found { return statespace.Search(begin(b, f), b.Depth, nil) }
 
 func (f Faults) config(who int) duty.Config {
 	c := duty.Config{Name: name, Holder: holder(who), Lease: Lease, Margin: Margin, Patience: 2 * Tick,
--- a/internal/duty/explore/state.go
+++ b/internal/duty/explore/state.go
@@ -11,6 +11,7 @@
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/list"
 	"mosslead/internal/registry/terms"
+	"mosslead/internal/statespace"
 )
 
 // underWay is how many calls, and how many answers, of a candidate may be under way: the oldest beyond are lost.
@@ -57,7 +58,7 @@
 	return s
 }
 
-func (s *state) clone() *state {
+func (s *state) Clone() *state {
 	c := *s
 	c.log = slices.Clone(s.log)
 	for i := range c.of {
@@ -160,8 +161,8 @@
 	s.seen = epoch
 }
 
-// broken names a promise that does not hold.
-func (s *state) broken() string {
+// Broken names a promise that does not hold.
+func (s *state) Broken(*state) string {
 	if s.why != "" {
 		return s.why
 	}
@@ -175,10 +176,8 @@
 	return ""
 }
 
-// hash is one of the key; two keys with the same one are taken for the same state, by a chance of 1 in 2^128 for a pair.
-type hash [16]byte
-
-func (s *state) hash() (h hash) {
+// Hash is one of the key; two keys with the same one are taken for the same state, by a chance of 1 in 2^128 for a pair.
+func (s *state) Hash() (h statespace.Hash) {
 	sum := sha256.Sum256(s.key(make([]byte, 0, 256)))
 	copy(h[:], sum[:])
 	return h
--- a/internal/duty/explore/steps.go
+++ b/internal/duty/explore/steps.go
@@ -7,20 +7,8 @@
 	"mosslead/internal/duty"
 )
 
-type step struct {
-	name   string
-	s      *state
-	broken string
-	hash   hash
-}
-
-// steps are all that may happen next.
-func (s *state) steps() (all []step) {
-	add := func(name string, do func(*state)) {
-		next := s.clone()
-		do(next)
-		all = append(all, step{name: name, s: next})
-	}
+// Steps are all that may happen next.
+func (s *state) Steps(add func(name string, do func(*state))) {
 	for still := range 4 { // a bit for each clock that stands still
 		if s.left.Ticks == 0 || still&1 != 0 && s.of[0].rested < oneStill || still&2 != 0 && s.of[1].rested < oneStill {
 			continue
@@ -41,7 +29,6 @@
 	for i := range s.of {
 		s.stepsOf(i, add)
 	}
-	return all
 }
 
 func (s *state) stepsOf(i int, add func(string, func(*state))) {
--- a/internal/follow/explore/explore.go
+++ b/internal/follow/explore/explore.go
@@ -18,10 +18,8 @@
 
 import (
 	"fmt"
-	"runtime"
-	"slices"
-	"sync"
-	"sync/atomic"
+
+	"mosslead/internal/statespace"
 )
 
 // Bounds are how often something may happen on a path, and how long the paths are.
@@ -51,88 +49,10 @@
 }
 
 // Found is what an exploration came to.
-type Found struct {
-	States int      // that differ
-	Depth  int      // to which all were seen
-	Broken string   // the promise that does not hold; empty: all do
-	Path   []string // the steps to where it breaks, one of the shortest
-}
-
-// node is a state with the way to it.
-type node struct {
-	s    *state
-	from *node
-	step string
-}
-
-func (n *node) path() (steps []string) {
-	for ; n.from != nil; n = n.from {
-		steps = append(steps, n.step)
-	}
-	slices.Reverse(steps)
-	return steps
-}
+type Found = statespace.Found
 
 // Run explores breadth first. Whether what is held can be healed is looked at in each state.
-func Run(b Bounds, f Faults) Found {
-	first := begin(b, f)
-	seen := map[hash]struct{}{first.hash(): {}}
-	level := []*node{{s: first}}
-	for depth := 0; ; depth++ {
-		var next []*node
-		for part := range slices.Chunk(level, 1024) {
-			for i, x := range expand(part, depth < b.Depth) {
-				if x.unhealed != "" {
-					return Found{len(seen), depth, x.unhealed, part[i].path()}
-				}
-				for _, x := range x.steps {
-					if x.broken != "" {
-						return Found{len(seen), depth, x.broken, append(part[i].path(), x.name)}
-					}
-					if _, ok := seen[x.hash]; ok {
-						continue
-					}
-					seen[x.hash] = struct{}{}
-					next = append(next, &node{x.s, part[i], x.name})
-				}
-				part[i].s = nil // its way stays, itself is not needed any more
-			}
-		}
-		if level = next; len(level) == 0 {
-			return Found{States: len(seen), Depth: min(depth, b.Depth)}
-		}
-	}
-}
-
-// expanded is what can happen in one state.
-type expanded struct {
-	unhealed string
-	steps    []step
-}
-
-// expand looks at each node, on all processors; the order does not depend on them.
-func expand(part []*node, further bool) []expanded {
-	all := make([]expanded, len(part))
-	var at atomic.Int64
-	var work sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		work.Go(func() {
-			for i := int(at.Add(1)) - 1; i < len(part); i = int(at.Add(1)) - 1 {
-				s := part[i].s
-				if all[i].unhealed = s.heal(); !further || all[i].unhealed != "" {
-					continue
-				}
-				all[i].steps = s.steps()
-				for j := range all[i].steps {
-					x := &all[i].steps[j]
-					x.broken, x.hash = x.s.broken(s), x.s.hash()
-				}
-			}
-		})
-	}
-	work.Wait()
-	return all
-}
+func Run(b Bounds, f Faults) Found { return statespace.Search(begin(b, f), b.Depth, (*state).heal) }
 
 const (
 	north   = "north" // the owner
--- a/internal/follow/explore/promises.go
+++ b/internal/follow/explore/promises.go
@@ -10,8 +10,8 @@
 	"mosslead/internal/registry/list"
 )
 
-// broken names a promise that does not hold, in what a step came to.
-func (s *state) broken(before *state) string {
+// Broken names a promise that does not hold, in what a step came to.
+func (s *state) Broken(before *state) string {
 	if s.why != "" {
 		return s.why
 	}
@@ -132,7 +132,7 @@
 // heal names what a fair continuation from here leaves undone: the follower has all of the owner's, or says what it sets aside,
 // which it has no cause for where the owner was not put back; and the sidecar has what the follower tells.
 func (s *state) heal() string {
-	n := s.clone()
+	n := s.Clone()
 	if !n.settle() {
 		return "healing does not end"
 	}
--- a/internal/follow/explore/state.go
+++ b/internal/follow/explore/state.go
@@ -10,6 +10,7 @@
 	"mosslead/internal/follow"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/list"
+	"mosslead/internal/statespace"
 )
 
 const (
@@ -108,7 +109,7 @@
 	return s
 }
 
-func (s *state) clone() *state {
+func (s *state) Clone() *state {
 	c := *s
 	c.issued, c.late = slices.Clip(s.issued), slices.Clone(s.late)
 	for i := range c.leaders {
@@ -294,10 +295,8 @@
 	}
 }
 
-// hash is one of the key; two keys with the same one are taken for the same state, by a chance of 1 in 2^128 for a pair.
-type hash [16]byte
-
-func (s *state) hash() (h hash) {
+// Hash is one of the key; two keys with the same one are taken for the same state, by a chance of 1 in 2^128 for a pair.
+func (s *state) Hash() (h statespace.Hash) {
 	s.freeze()
 	sum := sha256.New()
 	l := s.left
--- a/internal/follow/explore/steps.go
+++ b/internal/follow/explore/steps.go
@@ -8,20 +8,8 @@
 	"mosslead/internal/registry/list"
 )
 
-type step struct {
-	name   string
-	s      *state
-	broken string
-	hash   hash
-}
-
-// steps are all that may happen next.
-func (s *state) steps() (all []step) {
-	add := func(name string, do func(*state)) {
-		next := s.clone()
-		do(next)
-		all = append(all, step{name: name, s: next})
-	}
+// Steps are all that may happen next.
+func (s *state) Steps(add func(name string, do func(*state))) {
 	s.stepsOfOwner(add)
 	for i := range s.leaders {
 		if s.leaders[i].leads {
@@ -50,7 +38,6 @@
 			add("the follower's replica catches up", func(n *state) { n.lags = n.follower })
 		}
 	}
-	return all
 }
 
 func (s *state) stepsOfOwner(add func(string, func(*state))) {
