history: watches on lists and on documents are opened and counted in one place

Need: the follower of documents had the watch's loop, its silence and its reading again, and the end of a run stood twice. Change: rewatched and once serve both; ended waits and counts for both. Measured: go test ./internal/lab/history ./internal/registry passes, the histories of documents among them.

--- a/internal/lab/history/documents.go
+++ b/internal/lab/history/documents.go
@@ -1,13 +1,9 @@
 package history
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
 	"net/url"
 	"slices"
 	"time"
@@ -64,51 +60,21 @@
 
 // follow watches again and again until ctx ends, each time as one that holds what it was told last.
 func (t *tale) follow(ctx context.Context, begin time.Time) {
-	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext}}
-	for ctx.Err() == nil {
-		t.once(ctx, c, begin)
-		t.restarts++
-		select {
-		case <-ctx.Done():
-		case <-time.After(rewatch):
+	rewatched(ctx, func(int) string {
+		held := ""
+		if n := len(t.told); n > 0 {
+			held = fmt.Sprintf("%s@%d", t.told[n-1].Region, t.told[n-1].Version)
 		}
-	}
-}
-
-func (t *tale) once(ctx context.Context, c *http.Client, begin time.Time) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dead := time.AfterFunc(silence, cancel)
-	defer dead.Stop()
-	held := ""
-	if n := len(t.told); n > 0 {
-		held = fmt.Sprintf("%s@%d", t.told[n-1].Region, t.told[n-1].Version)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/api/targets?watch=1&from=-1&service=%s&held=%s",
-		t.at, url.QueryEscape(t.service), url.QueryEscape(held)), nil)
-	if err != nil {
-		return
-	}
-	resp, err := c.Do(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, 8<<20)
-	for lines.Scan() {
-		dead.Reset(silence)
+		return fmt.Sprintf("http://%s/api/targets?watch=1&from=-1&service=%s&held=%s", t.at, url.QueryEscape(t.service), url.QueryEscape(held))
+	}, func(line []byte) {
 		var l api.Listing
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) == 0 || json.Unmarshal(line, &l) != nil {
-			continue
+		if json.Unmarshal(line, &l) != nil {
+			return
 		}
 		for _, d := range l.Documents {
 			t.told, t.times = append(t.told, d), append(t.times, time.Since(begin))
 		}
-	}
+	}, &t.restarts)
 }
 
 // told judges what was told of documents: each replica's versions of one only rise, and each version says what was put under it, to
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -178,23 +178,26 @@
 // End waits for all, which end with the context of Start, and judges. final is the list as it is sure to be now, read by
 // the caller; it stands for the version that watches are compared with.
 func (r *Run) End(final api.Listing) ([]Breach, Count) {
-	r.all.Wait()
-	n := Count{Calls: len(r.calls)}
-	for _, c := range r.calls {
-		if c.out.unknown {
-			n.Unknown++
-		}
-	}
-	found := r.linearizable()
+	n := r.ended()
 	for _, w := range r.watches {
 		n.Messages += w.messages
 		n.Restarts += w.restarts
 	}
-	return append(found, r.watched(final)...), n
+	return append(r.linearizable(), r.watched(final)...), n
 }
 
 // EndDocuments waits for all, which end with the context of Start, and judges what was written and told of documents.
 func (r *Run) EndDocuments() ([]Breach, Count) {
+	n := r.ended()
+	for _, t := range r.tales {
+		n.Messages += len(t.told)
+		n.Restarts += t.restarts
+	}
+	return append(r.linearizable(), r.told()...), n
+}
+
+// ended waits for all, and counts the calls.
+func (r *Run) ended() Count {
 	r.all.Wait()
 	n := Count{Calls: len(r.calls)}
 	for _, c := range r.calls {
@@ -202,10 +205,5 @@
 			n.Unknown++
 		}
 	}
-	found := r.linearizable()
-	for _, t := range r.tales {
-		n.Messages += len(t.told)
-		n.Restarts += t.restarts
-	}
-	return append(found, r.told()...), n
+	return n
 }
--- a/internal/lab/history/watch.go
+++ b/internal/lab/history/watch.go
@@ -62,13 +62,25 @@
 // follow watches again and again until ctx ends; from its version on, or now and then from nothing.
 func (w *watch) follow(ctx context.Context, now bool) {
 	begin := time.Now()
-	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext}}
-	for n := 0; ctx.Err() == nil; n++ {
+	rewatched(ctx, func(n int) string {
 		if now && n%4 == 3 {
 			w.index = -1
 		}
-		w.once(ctx, c, begin)
-		w.restarts++
+		return fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", w.at, w.index)
+	}, func(line []byte) {
+		if text := w.take(line); text != "" {
+			w.breaches = append(w.breaches, Breach{Rule: "watch", At: time.Since(begin), Text: w.at + ": " + text})
+		}
+	}, &w.restarts)
+}
+
+// rewatched opens a watch again and again until ctx ends, each at what url says for the nth, and hands on what it tells; restarts
+// counts them.
+func rewatched(ctx context.Context, url func(n int) string, take func(line []byte), restarts *int) {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext}}
+	for n := 0; ctx.Err() == nil; n++ {
+		once(ctx, c, url(n), take)
+		*restarts++
 		select {
 		case <-ctx.Done():
 		case <-time.After(rewatch):
@@ -76,12 +88,13 @@
 	}
 }
 
-func (w *watch) once(ctx context.Context, c *http.Client, begin time.Time) {
+// once is one watch to its end, or its silence.
+func once(ctx context.Context, c *http.Client, url string, take func(line []byte)) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dead := time.AfterFunc(silence, cancel)
 	defer dead.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/api/targets?watch=1&from=%d", w.at, w.index), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return
 	}
@@ -98,9 +111,7 @@
 	for lines.Scan() {
 		dead.Reset(silence)
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if text := w.take(line); text != "" {
-				w.breaches = append(w.breaches, Breach{Rule: "watch", At: time.Since(begin), Text: w.at + ": " + text})
-			}
+			take(line)
 		}
 	}
 }
