--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -2,49 +2,42 @@
 
 import (
 	"fmt"
-	"net"
-	"os"
+
+	"mosslead/internal/lab/loopback"
 )
 
-// addresses is a part of the loopback range that belongs to one laboratory of this machine: 127.N.0.0/16.
-type addresses struct {
-	n     int
-	claim net.Listener // held as long as the part is in use
-}
+// addresses is the layout of a part of the loopback range that belongs to one laboratory of this machine.
+type addresses struct{ part *loopback.Part }
 
 const (
-	firstPart, lastPart = 16, 250
-	sidecarPort         = 9000
-	doorPort            = 9800
-	agentPort           = 8500
-	peerPort            = 7946 // where a sidecar takes part among the others
-	peerLinkPort        = 7947 // and where the others reach it
-	forwardPort         = 7948 // where a sidecar takes what others forward
-	forwardLinkPort     = 7949 // and where the others reach it
-	upstreamPort        = 9000
-	windowPorts         = 8600 // and up, one for each replica
-	replicaAPIPort      = 7600
-	replicaRaftPort     = 7601
-	replicaLinkPorts    = 7700  // and up, two for each other replica
-	linkPorts           = 10000 // and up, one for each sidecar; below the ports that the kernel gives out by itself
+	sidecarPort      = 9000
+	doorPort         = 9800
+	agentPort        = 8500
+	peerPort         = 7946 // where a sidecar takes part among the others
+	peerLinkPort     = 7947 // and where the others reach it
+	forwardPort      = 7948 // where a sidecar takes what others forward
+	forwardLinkPort  = 7949 // and where the others reach it
+	upstreamPort     = 9000
+	windowPorts      = 8600 // and up, one for each replica
+	replicaAPIPort   = 7600
+	replicaRaftPort  = 7601
+	replicaLinkPorts = 7700  // and up, two for each other replica
+	linkPorts        = 10000 // and up, one for each sidecar; below the ports that the kernel gives out by itself
 )
 
 // claimAddresses finds a part that no other laboratory holds.
 func claimAddresses() (*addresses, error) {
-	parts := lastPart - firstPart + 1
-	for i := range parts {
-		n := firstPart + (os.Getpid()+i)%parts
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:9999", n)); err == nil {
-			return &addresses{n, l}, nil
-		}
+	part, err := loopback.Claim()
+	if err != nil {
+		return nil, err
 	}
-	return nil, fmt.Errorf("all of 127.%d.0.0 to 127.%d.255.255 is in use", firstPart, lastPart)
+	return &addresses{part}, nil
 }
 
-func (a *addresses) release() { a.claim.Close() }
+func (a *addresses) release() { a.part.Release() }
 
 func (a *addresses) host(block, i int) string {
-	return fmt.Sprintf("127.%d.%d.%d", a.n, block+i/250, i%250+1)
+	return fmt.Sprintf("127.%d.%d.%d", a.part.N, block+i/250, i%250+1)
 }
 
 func (a *addresses) sidecar(i, port int) string {
--- a/internal/lab/burden/burden.go
+++ b/internal/lab/burden/burden.go
@@ -19,6 +19,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"mosslead/internal/lab/loopback"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
@@ -58,10 +60,10 @@
 	if err != nil {
 		return w, err
 	}
-	defer b.close()
+	defer b.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	before, err := b.child.Use()
+	before, err := b.Children[0].Use()
 	if err != nil {
 		return w, err
 	}
@@ -69,10 +71,10 @@
 	if err := open(ctx, b, watchers, heard); err != nil {
 		return w, err
 	}
-	if !sleep(ctx, settle) {
+	if !pause.For(ctx, settle) {
 		return w, ctx.Err()
 	}
-	quiet, err := b.child.Use()
+	quiet, err := b.Children[0].Use()
 	if err != nil {
 		return w, err
 	}
@@ -80,7 +82,7 @@
 	var lags []time.Duration
 	for i := range changes {
 		begun := time.Now()
-		if _, err := b.c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
+		if _, err := b.Client.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
 			return w, err
 		}
 		late := time.After(hearWithin)
@@ -93,11 +95,11 @@
 				n = watchers
 			}
 		}
-		if !sleep(ctx, changeEvery) {
+		if !pause.For(ctx, changeEvery) {
 			return w, ctx.Err()
 		}
 	}
-	after, err := b.child.Use()
+	after, err := b.Children[0].Use()
 	if err != nil {
 		return w, err
 	}
@@ -106,46 +108,6 @@
 	return w, nil
 }
 
-// bed is one replica in memory with entries, and the version that it is at.
-type bed struct {
-	at      string
-	c       *client.Client
-	child   *proc.Child
-	version int64
-}
-
-func (b *bed) close() {
-	b.c.Close()
-	_ = b.child.Kill() // whatever came of it
-}
-
-// filled starts a replica and fills it. Nothing of it is left after an error.
-func (r Runner) filled(ctx context.Context, entries int) (b *bed, err error) {
-	at, err := Address()
-	if err != nil {
-		return nil, err
-	}
-	child, err := r.Start("dev", "--dev", "--listen", at)
-	if err != nil {
-		return nil, err
-	}
-	b = &bed{at: at, c: client.New([]string{at}), child: child}
-	defer func() {
-		if err != nil {
-			b.close()
-		}
-	}()
-	if err := Await(ctx, b.c, 1); err != nil {
-		return nil, err
-	}
-	for i := range entries {
-		if b.version, err = b.c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return nil, fmt.Errorf("entry %d: %w", i, err)
-		}
-	}
-	return b, nil
-}
-
 // quantile is that of so many in a hundred, in ms; 0 of none. It sorts lags.
 func quantile(lags []time.Duration, percent int) float64 {
 	if len(lags) == 0 {
@@ -160,14 +122,14 @@
 }
 
 // open has watchers follow from a version on; the moment of each line but empty ones goes to heard.
-func open(ctx context.Context, b *bed, n int, heard chan<- time.Time) error {
+func open(ctx context.Context, b *filledBed, n int, heard chan<- time.Time) error {
 	errs := make(chan error, n)
 	room := make(chan struct{}, together)
 	for range n {
 		room <- struct{}{}
 		go func() {
 			defer func() { <-room }()
-			conn, err := watchFrom(ctx, b.at, b.version)
+			conn, err := watchFrom(ctx, b.At[0], b.version)
 			if err != nil {
 				errs <- err
 				return
@@ -234,26 +196,18 @@
 // MeasureRenewals has servers renew their leases one by one, each through any of the replicas.
 func (r Runner) MeasureRenewals(ctx context.Context, replicas, servers int, rate float64, length time.Duration) (m Renewals, err error) {
 	m = Renewals{Replicas: replicas, Servers: servers, Asked: rate}
-	at, children, err := r.Quorum(replicas)
-	defer func() {
-		for _, c := range children {
-			_ = c.Kill() // whatever came of it
-		}
-	}()
+	b, err := r.quorumBed(ctx, replicas)
 	if err != nil {
 		return m, err
 	}
-	c := client.New(at)
-	defer c.Close()
-	if err := Await(ctx, c, replicas); err != nil {
-		return m, err
-	}
-	for i := range servers {
+	defer b.Close()
+	at, children, c := b.At, b.Children, b.Client
+	if _, err := b.fill(ctx, servers, func(i int) api.Registration {
 		g := registration(i)
 		g.LeaseMs, g.Incarnation = 30_000, 1
-		if _, err := c.Register(ctx, fmt.Sprint("u", i), g); err != nil {
-			return m, fmt.Errorf("server %d: %w", i, err)
-		}
+		return g
+	}); err != nil {
+		return m, err
 	}
 	use := func() (sum time.Duration) {
 		for _, child := range children {
@@ -271,7 +225,7 @@
 		u, _ := children[leads].Use() // one that has ended is seen by its failures
 		return u.CPU
 	}
-	before, leaderBefore, ownBefore, begun := use(), ofLeader(), ownCPU(), time.Now()
+	before, leaderBefore, ownBefore, begun := use(), ofLeader(), proc.OwnCPU(), time.Now()
 	var mu sync.Mutex
 	var lags []time.Duration
 	var all sync.WaitGroup
@@ -284,7 +238,7 @@
 			each := time.Duration(float64(callers) / rate * float64(time.Second))
 			for i := 0; ctx.Err() == nil; i++ {
 				due := begun.Add(time.Duration(k)*each/time.Duration(callers) + time.Duration(i)*each)
-				if due.Sub(begun) > length || !sleep(ctx, time.Until(due)) {
+				if due.Sub(begun) > length || !pause.For(ctx, time.Until(due)) {
 					return
 				}
 				lost, err := renewOne(one, at[k%len(at)], fmt.Sprint("u", (k+i*callers)%servers))
@@ -300,7 +254,7 @@
 	}
 	all.Wait()
 	took := time.Since(begun).Seconds()
-	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (ownCPU()-ownBefore).Seconds()/took
+	m.Cores, m.OwnCores = (use()-before).Seconds()/took, (proc.OwnCPU()-ownBefore).Seconds()/took
 	m.Leader = (ofLeader() - leaderBefore).Seconds() / took
 	m.Took = float64(len(lags)-m.Failed) / took
 	m.P99Ms = quantile(lags, 99)
@@ -352,8 +306,8 @@
 // replicas are so many with addresses of their own; at is where they answer.
 func replicas(n int) (peers []map[string]any, at []string, err error) {
 	for i := range n {
-		a, err1 := Address()
-		b, err2 := Address()
+		a, err1 := loopback.Address()
+		b, err2 := loopback.Address()
 		if err1 != nil || err2 != nil {
 			return nil, nil, fmt.Errorf("no free address: %v %v", err1, err2)
 		}
@@ -407,19 +361,8 @@
 		if serving == replicas {
 			return nil
 		}
-		if !sleep(ctx, 20*time.Millisecond) {
+		if !pause.For(ctx, 20*time.Millisecond) {
 			return fmt.Errorf("%d of %d replicas serve", serving, replicas)
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/burden/rush.go
+++ b/internal/lab/burden/rush.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/registry/api"
 )
 
@@ -34,7 +35,7 @@
 	if err != nil {
 		return m, err
 	}
-	defer b.close()
+	defer b.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make([]atomic.Int64, changes+1) // when a version was confirmed, in ns since begun; by version from the first on
@@ -46,7 +47,7 @@
 	last.Add(watchers)
 	first := b.version
 	for range watchers {
-		conn, err := watchFrom(ctx, b.at, b.version)
+		conn, err := watchFrom(ctx, b.At[0], b.version)
 		if err != nil {
 			return m, err
 		}
@@ -83,8 +84,8 @@
 		writers.Go(func() {
 			for i := k; i < changes && ctx.Err() == nil; i += side {
 				due := begun.Add(within * time.Duration(i) / time.Duration(changes))
-				sleep(ctx, time.Until(due))
-				v, err := b.c.Hand(ctx, fmt.Sprint("u", i), api.Ask{Hand: api.HandDrain})
+				pause.For(ctx, time.Until(due))
+				v, err := b.Client.Hand(ctx, fmt.Sprint("u", i), api.Ask{Hand: api.HandDrain})
 				if err == nil {
 					done[v-first].Store(int64(time.Since(begun)))
 				}
@@ -101,7 +102,7 @@
 	case <-time.After(2 * time.Second):
 	case <-ctx.Done():
 	}
-	if u, err := b.child.Use(); err == nil {
+	if u, err := b.Children[0].Use(); err == nil {
 		m.MemoryMB = u.MemoryMB
 	}
 	m.Joined = float64(heard.Load()) / float64(max(1, lines.Load()))
@@ -132,14 +133,14 @@
 	if err != nil {
 		return m, err
 	}
-	defer b.close()
+	defer b.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	version := b.version - 10
 	if whole {
 		version = -1
 	}
-	before, err := b.child.Use()
+	before, err := b.Children[0].Use()
 	if err != nil {
 		return m, err
 	}
@@ -150,11 +151,11 @@
 	for range watchers {
 		after := time.Duration(rand.Int64N(int64(within)))
 		all.Go(func() {
-			if !sleep(ctx, after) {
+			if !pause.For(ctx, after) {
 				return
 			}
 			from := time.Now()
-			conn, err := watchFrom(ctx, b.at, version)
+			conn, err := watchFrom(ctx, b.At[0], version)
 			read := 0
 			if err == nil {
 				got := false
@@ -177,7 +178,7 @@
 	}
 	all.Wait()
 	m.AllBack = time.Since(begun).Seconds()
-	if u, err := b.child.Use(); err == nil {
+	if u, err := b.Children[0].Use(); err == nil {
 		m.MemoryMB, m.CPUMs = u.MemoryMB, float64((u.CPU-before.CPU).Microseconds())/1e3
 	}
 	m.P99Ms = quantile(lags, 99)
--- a/internal/lab/burden/writes.go
+++ b/internal/lab/burden/writes.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
@@ -30,25 +31,15 @@
 // MeasureWrites has a list of so many entries changed at a rate; 0: it stands still.
 func (r Runner) MeasureWrites(ctx context.Context, entries int, rate float64, length time.Duration) (m Writes, err error) {
 	m.Asked = rate
-	at, children, err := r.Quorum(3)
-	defer func() {
-		for _, c := range children {
-			_ = c.Kill() // whatever came of it
-		}
-	}()
+	b, err := r.quorumBed(ctx, 3)
 	if err != nil {
 		return m, err
 	}
-	c := client.New(at)
-	defer c.Close()
-	if err := Await(ctx, c, len(at)); err != nil {
+	defer b.Close()
+	children, c := b.Children, b.Client
+	if _, err := b.fill(ctx, entries, registration); err != nil {
 		return m, err
 	}
-	for i := range entries {
-		if _, err := c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return m, fmt.Errorf("entry %d: %w", i, err)
-		}
-	}
 	leads := leader(ctx, c)
 	if leads < 0 {
 		return m, errors.New("nobody leads")
@@ -61,7 +52,7 @@
 	var lags []time.Duration
 	for i := 0; rate > 0; i++ {
 		due := begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))
-		if due.Sub(begun) >= length || !sleep(ctx, time.Until(due)) {
+		if due.Sub(begun) >= length || !pause.For(ctx, time.Until(due)) {
 			break
 		}
 		if _, err := c.Hand(ctx, fmt.Sprint("u", i%entries), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/entries%2]}); err != nil {
@@ -70,7 +61,7 @@
 		}
 		lags = append(lags, time.Since(due))
 	}
-	if !sleep(ctx, time.Until(begun.Add(length))) {
+	if !pause.For(ctx, time.Until(begun.Add(length))) {
 		return m, ctx.Err()
 	}
 	after, err := counts(children)
@@ -126,28 +117,18 @@
 // MeasureCut has so many watch one replica of three, and stops the other two: for the one that is left it is as if they were cut off.
 func (r Runner) MeasureCut(ctx context.Context, watchers int, length time.Duration) (m Cut, err error) {
 	m.Watchers = watchers
-	at, children, err := r.Quorum(3)
-	defer func() {
-		for _, c := range children {
-			_ = c.Kill() // whatever came of it
-		}
-	}()
+	b, err := r.quorumBed(ctx, 3)
 	if err != nil {
 		return m, err
 	}
-	c := client.New(at)
-	defer c.Close()
-	if err := Await(ctx, c, len(at)); err != nil {
+	defer b.Close()
+	at, children, c := b.At, b.Children, b.Client
+	version, err := b.fill(ctx, watchers, registration)
+	if err != nil {
 		return m, err
 	}
-	var version int64
-	for i := range watchers {
-		if version, err = c.Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return m, fmt.Errorf("entry %d: %w", i, err)
-		}
-	}
 	left := (leader(ctx, c) + 1) % len(at) // whoever leads is on the other side
-	if !sleep(ctx, time.Second) {          // the replica that is left has it all, too
+	if !pause.For(ctx, time.Second) {      // the replica that is left has it all, too
 		return m, ctx.Err()
 	}
 	var others []*proc.Child
@@ -183,21 +164,19 @@
 			return m, err
 		}
 	}
-	var both [2]*client.Client
+	var both [2]*Bed
 	for i := range names {
-		both[i] = client.New(at[i])
-		defer both[i].Close()
-		if err := Await(ctx, both[i], len(at[i])); err != nil {
+		both[i] = &Bed{At: at[i], Client: client.New(at[i]), Children: children[i]}
+		defer both[i].Client.Close()
+		if err := Await(ctx, both[i].Client, len(at[i])); err != nil {
 			return m, err
 		}
 	}
-	var version int64
-	for i := range watchers {
-		if version, err = both[1].Register(ctx, fmt.Sprint("u", i), registration(i)); err != nil {
-			return m, fmt.Errorf("entry %d: %w", i, err)
-		}
+	version, err := both[1].fill(ctx, watchers, registration)
+	if err != nil {
+		return m, err
 	}
-	if !sleep(ctx, time.Second) { // all replicas have it
+	if !pause.For(ctx, time.Second) { // all replicas have it
 		return m, ctx.Err()
 	}
 	return r.cut(ctx, m, at[1], version, children[0], length)
@@ -221,7 +200,7 @@
 			ends <- time.Now()
 		}()
 	}
-	if !sleep(ctx, time.Second) {
+	if !pause.For(ctx, time.Second) {
 		return m, ctx.Err()
 	}
 	if n := ended.Load(); n > 0 {
@@ -243,7 +222,7 @@
 		if err != nil {
 			m.Refused++
 		}
-		if !sleep(ctx, 100*time.Millisecond) {
+		if !pause.For(ctx, 100*time.Millisecond) {
 			return m, ctx.Err()
 		}
 	}
--- a/internal/lab/capacity/plays/duty.go
+++ b/internal/lab/capacity/plays/duty.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"mosslead/internal/duty"
-	"mosslead/internal/lab/burden"
 	"mosslead/internal/lab/capacity"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/registry/client"
 )
 
@@ -32,21 +32,13 @@
 	if err != nil {
 		return nil, err
 	}
-	address, err := freeAddresses(1)
+	b, err := r.Alone(ctx)
 	if err != nil {
 		return nil, err
 	}
-	replica, err := r.Start("replica", "--dev", "--listen", address[0])
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = replica.Kill() }() // whatever came of it
-	c := client.New(address)
-	defer c.Close()
-	if err := burden.Await(ctx, c, 1); err != nil {
-		return nil, err
-	}
-	calls, err := newCounter(address[0])
+	defer b.Close()
+	replica := b.Children[0]
+	calls, err := newCounter(b.At[0])
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +53,7 @@
 		d.Want(true, 0)
 		all.Go(func() { defer own.Close(); d.Run(running) })
 	}
-	if !sleep(ctx, p.span(dutySettle)) {
+	if !pause.For(ctx, p.span(dutySettle)) {
 		return nil, ctx.Err()
 	}
 	begun, n, bytes := time.Now(), calls.calls.Load(), calls.bytes()
@@ -69,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.span(dutyFor)) {
+	if !pause.For(ctx, p.span(dutyFor)) {
 		return nil, ctx.Err()
 	}
 	after, err := replica.Ran()
--- a/internal/lab/capacity/plays/exchange.go
+++ b/internal/lab/capacity/plays/exchange.go
@@ -3,8 +3,9 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"time"
+
+	"mosslead/internal/lab/proc"
 )
 
 const (
@@ -45,7 +46,7 @@
 	defer func() { c.Close(); <-done }()
 	buf := make([]byte, exchangeBytes)
 	lags := make([]time.Duration, 0, exchanges)
-	before := ownCPU()
+	before := proc.OwnCPU()
 	for range exchanges {
 		begun := time.Now()
 		if _, err := c.Write(buf); err != nil {
@@ -56,14 +57,5 @@
 		}
 		lags = append(lags, time.Since(begun))
 	}
-	return (ownCPU() - before) / exchanges, quantile(lags, 0.5), nil
-}
-
-// ownCPU is the processor time of this process so far.
-func ownCPU() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return (proc.OwnCPU() - before) / exchanges, quantile(lags, 0.5), nil
 }
--- a/internal/lab/capacity/plays/plays.go
+++ b/internal/lab/capacity/plays/plays.go
@@ -43,9 +43,27 @@
 	at       []sizes // played in this order, the whole of it repeats times
 	repeats  int
 	check    sizes // predicted, and then played
+	// exchange has a bare exchange made in the same run, whose processor time is told as exchange_cpu_us.
+	exchange bool
 	run      func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error)
 }
 
+// once plays one size.
+func (x play) once(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
+	if !x.exchange {
+		return x.run(p, ctx, at, dir)
+	}
+	cpu, _, err := exchange()
+	if err != nil {
+		return nil, err
+	}
+	got, err := x.run(p, ctx, at, dir)
+	if err == nil {
+		got["exchange_cpu_us"] = us(cpu)
+	}
+	return got, err
+}
+
 // all are the plays by the names of their measures.
 var all = map[string]play{}
 
@@ -67,7 +85,7 @@
 	for i := range total {
 		at := x.at[i%len(x.at)]
 		p.progress(i, total, fmt.Sprint(name, " ", at))
-		got, err := x.run(p, ctx, at, fmt.Sprint(name, "-", i))
+		got, err := x.once(p, ctx, at, fmt.Sprint(name, "-", i))
 		if err != nil {
 			return nil, fmt.Errorf("%s at %v: %w", name, at, err)
 		}
@@ -86,7 +104,7 @@
 	m.Checks = nil
 	for i := range x.repeats {
 		p.progress(i, x.repeats, fmt.Sprint(m.Name, " ", m.Prediction.Sizes))
-		got, err := x.run(p, ctx, m.Prediction.Sizes, fmt.Sprint(m.Name, "-check-", i))
+		got, err := x.once(p, ctx, m.Prediction.Sizes, fmt.Sprint(m.Name, "-check-", i))
 		if err != nil {
 			return fmt.Errorf("%s at %v: %w", m.Name, m.Prediction.Sizes, err)
 		}
--- a/internal/lab/capacity/plays/service.go
+++ b/internal/lab/capacity/plays/service.go
@@ -33,20 +33,17 @@
 			"told to all, in hundredths of a second over twelve changes; exchange_cpu_us: processor time of both ends of a bare exchange of 200 bytes over loopback, in the same run",
 		series: []capacity.Series{{Name: "memory_kb", Unit: "KB", Form: "watchers"}, {Name: "cpu_ms_change", Unit: "ms", Form: "watchers"}},
 		at:     each("watchers", 200, 400, 800, 1200), repeats: 2, check: sizes{"watchers": 1800},
+		exchange: true,
 		run: func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
 			r, err := p.runner(dir)
 			if err != nil {
 				return nil, err
 			}
-			cpu, _, err := exchange()
-			if err != nil {
-				return nil, err
-			}
 			w, err := r.MeasureWatchers(ctx, int(at["watchers"]), watchEntries, watchChanges)
 			if err == nil && w.Unheard > 0 {
 				err = fmt.Errorf("%d lines did not come", w.Unheard)
 			}
-			return map[string]float64{"memory_kb": w.KBPerWatcher * at["watchers"], "cpu_ms_change": w.CPUPerChange, "p99_ms": w.P99Ms, "exchange_cpu_us": us(cpu)}, err
+			return map[string]float64{"memory_kb": w.KBPerWatcher * at["watchers"], "cpu_ms_change": w.CPUPerChange, "p99_ms": w.P99Ms}, err
 		},
 	}
 	all["return"] = play{
@@ -57,17 +54,14 @@
 			{Name: "memory_mb", Unit: "MB", Form: "watchers*entries"}},
 		at:      []sizes{{"watchers": 150, "entries": 225}, {"watchers": 300, "entries": 450}, {"watchers": 450, "entries": 900}, {"watchers": 900, "entries": 900}, {"watchers": 900, "entries": 1350}},
 		repeats: 2, check: sizes{"watchers": 1800, "entries": 1800},
+		exchange: true,
 		run: func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
 			r, err := p.runner(dir)
 			if err != nil {
 				return nil, err
 			}
-			cpu, _, err := exchange()
-			if err != nil {
-				return nil, err
-			}
 			m, err := r.MeasureReturn(ctx, int(at["watchers"]), int(at["entries"]), true, returnsWithin)
-			return map[string]float64{"bytes": float64(m.Bytes), "cpu_ms": m.CPUMs, "memory_mb": m.MemoryMB, "all_back_s": m.AllBack, "failed": float64(m.Failed), "exchange_cpu_us": us(cpu)}, err
+			return map[string]float64{"bytes": float64(m.Bytes), "cpu_ms": m.CPUMs, "memory_mb": m.MemoryMB, "all_back_s": m.AllBack, "failed": float64(m.Failed)}, err
 		},
 	}
 	all["renewals"] = play{
@@ -75,20 +69,17 @@
 		how:      "450 leases renewed one by one for 6 s, a third through each replica; processor time by the kernel's count, of the leader and of the other two together",
 		series:   []capacity.Series{{Name: "leader_cores", Unit: "cores", Form: "renewals"}, {Name: "followers_cores", Unit: "cores", Form: "renewals"}},
 		at:       each("renewals", 45, 90, 180, 270), repeats: 2, check: sizes{"renewals": 600},
+		exchange: true,
 		run: func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
 			r, err := p.runner(dir)
 			if err != nil {
 				return nil, err
 			}
-			cpu, _, err := exchange()
-			if err != nil {
-				return nil, err
-			}
 			m, err := r.MeasureRenewals(ctx, 3, watchEntries, at["renewals"], p.span(renewLength))
 			if err == nil && m.Failed+m.Lost > 0 {
 				err = fmt.Errorf("%d renewals failed, %d leases were lost", m.Failed, m.Lost)
 			}
-			return map[string]float64{"leader_cores": m.Leader, "followers_cores": m.Cores - m.Leader, "took_per_s": m.Took, "p99_ms": m.P99Ms, "exchange_cpu_us": us(cpu)}, err
+			return map[string]float64{"leader_cores": m.Leader, "followers_cores": m.Cores - m.Leader, "took_per_s": m.Took, "p99_ms": m.P99Ms}, err
 		},
 	}
 	all["writes"] = play{
@@ -99,21 +90,18 @@
 			{Name: "leader_bytes", Unit: "bytes/s", Form: "changes"}, {Name: "follower_bytes", Unit: "bytes/s", Form: "changes"},
 			{Name: "leader_mb", Unit: "MB", Form: "changes"}, {Name: "follower_mb", Unit: "MB", Form: "changes"}},
 		at: each("changes", 0, 2, 5, 10, 20), repeats: 1, check: sizes{"changes": 40},
+		exchange: true,
 		run: func(p *Player, ctx context.Context, at sizes, dir string) (map[string]float64, error) {
 			r, err := p.runner(dir)
 			if err != nil {
 				return nil, err
 			}
-			cpu, _, err := exchange()
-			if err != nil {
-				return nil, err
-			}
 			m, err := r.MeasureWrites(ctx, watchEntries, at["changes"], p.span(writesLength))
 			if err == nil && m.Failed > 0 {
 				err = fmt.Errorf("%d changes failed", m.Failed)
 			}
 			return map[string]float64{"leader_cores": m.Leader, "follower_cores": m.Follower, "leader_bytes": m.LeaderBytes, "follower_bytes": m.FollowerBytes,
-				"leader_mb": m.LeaderMB, "follower_mb": m.FollowerMB, "took_per_s": m.Took, "p99_ms": m.P99Ms, "exchange_cpu_us": us(cpu)}, err
+				"leader_mb": m.LeaderMB, "follower_mb": m.FollowerMB, "took_per_s": m.Took, "p99_ms": m.P99Ms}, err
 		},
 	}
 	all["apart"] = play{
--- a/internal/lab/capacity/plays/settings.go
+++ b/internal/lab/capacity/plays/settings.go
@@ -13,6 +13,8 @@
 
 	"mosslead/internal/lab/burden"
 	"mosslead/internal/lab/capacity"
+	"mosslead/internal/lab/loopback"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
@@ -37,7 +39,8 @@
 		how:      "resident memory of one replica in memory (the kernel's count) after so many documents of about 4 KB were put, less that before; bytes of one document, and its processor time for one put",
 		series:   []capacity.Series{{Name: "memory_mb", Unit: "MB", Form: "documents"}, {Name: "put_cpu_ms", Unit: "ms", Form: "documents"}},
 		at:       each("documents", 50, 200, 400, 700), repeats: 2, check: sizes{"documents": 1000},
-		run: (*Player).documents,
+		exchange: true,
+		run:      (*Player).documents,
 	}
 	all["settings"] = play{
 		question: "What does a change of a service's settings cost its sidecars, and when is it in force at all of them?",
@@ -46,7 +49,8 @@
 		series: []capacity.Series{{Name: "steady_bytes", Unit: "bytes/s", Form: "sidecars"}, {Name: "change_bytes", Unit: "bytes", Form: "sidecars"}, {Name: "change_cpu_ms", Unit: "ms", Form: "sidecars"},
 			{Name: "in_force_s", Unit: "s", Form: "sidecars"}, {Name: "in_force_most_s", Unit: "s", Form: "sidecars"}},
 		at: each("sidecars", 2, 4, 8, 16), repeats: 1, check: sizes{"sidecars": 24},
-		run: (*Player).settings,
+		exchange: true,
+		run:      (*Player).settings,
 	}
 	all["heal"] = play{
 		question: "What does a heal cost two regions that follow each other?",
@@ -83,35 +87,23 @@
 	for end := time.Now().Add(settingsWithin); ; {
 		version, err := c.Put(ctx, service, api.Put{Schema: settings.Schema, Settings: text, IfVersion: &on})
 		// A replica that has just begun has not said yet what it understands.
-		if !api.IsCode(err, api.CodeOldPeer) || time.Now().After(end) || !sleep(ctx, settingsLook) {
+		if !api.IsCode(err, api.CodeOldPeer) || time.Now().After(end) || !pause.For(ctx, settingsLook) {
 			return version, len(text), err
 		}
 	}
 }
 
 func (p *Player) documents(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
-	cpu, _, err := exchange()
-	if err != nil {
-		return nil, err
-	}
 	r, err := p.runner(dir)
 	if err != nil {
 		return nil, err
 	}
-	address, err := freeAddresses(1)
-	if err != nil {
-		return nil, err
-	}
-	replica, err := r.Start("replica", "--dev", "--listen", address[0])
+	b, err := r.Alone(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = replica.Kill() }() // whatever came of it
-	c := client.New(address)
-	defer c.Close()
-	if err := burden.Await(ctx, c, 1); err != nil {
-		return nil, err
-	}
+	defer b.Close()
+	c, replica := b.Client, b.Children[0]
 	before, err := replica.Use()
 	if err != nil {
 		return nil, err
@@ -130,21 +122,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.span(settleFor)) {
+	if !pause.For(ctx, p.span(settleFor)) {
 		return nil, ctx.Err()
 	}
 	after, err := replica.Use()
 	if err != nil {
 		return nil, err
 	}
-	return map[string]float64{"memory_mb": after.MemoryMB - before.MemoryMB, "put_cpu_ms": (ranAfter - ran).Seconds() * 1e3 / float64(n), "document_bytes": float64(length), "exchange_cpu_us": us(cpu)}, nil
+	return map[string]float64{"memory_mb": after.MemoryMB - before.MemoryMB, "put_cpu_ms": (ranAfter - ran).Seconds() * 1e3 / float64(n), "document_bytes": float64(length)}, nil
 }
 
 func (p *Player) settings(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
-	cpu, _, err := exchange()
-	if err != nil {
-		return nil, err
-	}
 	upstreams := make([]string, 10)
 	for i := range upstreams {
 		upstreams[i] = fmt.Sprintf("127.9.0.%d:9000", 1+i)
@@ -173,7 +161,7 @@
 	if _, err := inForce(ctx, b.c, version, len(children)); err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.span(settleFor)) {
+	if !pause.For(ctx, p.span(settleFor)) {
 		return nil, ctx.Err()
 	}
 	bytes, begun := b.watch.bytes(), time.Now()
@@ -181,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.span(acksFor)) {
+	if !pause.For(ctx, p.span(acksFor)) {
 		return nil, ctx.Err()
 	}
 	took := time.Since(begun).Seconds()
@@ -203,7 +191,7 @@
 			return nil, err
 		}
 		sum, most = sum+heard.Sub(asked), max(most, heard.Sub(asked))
-		if !sleep(ctx, p.span(settingsEvery)) {
+		if !pause.For(ctx, p.span(settingsEvery)) {
 			return nil, ctx.Err()
 		}
 	}
@@ -214,7 +202,7 @@
 	}
 	return map[string]float64{"steady_bytes": steady / n, "change_bytes": (float64(b.watch.bytes()-bytes) - steady*took) / n / settingsTurns,
 		"change_cpu_ms": ((after - quietRan).Seconds() - quiet*took) * 1e3 / n / settingsTurns,
-		"in_force_s":    sum.Seconds() / settingsTurns, "in_force_most_s": most.Seconds(), "document_bytes": float64(length), "exchange_cpu_us": us(cpu)}, nil
+		"in_force_s":    sum.Seconds() / settingsTurns, "in_force_most_s": most.Seconds(), "document_bytes": float64(length)}, nil
 }
 
 // inForce waits until a replica has heard from so many sidecars that a version of the settings is in force.
@@ -237,7 +225,7 @@
 		if time.Now().After(end) {
 			return time.Time{}, fmt.Errorf("version %d is in force at %d of %d after %v", version, seen, sidecars, settingsWithin)
 		}
-		if !sleep(ctx, settingsLook) {
+		if !pause.For(ctx, settingsLook) {
 			return time.Time{}, ctx.Err()
 		}
 	}
@@ -257,7 +245,7 @@
 // another starts one more sidecar before the same list, like the bed's but for its name and addresses. A child is given beside an
 // error where there is one to end.
 func (p *Player) another(ctx context.Context, b *bed, dir string, i int) (*proc.Child, error) {
-	at, err := freeAddresses(2)
+	at, err := loopback.Addresses(2)
 	if err != nil {
 		return nil, err
 	}
@@ -272,7 +260,7 @@
 	if err != nil {
 		return nil, err
 	}
-	address, err := freeAddresses(4)
+	address, err := loopback.Addresses(4)
 	if err != nil {
 		return nil, err
 	}
@@ -322,7 +310,7 @@
 		return nil, err
 	}
 	bytes, begun := link.bytes(), time.Now()
-	if !sleep(ctx, p.span(steadyFor)) {
+	if !pause.For(ctx, p.span(steadyFor)) {
 		return nil, ctx.Err()
 	}
 	steady := float64(link.bytes()-bytes) / time.Since(begun).Seconds()
@@ -354,7 +342,7 @@
 	if version, _, err = put(ctx, north, settingsOf, 1, on.Version); err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.span(cutFor)-time.Since(cut)) {
+	if !pause.For(ctx, p.span(cutFor)-time.Since(cut)) {
 		return nil, ctx.Err()
 	}
 	healed := time.Now()
@@ -384,7 +372,7 @@
 		if time.Now().After(end) {
 			return errors.New("the other region is not followed")
 		}
-		if !sleep(ctx, settingsLook) {
+		if !pause.For(ctx, settingsLook) {
 			return ctx.Err()
 		}
 	}
--- a/internal/lab/capacity/plays/sidecar.go
+++ b/internal/lab/capacity/plays/sidecar.go
@@ -19,6 +19,8 @@
 
 	"mosslead/internal/lab/burden"
 	"mosslead/internal/lab/capacity"
+	"mosslead/internal/lab/loopback"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
@@ -45,7 +47,8 @@
 			{Name: "change_bytes", Unit: "bytes", Form: "entries"}, {Name: "change_cpu_ms", Unit: "ms", Form: "entries"}, {Name: "list_bytes", Unit: "bytes", Form: "entries"},
 			{Name: "disk_bytes", Unit: "bytes", Form: "entries"}, {Name: "disk_written", Unit: "bytes/s", Form: "entries"}, {Name: "stats_bytes", Unit: "bytes", Form: "entries"}},
 		at: each("entries", 10, 200, 600, 1000), repeats: 1, check: sizes{"entries": 1800},
-		run: (*Player).quietSidecar,
+		exchange: true,
+		run:      (*Player).quietSidecar,
 	}
 	all["calls"] = play{
 		question: "What does a call through a sidecar cost and take beside the same call straight?",
@@ -60,27 +63,23 @@
 
 // bed is a sidecar before a list service of one replica in memory.
 type bed struct {
-	c       *client.Client
+	service *burden.Bed
+	c       *client.Client // the service's
 	watch   *counter
 	child   *proc.Child
-	replica *proc.Child
 	listen  string
 	ops     string
 	state   string
 }
 
 func (b *bed) close() {
-	for _, child := range []*proc.Child{b.child, b.replica} {
-		if child != nil {
-			_ = child.Kill() // whatever came of it
-		}
+	if b.child != nil {
+		_ = b.child.Kill() // whatever came of it
 	}
 	if b.watch != nil {
 		b.watch.close()
 	}
-	if b.c != nil {
-		b.c.Close()
-	}
+	b.service.Close()
 }
 
 // bed starts both, the list with these addresses in it. Nothing of it is left after an error.
@@ -89,32 +88,29 @@
 	if err != nil {
 		return nil, err
 	}
-	b = &bed{}
+	service, err := r.Alone(ctx)
+	if err != nil {
+		return nil, err
+	}
+	b = &bed{service: service, c: service.Client}
 	defer func() {
 		if err != nil {
 			b.close()
 		}
 	}()
-	at, err := freeAddresses(3)
+	at, err := loopback.Addresses(2)
 	if err != nil {
 		return nil, err
 	}
-	if b.replica, err = r.Start("replica", "--dev", "--listen", at[0]); err != nil {
-		return nil, err
-	}
-	b.c = client.New(at[:1])
-	if err := burden.Await(ctx, b.c, 1); err != nil {
-		return nil, err
-	}
 	for i, address := range upstreams {
 		if _, err := b.c.Register(ctx, fmt.Sprint("upstream-", i), registration(i, address)); err != nil {
 			return nil, fmt.Errorf("entry %d: %w", i, err)
 		}
 	}
-	if b.watch, err = newCounter(at[0]); err != nil {
+	if b.watch, err = newCounter(service.At[0]); err != nil {
 		return nil, err
 	}
-	b.listen, b.ops, b.state = at[1], at[2], filepath.Join(r.Dir, "state")
+	b.listen, b.ops, b.state = at[0], at[1], filepath.Join(r.Dir, "state")
 	c := sidecarConfig("sidecar-0", b.listen, b.ops, b.watch.address(), b.state, len(upstreams))
 	maps.Copy(c, config)
 	b.child, err = p.startSidecar(ctx, c, r.Dir)
@@ -159,10 +155,6 @@
 }
 
 func (p *Player) quietSidecar(ctx context.Context, at sizes, dir string) (map[string]float64, error) {
-	cpu, _, err := exchange()
-	if err != nil {
-		return nil, err
-	}
 	upstreams := make([]string, int(at["entries"]))
 	for i := range upstreams {
 		upstreams[i] = fmt.Sprintf("127.9.%d.%d:9000", i/250, 1+i%250)
@@ -172,10 +164,10 @@
 		return nil, err
 	}
 	defer b.close()
-	if !sleep(ctx, p.span(settleFor)) {
+	if !pause.For(ctx, p.span(settleFor)) {
 		return nil, ctx.Err()
 	}
-	got := map[string]float64{"list_bytes": float64(b.watch.bytes()), "exchange_cpu_us": us(cpu)}
+	got := map[string]float64{"list_bytes": float64(b.watch.bytes())}
 	ran, io, read, began := time.Duration(0), proc.IO{}, int64(0), time.Now()
 	mark := func() (err1 error) {
 		began, read = time.Now(), b.watch.bytes()
@@ -188,7 +180,7 @@
 		return nil, err
 	}
 	wasRan, wasIO, wasRead, begun := ran, io, read, began
-	if !sleep(ctx, p.span(steadyFor)) {
+	if !pause.For(ctx, p.span(steadyFor)) {
 		return nil, ctx.Err()
 	}
 	if err := mark(); err != nil {
@@ -219,7 +211,7 @@
 		if _, err := b.c.Hand(ctx, fmt.Sprint("upstream-", i%len(upstreams)), api.Ask{Hand: []string{api.HandDrain, api.HandNone}[i/len(upstreams)%2]}); err != nil {
 			return nil, err
 		}
-		if !sleep(ctx, p.span(turnEvery)) {
+		if !pause.For(ctx, p.span(turnEvery)) {
 			return nil, ctx.Err()
 		}
 	}
@@ -286,7 +278,7 @@
 			return nil, fmt.Errorf("before the load: %w", err)
 		}
 	}
-	if !sleep(ctx, p.span(learntFirst)) {
+	if !pause.For(ctx, p.span(learntFirst)) {
 		return nil, ctx.Err()
 	}
 	ran, err := b.child.Ran()
@@ -300,7 +292,7 @@
 	var calls sync.WaitGroup
 	for i := 0; ; i++ {
 		due := begun.Add(time.Duration(i) * gap)
-		if due.Sub(begun) >= p.span(loadFor) || !sleep(ctx, time.Until(due)) {
+		if due.Sub(begun) >= p.span(loadFor) || !pause.For(ctx, time.Until(due)) {
 			break
 		}
 		one := func(k int, due time.Time, address string) {
@@ -315,7 +307,7 @@
 		now := time.Now() // a call that this process begins late is late in neither
 		calls.Go(func() {
 			one(0, now, b.listen)
-			if sleep(ctx, gap/3) { // the straight one goes alone too
+			if pause.For(ctx, gap/3) { // the straight one goes alone too
 				one(1, time.Now(), upstreams[i%len(upstreams)])
 			}
 		})
@@ -402,18 +394,6 @@
 	return sum, err
 }
 
-// freeAddresses are so many that nobody listens at.
-func freeAddresses(n int) (all []string, err error) {
-	for range n {
-		at, err := burden.Address()
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, at)
-	}
-	return all, nil
-}
-
 func quantile(lags []time.Duration, share float64) time.Duration {
 	if len(lags) == 0 {
 		return 0
@@ -421,14 +401,3 @@
 	slices.Sort(lags)
 	return lags[min(int(float64(len(lags))*share), len(lags)-1)]
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/duties/faults.go
+++ b/internal/lab/duties/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mosslead/internal/lab/acts"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/relay"
 )
 
@@ -55,7 +56,7 @@
 	case <-time.After(endsWithin):
 		return fmt.Errorf("%s does not end", p.name)
 	}
-	sleep(r.ctx, restartAfter)
+	pause.For(r.ctx, restartAfter)
 	return r.start(p)
 }
 
@@ -65,7 +66,7 @@
 		if err := p.child.Signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
-		sleep(r.ctx, time.Duration(leases*float64(r.Lease)))
+		pause.For(r.ctx, time.Duration(leases*float64(r.Lease)))
 		return p.child.Signal(syscall.SIGCONT)
 	}
 	switch r.rng.IntN(6) {
@@ -112,7 +113,7 @@
 	if err := set(states[fault]); err != nil {
 		return err
 	}
-	sleep(r.ctx, time.Duration((0.7+1.5*r.rng.Float64())*float64(r.Lease)))
+	pause.For(r.ctx, time.Duration((0.7+1.5*r.rng.Float64())*float64(r.Lease)))
 	return set(relay.State{})
 }
 
@@ -155,7 +156,7 @@
 			return err
 		}
 	}
-	sleep(r.ctx, long)
+	pause.For(r.ctx, long)
 	_ = r.procs[leader].Signal(syscall.SIGCONT)
 	if err := r.procs[leader].FileLimit(nil); err != nil {
 		return err
@@ -193,6 +194,6 @@
 		if ctx.Err() != nil {
 			return 0, fmt.Errorf("nobody leads for %v", answersMost)
 		}
-		sleep(ctx, 20*time.Millisecond)
+		pause.For(ctx, 20*time.Millisecond)
 	}
 }
--- a/internal/lab/duties/run.go
+++ b/internal/lab/duties/run.go
@@ -18,6 +18,7 @@
 
 	"mosslead/internal/lab/acts"
 	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/lab/relay"
 	"mosslead/internal/registry/client"
@@ -113,7 +114,7 @@
 			return Result{}, err
 		}
 		r.target.until(ctx, hands+1, 3*s.Lease)
-		sleep(ctx, time.Duration(r.rng.IntN(400))*time.Millisecond)
+		pause.For(ctx, time.Duration(r.rng.IntN(400))*time.Millisecond)
 	}
 	if err := ctx.Err(); err != nil {
 		return Result{}, err
@@ -184,7 +185,7 @@
 
 // acted waits for the first act.
 func (r *run) acted(most time.Duration) bool {
-	for end := time.Now().Add(most); time.Now().Before(end) && r.ctx.Err() == nil; sleep(r.ctx, 5*time.Millisecond) {
+	for end := time.Now().Add(most); time.Now().Before(end) && r.ctx.Err() == nil; pause.For(r.ctx, 5*time.Millisecond) {
 		if last, _ := r.target.holder(); last.OK {
 			return true
 		}
--- a/internal/lab/duties/target.go
+++ b/internal/lab/duties/target.go
@@ -11,6 +11,7 @@
 
 	"mosslead/internal/duty"
 	"mosslead/internal/lab/acts"
+	"mosslead/internal/lab/pause"
 )
 
 // target is acted upon: it takes an act unless its fence refuses the epoch, and keeps what it took.
@@ -105,7 +106,7 @@
 		if _, now := t.holder(); now >= hands {
 			return true
 		}
-		sleep(ctx, 5*time.Millisecond)
+		pause.For(ctx, 5*time.Millisecond)
 	}
 	return false
 }
@@ -119,12 +120,3 @@
 	t.mu.Unlock()
 	t.done.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	x := time.NewTimer(d)
-	defer x.Stop()
-	select {
-	case <-x.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lab/burden/own.go
+++ b/internal/lab/proc/own.go
@@ -1,12 +1,12 @@
-package burden
+package proc
 
 import (
 	"syscall"
 	"time"
 )
 
-// ownCPU is the processor time of this process so far.
-func ownCPU() time.Duration {
+// OwnCPU is the processor time of this process so far.
+func OwnCPU() time.Duration {
 	var u syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
 		return 0
--- a/internal/lab/scale/days.go
+++ b/internal/lab/scale/days.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/relay"
 	"mosslead/internal/registry/api"
 )
@@ -60,7 +61,7 @@
 func DayNames() []string { return slices.Sorted(maps.Keys(days)) }
 
 func (w *world) steady(ctx context.Context) error {
-	sleep(ctx, w.spec.Length)
+	pause.For(ctx, w.spec.Length)
 	return ctx.Err()
 }
 
@@ -83,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		sleep(ctx, w.spec.Length/waveChanges)
+		pause.For(ctx, w.spec.Length/waveChanges)
 	}
 	return ctx.Err()
 }
@@ -111,14 +112,14 @@
 			}
 			errs[i] = w.fails(ctx, []int{number}, doEnd, func() {})
 		})
-		sleep(ctx, w.spec.Length/time.Duration(len(names)))
+		pause.For(ctx, w.spec.Length/time.Duration(len(names)))
 	}
 	all.Wait()
 	return errors.Join(append(errs, ctx.Err())...)
 }
 
 func (w *world) awayFor(ctx context.Context, d time.Duration) error {
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	return ctx.Err()
 }
 
@@ -135,7 +136,7 @@
 	if err := w.lapsed(ctx, lapses); err != nil {
 		return err
 	}
-	sleep(ctx, shortAway)
+	pause.For(ctx, shortAway)
 	return w.back(ctx, of, "back after a failure")
 }
 
@@ -225,7 +226,7 @@
 			return err
 		}
 	}
-	sleep(ctx, leaderAway/2)
+	pause.For(ctx, leaderAway/2)
 	if x.child, err = w.run.Start(x.name, "--config", x.config); err != nil {
 		return err
 	}
@@ -244,7 +245,7 @@
 			break
 		}
 	}
-	sleep(ctx, leaderAway-time.Since(begun))
+	pause.For(ctx, leaderAway-time.Since(begun))
 	if err := errors.Join(err, x.child.Signal(syscall.SIGCONT)); err != nil {
 		return err
 	}
@@ -264,7 +265,7 @@
 	if err := w.hand(ctx, w.regions[0], names[0], api.HandDrain, "all back at once"); err != nil {
 		return err
 	}
-	sleep(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	return w.hand(ctx, w.regions[0], names[1], api.HandDrain, "after all were back")
 }
 
@@ -289,7 +290,7 @@
 	w.settle(ctx)
 	// What is served while nothing happens is what the cut is held against.
 	w.calm.from = w.load.Now()
-	sleep(ctx, w.spec.Length)
+	pause.For(ctx, w.spec.Length)
 	w.calm.to = w.load.Now()
 	w.apart.from = w.calm.to
 	if err := w.part(true); err != nil {
@@ -313,13 +314,13 @@
 			errs[i] = errors.Join(w.each(of, doEnd), w.put(ctx, r, w.serviceOf(i), "settings during the cut"))
 			for _, name := range names[:4] {
 				errs[i] = errors.Join(errs[i], w.hand(ctx, r, name, api.HandDrain, "during the cut"))
-				sleep(ctx, w.spec.Cut/8)
+				pause.For(ctx, w.spec.Cut/8)
 			}
 			errs[i] = errors.Join(errs[i], w.lapsed(ctx, lapses))
 		})
 	}
 	all.Wait()
-	sleep(ctx, time.Until(healed))
+	pause.For(ctx, time.Until(healed))
 	w.apart.to = w.load.Now()
 	if err := errors.Join(append(errs, w.part(false))...); err != nil {
 		return err
@@ -357,7 +358,7 @@
 				errs[i] = errors.Join(errs[i], w.hand(ctx, r, name, api.HandDrain, "from afar"))
 				services := w.putBy(i)
 				errs[i] = errors.Join(errs[i], w.put(ctx, r, services[k%len(services)], "settings from afar"))
-				sleep(ctx, w.spec.Length/slowRounds)
+				pause.For(ctx, w.spec.Length/slowRounds)
 			}
 		})
 	}
@@ -433,6 +434,11 @@
 	w.mu.Lock()
 	bears := w.bears
 	w.mu.Unlock()
+	return w.tell(of, order{Do: do, Bear: bears})
+}
+
+// tell gives orders for some hollow ones to their hosts, to each those for its own.
+func (w *world) tell(of []int, orders ...order) error {
 	var errs []error
 	for _, h := range w.hosts {
 		var own []int
@@ -441,8 +447,12 @@
 				own = append(own, i)
 			}
 		}
-		if len(own) > 0 {
-			errs = append(errs, h.order(order{Do: do, Of: own, Bear: bears}))
+		if len(own) == 0 {
+			continue
+		}
+		for _, o := range orders {
+			o.Of = own
+			errs = append(errs, h.order(o))
 		}
 	}
 	return errors.Join(errs...)
@@ -498,7 +508,7 @@
 	again := func() bool {
 		return api.IsCode(err, api.CodeOldPeer) || api.IsCode(err, api.CodeUnknown) || api.IsCode(err, api.CodeConflict)
 	}
-	for again() && sleep(ctx, 50*time.Millisecond) {
+	for again() && pause.For(ctx, 50*time.Millisecond) {
 		var d api.Document
 		if d, err = r.client.Document(ctx, service, 0, true); err == nil && d.Version != had {
 			v = d.Version // nobody else puts
@@ -552,7 +562,7 @@
 			if there {
 				break
 			}
-			if time.Now().After(late) || !sleep(ctx, 20*time.Millisecond) {
+			if time.Now().After(late) || !pause.For(ctx, 20*time.Millisecond) {
 				return fmt.Errorf("%s has been silent for %v, and its entry is still there", c.Name, within)
 			}
 		}
@@ -570,19 +580,7 @@
 	for _, i := range of {
 		changes = append(changes, w.change(i, api.Ready, cause))
 	}
-	var errs []error
-	for _, h := range w.hosts {
-		var own []int
-		for _, i := range of {
-			if slices.Contains(h.of, i) || slices.Contains(h.also, i) {
-				own = append(own, i)
-			}
-		}
-		if len(own) > 0 {
-			errs = append(errs, h.order(order{Do: doRegister, Of: own, Bear: bears}), h.order(order{Do: doWatch, Of: own}))
-		}
-	}
-	if err := errors.Join(errs...); err != nil {
+	if err := w.tell(of, order{Do: doRegister, Bear: bears}, order{Do: doWatch}); err != nil {
 		return err
 	}
 	for _, c := range changes {
@@ -604,7 +602,7 @@
 			w.accept(c, x.Version)
 			return nil
 		}
-		if !sleep(ctx, 50*time.Millisecond) {
+		if !pause.For(ctx, 50*time.Millisecond) {
 			return fmt.Errorf("%s was not listed again within %v%s", c.Name, acceptMost, w.complaint())
 		}
 	}
@@ -613,7 +611,7 @@
 // settle waits until the witnesses have all that was issued, and all that run what the witnesses in their region have, or longer than
 // they may take.
 func (w *world) settle(ctx context.Context) {
-	for end := time.Now().Add(settleMost); time.Now().Before(end) && sleep(ctx, 100*time.Millisecond); {
+	for end := time.Now().Add(settleMost); time.Now().Before(end) && pause.For(ctx, 100*time.Millisecond); {
 		w.mu.Lock()
 		most, behind := map[string]int64{}, 0
 		for i := range w.witness {
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 )
 
@@ -243,7 +244,7 @@
 		if err := phase.begin(); err != nil {
 			return all, err
 		}
-		sleep(ctx, w.window())
+		pause.For(ctx, w.window())
 		b, err := w.read(ctx)
 		if err != nil {
 			return all, err
--- a/internal/lab/scale/quorum.go
+++ b/internal/lab/scale/quorum.go
@@ -11,6 +11,8 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/loopback"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/lab/relay"
 	"mosslead/internal/registry/client"
@@ -44,8 +46,8 @@
 	for _, name := range names {
 		r := &region{name: name}
 		for i := range replicas {
-			a, err1 := burden.Address()
-			b, err2 := burden.Address()
+			a, err1 := loopback.Address()
+			b, err2 := loopback.Address()
 			if err := errors.Join(err1, err2); err != nil {
 				return all, fmt.Errorf("no free address: %w", err)
 			}
@@ -128,7 +130,7 @@
 
 // leader is who leads now; nil: nobody within a time.
 func (r *region) leader(ctx context.Context) *replica {
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && ctx.Err() == nil; pause.For(ctx, 50*time.Millisecond) {
 		said, _ := r.client.Status(ctx)
 		for _, s := range said {
 			for _, x := range r.replicas {
@@ -154,14 +156,3 @@
 		r.client.Close()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -14,9 +14,10 @@
 	"sync"
 	"time"
 
-	"mosslead/internal/lab/burden"
 	"mosslead/internal/lab/load"
+	"mosslead/internal/lab/loopback"
 	"mosslead/internal/lab/model"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/lab/record"
 	"mosslead/internal/lab/standin"
@@ -67,9 +68,9 @@
 		r.door.close()
 		return nil, err
 	}
-	r.listen, err = burden.Address()
+	r.listen, err = loopback.Address()
 	if err == nil {
-		r.ops, err = burden.Address()
+		r.ops, err = loopback.Address()
 	}
 	return r, err
 }
@@ -150,7 +151,7 @@
 // follows asks the sidecar at its operators' door which list and which settings are in force, until ctx ends, and tells took of each
 // change. So what is seen there is late by lookEvery at the most.
 func (r *real) follows(ctx context.Context, took func(*Message)) {
-	for list, settings := int64(0), int64(0); sleep(ctx, lookEvery); {
+	for list, settings := int64(0), int64(0); pause.For(ctx, lookEvery); {
 		l, s, err := r.figures()
 		if err != nil {
 			list, settings = 0, 0 // it is down, and begins anew
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"mosslead/internal/lab/burden"
+	"mosslead/internal/lab/pause"
 	"mosslead/internal/lab/record"
 	"mosslead/internal/registry/api"
 	"mosslead/internal/registry/client"
@@ -344,7 +345,7 @@
 		if done {
 			return nil
 		}
-		if !sleep(ctx, 100*time.Millisecond) {
+		if !pause.For(ctx, 100*time.Millisecond) {
 			return fmt.Errorf("after %v: %s%s", most, why, w.complaint())
 		}
 	}
--- a/internal/registry/processes_test.go
+++ b/internal/registry/processes_test.go
@@ -7,20 +7,18 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
+	"mosslead/internal/lab/loopback"
 	"mosslead/internal/lab/proc"
 	"mosslead/internal/registry"
 	"mosslead/internal/registry/api"
@@ -59,32 +57,14 @@
 	all   *client.Client
 }
 
-// part is 127.N.0.0/16, which this process holds as laboratories do: a port that the kernel gave out and took back could be another's
-// by the time that it is listened on, and a replica that restarts has to find its own again.
-var part struct {
-	sync.Once
-	n     int
-	claim net.Listener
-	given atomic.Int32
-}
-
-// address is one that nobody else on this machine has.
+// address is one that nobody else on this machine has: a replica that restarts has to find its own again.
 func address(t *testing.T) string {
 	t.Helper()
-	part.Do(func() {
-		for i := range 235 {
-			n := 16 + (os.Getpid()+i)%235
-			if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:9999", n)); err == nil {
-				part.n, part.claim = n, l
-				return
-			}
-		}
-	})
-	if part.claim == nil {
-		t.Fatal("no part of the loopback range is free")
+	at, err := loopback.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	i := int(part.given.Add(1))
-	return fmt.Sprintf("127.%d.%d.%d:7600", part.n, 1+i/250, 1+i%250)
+	return at
 }
 
 func newQuorum(t *testing.T, n int) *quorum {
