client: operators' and servers' words are revised by one loop

Need: SetStatus had the loop of SetHand again: read, try at that version, read again after a conflict or an unknown outcome. Change: revise carries both; what stands already, and what is tried, are its callers'. Nothing else differs.

--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -207,25 +207,12 @@
 }
 
 // SetHand has an operator's word stand for an entry, whatever it was. Other than with Hand without a version, a try whose answer did not
-// come can't be carried out later, over what was said since: each try is based on the version that was read, and void at any other.
+// come can't be carried out later, over what was said since, see revise.
 func (c *Client) SetHand(ctx context.Context, name, hand string) (version int64, err error) {
-	var p pace
-	for {
-		r, err := c.Record(ctx, name, true)
-		if err != nil {
-			return 0, err
-		}
-		if r.Hand == hand {
-			return r.Version, nil
-		}
-		version, err = c.Hand(ctx, name, api.Ask{Hand: hand, IfVersion: &r.Version})
-		if !api.IsCode(err, api.CodeUnknown) && !api.IsCode(err, api.CodeConflict) {
-			return version, err
-		}
-		if !p.wait(ctx) {
-			return 0, fmt.Errorf("%w (%w)", context.Cause(ctx), err)
-		}
-	}
+	stands := func(r api.Record) bool { return r.Hand == hand }
+	return c.revise(ctx, name, nil, stands, func(on *int64) (int64, error) {
+		return c.Hand(ctx, name, api.Ask{Hand: hand, IfVersion: on})
+	})
 }
 
 // SetStatus has a server's own word stand for its entry: Ready, Terminating or Gone, of which the last two need no more of g than the
@@ -234,6 +221,23 @@
 //
 // A registration that is based on 0 is the exception: it is not void while there is no entry again.
 func (c *Client) SetStatus(ctx context.Context, name string, g api.Registration, status string, known *int64) (version int64, err error) {
+	stands := func(api.Record) bool { return false }
+	return c.revise(ctx, name, known, stands, func(on *int64) (int64, error) {
+		ask := api.Ask{Incarnation: g.Incarnation, IfVersion: on}
+		switch status {
+		case api.Ready:
+			g.IfVersion = on
+			return c.Register(ctx, name, g)
+		case api.Terminating:
+			return c.Drain(ctx, name, ask)
+		}
+		return 0, c.Leave(ctx, name, ask)
+	})
+}
+
+// revise tries to change an entry until it is told what came of it: each try is based on one version, and void at any other. known is
+// the version of the first; nil: it is read before. What was read and stands already is not tried.
+func (c *Client) revise(ctx context.Context, name string, known *int64, stands func(api.Record) bool, try func(on *int64) (int64, error)) (int64, error) {
 	var p pace
 	for guessed := known != nil; ; guessed = false {
 		if known == nil {
@@ -241,18 +245,12 @@
 			if err != nil {
 				return 0, err
 			}
+			if stands(r) {
+				return r.Version, nil
+			}
 			known = &r.Version
 		}
-		ask := api.Ask{Incarnation: g.Incarnation, IfVersion: known}
-		switch status {
-		case api.Ready:
-			g.IfVersion = known
-			version, err = c.Register(ctx, name, g)
-		case api.Terminating:
-			version, err = c.Drain(ctx, name, ask)
-		default:
-			err = c.Leave(ctx, name, ask)
-		}
+		version, err := try(known)
 		if !api.IsCode(err, api.CodeUnknown) && !api.IsCode(err, api.CodeConflict) {
 			return version, err
 		}
