cli: transcripts take their addresses from the laboratory's giver

Need: the transcripts' test had a loopback address of its own making, and ports that the kernel gave out and took back. Change: replicas get addresses that nobody else is given, taps a host of their own. The approved texts are as they were.

--- a/internal/cli/transcript_test.go
+++ b/internal/cli/transcript_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 	"testing"
 	"time"
 
+	"mosslead/internal/lab/loopback"
 	"mosslead/internal/lab/transcript"
 	"mosslead/internal/lab/transcript/approve"
 	"mosslead/internal/registry"
@@ -53,18 +53,14 @@
 	}
 }
 
-// ownIP is a loopback address that no other process uses: a replica's port is free when it is looked for, and is to be free when it listens.
-var ownIP = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&63, os.Getpid()>>8&255, os.Getpid()&255)
-
-// freeAddress is one that is free now.
+// freeAddress is one that nobody else on this machine is given.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ownIP+":0")
+	at, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return at
 }
 
 // region starts one; name is empty where there is only one. It follows those that are given, each by a tap of its own.
@@ -127,7 +123,7 @@
 
 func (x *exchange) tap(from, to, target string) *transcript.Tap {
 	x.Helper()
-	t, err := transcript.NewTap(x.record, from, to, ownIP, target)
+	t, err := transcript.NewTap(x.record, from, to, strings.Split(freeAddress(x.T), ":")[0], target)
 	x.must(err)
 	x.Cleanup(t.Close)
 	x.taps[[2]string{from, to}] = t
