--- a/review/standin/rig/upstream.go
+++ b/review/standin/rig/upstream.go
@@ -33,6 +33,7 @@
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 	count int
+	hung  chan struct{} // closed once the upstream hangs
 }
 
 // NewUpstream starts an upstream that answers with serve, and reports each whole request to onArrival first.
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{Name: name, Address: l.Addr().String(), rec: rec, listener: l, onArrival: onArrival, serve: serve, conns: map[net.Conn]bool{}}
+	u := &Upstream{Name: name, Address: l.Addr().String(), rec: rec, listener: l, onArrival: onArrival, serve: serve, conns: map[net.Conn]bool{}, hung: make(chan struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -71,6 +72,11 @@
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
+		select {
+		case <-u.hung:
+			time.Sleep(time.Hour)
+		default:
+		}
 		a := &Arrival{Upstream: u.Name, FirstByte: time.Now(), Conn: n}
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -93,6 +99,9 @@
 	}
 }
 
+// Hang makes the upstream stop reading and answering; its connections stay open.
+func (u *Upstream) Hang() { close(u.hung) }
+
 // Close ends the upstream as a process that dies: its connections are reset and new ones are refused.
 func (u *Upstream) Close() {
 	_ = u.listener.Close()
