sidecar: a failed request's log line says how much of its body has arrived

Change: two attributes, for requests whose body is still received: body_remaining, bytes that nobody has read, and body_unread, those of them that wait in the receive buffer of the client's connection.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -109,6 +109,20 @@
 	return n, err
 }
 
+// bodyArrival is how much has arrived of the body of the request in flight, in bytes.
+type bodyArrival struct {
+	read      int64 // read from the connection, without what came together with the head
+	unread    int64 // arrived, but not read yet
+	remaining int64 // not read yet, arrived or not; -1 if unknown
+}
+
+// bodyArrival returns how much has arrived of the body of the request in flight.
+func (c *framedConn) bodyArrival() bodyArrival {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return bodyArrival{read: int64(c.bodyBytes), unread: unread(c.Conn), remaining: c.framing.bodyRemaining()}
+}
+
 // disconnected reports whether the client has closed the connection, or its sending side.
 func (c *framedConn) disconnected() bool {
 	if c.clientClosed.Load() {
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -87,6 +87,18 @@
 	return len(f.ambiguities) == 0 && f.state > inHead
 }
 
+// bodyRemaining returns how many bytes of the body of the request delivered last have not been read, or -1 if that is unknown, as
+// for a chunked body. It is called like bodyIncomplete.
+func (f *framing) bodyRemaining() int64 {
+	switch {
+	case !f.bodyIncomplete():
+		return 0
+	case f.state == inBody:
+		return f.remaining
+	}
+	return -1
+}
+
 // firstRequest reports whether the request delivered last is the connection's first.
 func (f *framing) firstRequest() bool {
 	f.mu.Lock()
--- a/internal/sidecar/logging.go
+++ b/internal/sidecar/logging.go
@@ -123,8 +123,13 @@
 
 // attrs returns the log attributes of a request.
 func (f *inFlightRequest) attrs(now time.Duration) []slog.Attr {
-	return []slog.Attr{slog.String("request", truncate(f.request.id)), slog.String("class", f.request.class),
+	attrs := []slog.Attr{slog.String("request", truncate(f.request.id)), slog.String("class", f.request.class),
 		millisecondsAttr("after_ms", now-f.acceptedAt), slog.Int64("body", f.request.body.length), slog.String("attempts", f.describeAttempts(now))}
+	if f.request.conn != nil && f.request.body.receiving() {
+		arrival := f.request.conn.bodyArrival()
+		attrs = append(attrs, slog.Int64("body_remaining", arrival.remaining), slog.Int64("body_unread", arrival.unread))
+	}
+	return attrs
 }
 
 // millisecondsAttr returns a duration in milliseconds as a log attribute.
--- a/internal/sidecar/peek.go
+++ b/internal/sidecar/peek.go
@@ -35,3 +35,18 @@
 	})
 	return bytes, end || closed != nil
 }
+
+// unread returns how many bytes have arrived on a connection and have not been read. If there are some and the system does not
+// report their number, it returns 1.
+func unread(c net.Conn) int64 {
+	if bytes, _ := pending(c); !bytes {
+		return 0
+	}
+	n := 0
+	if s, ok := c.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }) // n stays 0 if either fails
+		}
+	}
+	return int64(max(n, 1))
+}
--- a/internal/sidecar/requesthandler.go
+++ b/internal/sidecar/requesthandler.go
@@ -55,6 +55,7 @@
 		h.begin()
 		return
 	}
+	req.conn = h.conn
 	req.body.onComplete = func() {
 		h.begin()
 		h.server.post(bodyComplete{req, h.server.clock.now() + req.timeout})
