sidecar: a body's time counts from the last byte written, not from the last byte read

Cause: what is over the retained 64 KiB is read only as fast as the upstream takes it. Until the last byte was read the request had no deadline, and only the time-out of one write, the longest deadline of all classes, ended the attempt.

All late requests had bytes of the body that nobody had read after 4.0 s, and attempts that ended by the time-out of a write; a late cancellation or a late write of the answer would have shown the body read whole. With 6 MB most of what was left had not even arrived: it was in the client's own send buffer.

Change: bodyTimer observes the client's connection every 50 ms while a body is received. The time counts from the last moment at which the client can't have written its last byte: none of its bytes waited unread, or more were to come than a send buffer holds. When it is over the attempt ends. Its result is "never ran" if the body was not handed on whole, which no later read can change (bodyReader.stop), so the client gets 503. It works because the answer no longer depends on what the upstream takes; an upload that goes on is not cut off, since its time does not run.

Also mended, the same cause on related paths: the end of a body that is read late, from an upstream that reads slowly, started the full time anew; an attempt that ran out of time while it connected for such a body counted as one that may have run.

TestASoundUploadIsNotCutOff, TestAStoppedAttemptNeverGetsTheWholeBody.

--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -141,39 +141,50 @@
 // incomplete reports whether some of the body has not been passed to the writer, so that no upstream can have all of it.
 func (r *bodyReader) incomplete() bool { return !r.ended.Load() && r.delivered.Load() != r.body.length }
 
-// Read implements io.Reader.
-func (r *bodyReader) Read(p []byte) (int, error) {
-	n, err := r.next(p)
-	r.delivered.Add(int64(n))
-	if err != nil {
-		r.ended.Store(true)
+// stop stops the reading of the attempt, and reports whether some of the body that is still received has not been passed to
+// the writer. If so, no upstream will get all of the body from this attempt.
+func (r *bodyReader) stop() (incomplete bool) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.currentAttempt == r.attempt {
+		b.currentAttempt++
 	}
-	return n, err
+	return b.rest != nil && r.incomplete()
 }
 
-// next reads from the retained bytes, then from the client.
-func (r *bodyReader) next(p []byte) (int, error) {
-	if r.attempt == 0 {
+// Read implements io.Reader. It reads from the retained bytes, then from the client.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	switch {
+	case r.attempt == 0:
+		r.ended.Store(true)
 		return 0, errAttemptEnded
-	}
-	if len(r.retained) > 0 {
+	case len(r.retained) > 0:
 		n := copy(p, r.retained)
 		r.retained = r.retained[n:]
+		r.delivered.Add(int64(n))
 		return n, nil
-	}
-	b := r.body
-	if b.rest == nil {
+	case r.body.rest == nil:
+		r.ended.Store(true)
 		return 0, io.EOF
 	}
+	return r.readRest(p)
+}
+
+// readRest reads from the client.
+func (r *bodyReader) readRest(p []byte) (int, error) {
+	b := r.body
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
 	b.mu.Lock()
 	switch {
 	case b.currentAttempt != r.attempt:
+		r.ended.Store(true)
 		b.mu.Unlock()
 		return 0, errAttemptEnded
 	case b.err != nil || b.ended:
 		err := b.err
+		r.ended.Store(true)
 		b.mu.Unlock()
 		if err == nil {
 			err = io.EOF
@@ -195,6 +206,12 @@
 	case err != nil:
 		b.err = err
 	}
+	if !outdated {
+		r.delivered.Add(int64(n)) // with mu locked, see stop
+	}
+	if outdated || err != nil {
+		r.ended.Store(true)
+	}
 	b.mu.Unlock()
 	switch {
 	case errors.Is(err, io.EOF):
--- /dev/null
+++ b/internal/sidecar/bodytimer_test.go
@@ -0,0 +1,208 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	maxAnswerDelay  = 500 * time.Millisecond // an answer later than this after the client's time-out counts as lost
+	timeTolerance   = 50 * time.Millisecond  // by which each limit of the protocol is longer on real sockets
+	smallBufferSize = 64 << 10               // bytes
+)
+
+// slowUpstream accepts connections and reads them as read does, which gets the number of bytes read so far. When a request has
+// been read to its end, it answers "done".
+func slowUpstream(t *testing.T, read func(c net.Conn, p []byte, total int) (int, error)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReaderSize(&pacedReader{conn: c, read: read}, smallBufferSize))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err == nil {
+					_, _ = io.WriteString(c, ok200("done"))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// pacedReader reads a connection as read does.
+type pacedReader struct {
+	conn  net.Conn
+	read  func(c net.Conn, p []byte, total int) (int, error)
+	total int
+}
+
+func (r *pacedReader) Read(p []byte) (int, error) {
+	n, err := r.read(r.conn, p[:min(len(p), smallBufferSize)], r.total)
+	r.total += n
+	return n, err
+}
+
+// smallSendBuffers dials with a send buffer that a large body does not fit into.
+func smallSendBuffers(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err == nil {
+		_ = c.(*net.TCPConn).SetWriteBuffer(smallBufferSize)
+	}
+	return c, err
+}
+
+// upload writes a request with a body as write does, and returns the answer's status and the time from the last byte to it.
+func upload(t *testing.T, address string, bodyBytes int, chunked bool, timeout time.Duration, write func(c net.Conn, body string) error) (status int, delay time.Duration) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	body, framing := strings.Repeat("x", bodyBytes), fmt.Sprintf("Content-Length: %d", bodyBytes)
+	if chunked {
+		body, framing = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bodyBytes, body), "Transfer-Encoding: chunked"
+	}
+	answered := make(chan time.Time, 1)
+	go func() {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			status = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+		answered <- time.Now()
+	}()
+	head := fmt.Sprintf("POST /confirm/1 HTTP/1.1\r\nHost: s\r\nX-Request-ID: %016x\r\nX-Timeout: %dm\r\n%s\r\n\r\n", lastID.Add(1), timeout.Milliseconds(), framing)
+	if _, err = io.WriteString(c, head); err == nil {
+		err = write(c, body)
+	}
+	if err != nil {
+		t.Errorf("writing the request: %v", err)
+	}
+	written := time.Now()
+	return status, (<-answered).Sub(written)
+}
+
+func writeAtOnce(c net.Conn, body string) error {
+	_, err := io.WriteString(c, body)
+	return err
+}
+
+// Guards against an answer that comes too late, and so is lost, because an upstream does not take the body: the client's time
+// counts from when it has written the last byte, not from when an attempt has read it. The upstream can't have run the request.
+func TestTimeCountsFromTheLastByteWritten(t *testing.T) {
+	const timeout, bodyBytes = 700 * time.Millisecond, 1 << 20
+	hangs := func(c net.Conn, _ []byte, _ int) (int, error) {
+		time.Sleep(testTimeout)
+		return 0, io.ErrClosedPipe
+	}
+	slow := func(c net.Conn, p []byte, _ int) (int, error) {
+		time.Sleep(100 * time.Millisecond)
+		return c.Read(p[:min(len(p), 16<<10)])
+	}
+	for _, test := range []struct {
+		name    string
+		chunked bool
+		read    func(net.Conn, []byte, int) (int, error)
+	}{
+		{"a length, the upstream hangs", false, hangs},
+		{"chunks, the upstream hangs", true, hangs},
+		{"a length, the upstream reads slowly", false, slow},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := testConfig(t, quietDiscovery(t).address, entry("s", slowUpstream(t, test.read), "Ready"))
+			c.dial = smallSendBuffers
+			r := start(t, c, "127.0.0.1:0")
+			status, delay := upload(t, r.address, bodyBytes, test.chunked, timeout, writeAtOnce)
+			if status != http.StatusServiceUnavailable || delay > timeout+maxAnswerDelay+timeTolerance {
+				t.Errorf("got status %d, %v after the last byte, want 503 within %v", status, delay, timeout+maxAnswerDelay+timeTolerance)
+			}
+		})
+	}
+}
+
+// Guards against cutting off an upload while its client is still writing: a slow client's, and one that has to wait for the
+// upstream, each for longer than the time-out that counts from the last byte.
+func TestASoundUploadIsNotCutOff(t *testing.T) {
+	atOnce := func(c net.Conn, p []byte, _ int) (int, error) { return c.Read(p) }
+	const slowPart = 11 << 20
+	slowStart := func(c net.Conn, p []byte, total int) (int, error) {
+		if total < slowPart {
+			time.Sleep(5 * time.Millisecond)
+		}
+		return c.Read(p)
+	}
+	inPieces := func(c net.Conn, body string) error {
+		const pieces = 12
+		for i := range pieces {
+			time.Sleep(100 * time.Millisecond)
+			if err := writeAtOnce(c, body[i*len(body)/pieces:(i+1)*len(body)/pieces]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	againstBackPressure := func(c net.Conn, body string) error {
+		_ = c.(*net.TCPConn).SetWriteBuffer(smallBufferSize)
+		return writeAtOnce(c, body)
+	}
+	for _, test := range []struct {
+		name      string
+		bodyBytes int
+		read      func(net.Conn, []byte, int) (int, error)
+		write     func(net.Conn, string) error
+	}{
+		{"a slow client", 512 << 10, atOnce, inPieces},
+		{"a slow upstream", 16 << 20, slowStart, againstBackPressure},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", test.name, chunked), func(t *testing.T) {
+				t.Parallel()
+				c := testConfig(t, quietDiscovery(t).address, entry("s", slowUpstream(t, test.read), "Ready"))
+				c.dial = smallSendBuffers
+				r := start(t, c, "127.0.0.1:0")
+				if status, _ := upload(t, r.address, test.bodyBytes, chunked, 300*time.Millisecond, test.write); status != http.StatusOK {
+					t.Errorf("got status %d, want 200", status)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a request that runs twice: once an attempt is known to lack some of the body, its upstream never gets the rest.
+func TestAStoppedAttemptNeverGetsTheWholeBody(t *testing.T) {
+	for _, length := range []int64{9, -1} {
+		b := &clientBody{retained: []byte("kept "), length: length, rest: strings.NewReader("rest"), budget: &byteBudget{},
+			onComplete: func() {}, onError: func(error) {}}
+		r := b.reader().(*bodyReader)
+		_, _ = io.ReadFull(r, make([]byte, 7))
+		if !r.stop() {
+			t.Errorf("length %d: got the body complete after 7 of 9 bytes, want it incomplete", length)
+		}
+		if n, err := r.Read(make([]byte, 7)); n > 0 || !errors.Is(err, errAttemptEnded) {
+			t.Errorf("length %d: read %d bytes with error %v after the stop, want 0 with %v", length, n, err, errAttemptEnded)
+		}
+	}
+}
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -96,6 +96,9 @@
 	expiresAt time.Duration
 }
 
+// bodyExpired is the event that the time of a request may be over, although its body is still received.
+type bodyExpired struct{ request *clientRequest }
+
 // clientDisconnected is the event that the client of a request has disconnected.
 type clientDisconnected struct{ request *clientRequest }
 
@@ -274,6 +277,8 @@
 		d.onRequestArrived(e.request)
 	case bodyComplete:
 		d.onBodyComplete(e)
+	case bodyExpired:
+		d.onBodyExpired(e.request)
 	case clientDisconnected:
 		if f := d.inFlight[e.request.id]; f != nil && f.request == e.request && !f.done {
 			d.onClientDisconnected(f)
@@ -373,6 +378,19 @@
 	d.forgetRequest(f.request.id)
 }
 
+// onBodyExpired ends the pending attempts of a request, so that it is answered: no later attempt can be in time.
+func (d *dispatcher) onBodyExpired(r *clientRequest) {
+	f := d.inFlight[r.id]
+	if f == nil || f.request != r || f.done || f.expiresAt > 0 {
+		return
+	}
+	for i := range f.attempts {
+		if a := &f.attempts[i]; a.endedAt == 0 {
+			a.endWithCause(errBodyExpired)
+		}
+	}
+}
+
 // handle passes an event to the balancer, and performs the resulting actions.
 func (d *dispatcher) handle(e balancer.Event) {
 	d.actions = d.balancer.Handle(d.clock.now(), e, d.actions[:0])
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -26,6 +26,7 @@
 	startBefore time.Duration // clock time before which it must begin; 0 if there is no limit
 	use         connUse
 
+	body      *bodyReader       // nil if the request has no body
 	reply     chan attemptReply // delivers the result to the attempt
 	abandoned chan struct{}     // closed when the attempt no longer waits for reply
 
@@ -95,7 +96,6 @@
 	c.checkMayBegin = func() error { return x.pool.checkMayBegin(x.ctx, c, x.clientReq, x.startBefore) }
 	c.firstByteSent.Store(false)
 	c.requestEncoded.Store(false)
-	var req *http.Request
 	trace := &httptrace.ClientTrace{
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			c.requestEncoded.Store(info.Err == nil)
@@ -104,12 +104,13 @@
 			}
 		},
 		GotFirstResponseByte: func() {
-			if body, ok := req.Body.(*bodyReader); ok {
-				x.answeredEarly.Store(body.incomplete())
+			if x.body != nil {
+				x.answeredEarly.Store(x.body.incomplete())
 			}
 		},
 	}
-	req = x.clientReq.outgoing(httptrace.WithClientTrace(x.readCtx, trace), c.address.address)
+	req := x.clientReq.outgoing(httptrace.WithClientTrace(x.readCtx, trace), c.address.address)
+	x.body, _ = req.Body.(*bodyReader)
 	timeLeft := x.clientReq.timeout.Microseconds()
 	if deadline, ok := x.ctx.Deadline(); ok {
 		timeLeft = max(time.Until(deadline).Microseconds(), 1)
@@ -128,6 +129,8 @@
 		return attemptReply{result: balancer.NotSent, err: err}
 	case !c.requestEncoded.Load() && x.clientReq.body.readError() != nil: // reading the body from the client failed
 		return attemptReply{result: balancer.NotSent, err: x.clientReq.body.readError()}
+	case timedOut(x.ctx) && !x.answered && x.body != nil && x.body.stop(): // no upstream has all of the request
+		return attemptReply{result: balancer.ConnectFailed, err: context.Cause(x.ctx)}
 	case timedOut(x.ctx):
 		return attemptReply{result: balancer.Timeout, err: err}
 	case x.ctx.Err() != nil:
--- a/internal/sidecar/requesthandler.go
+++ b/internal/sidecar/requesthandler.go
@@ -55,10 +55,10 @@
 		h.begin()
 		return
 	}
-	req.conn = h.conn
+	req.conn, req.bodyTimer = h.conn, newBodyTimer(h.conn, h.server.clock, req.timeout)
 	req.body.onComplete = func() {
 		h.begin()
-		h.server.post(bodyComplete{req, h.server.clock.now() + req.timeout})
+		h.server.post(bodyComplete{req, req.bodyTimer.expiresAt()})
 	}
 	req.body.onError = func(err error) { req.bodyErrors <- err }
 }
@@ -105,6 +105,7 @@
 			if h.conn.disconnected() {
 				h.abort()
 			}
+			h.checkBodyTime()
 		case a := <-h.req.answer:
 			h.answerDispatched(a)
 			return
@@ -120,6 +121,17 @@
 	}
 }
 
+// checkBodyTime reports to the dispatcher if the client may have stopped waiting while its body is still received.
+func (h *requestHandler) checkBodyTime() {
+	if !h.req.body.receiving() {
+		return
+	}
+	h.req.bodyTimer.observe()
+	if h.req.bodyTimer.expired() {
+		h.server.post(bodyExpired{h.req})
+	}
+}
+
 // answerDispatched writes the dispatcher's answer.
 func (h *requestHandler) answerDispatched(a answer) {
 	h.outcome = a.kind
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -23,6 +23,7 @@
 	timeout              time.Duration // stated by the client, or the deadline of its class
 	bodyPending          bool          // the body was incomplete when the request was dispatched
 	conn                 *framedConn   // nil unless bodyPending is set
+	bodyTimer            *bodyTimer    // nil unless bodyPending is set
 	forwarded            bool          // a peer forwarded the request
 	disconnected         func() bool   // reports whether the client has disconnected; may be nil
 
--- a/internal/sidecar/upstreampool.go
+++ b/internal/sidecar/upstreampool.go
@@ -69,6 +69,9 @@
 // errAnswered ends an attempt whose request has its final answer: no other attempt will follow.
 var errAnswered = errors.New("the request has its final answer")
 
+// errBodyExpired ends an attempt by a time-out, see bodyExpired.
+var errBodyExpired = fmt.Errorf("the client's time is over while its body is received: %w", context.DeadlineExceeded)
+
 var (
 	errEndpointUnavailable = errors.New("the upstream is draining or was removed")
 	errClientDisconnected  = errors.New("the client has disconnected")
@@ -143,7 +146,7 @@
 	switch {
 	case errors.Is(err, errSaturated): // does not count as a failure of the upstream
 		return nil, attemptReply{result: balancer.NotSent, err: err}
-	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+	case err != nil && errors.Is(ctx.Err(), context.Canceled) && !timedOut(ctx):
 		return nil, attemptReply{result: balancer.Cancelled, err: err}
 	case err != nil:
 		return nil, attemptReply{result: balancer.ConnectFailed, err: err}
@@ -172,8 +175,8 @@
 	return nil
 }
 
-// timedOut reports whether ctx ended by its deadline. For a request whose body arrives slowly, dispatcher.onBodyComplete sets
-// the deadline, and cancels ctx with context.DeadlineExceeded as the cause.
+// timedOut reports whether ctx ended by its deadline. For a request whose body arrives slowly, the dispatcher sets the deadline
+// in onBodyComplete, or ends the attempt in onBodyExpired, and cancels ctx with context.DeadlineExceeded as the cause.
 func timedOut(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
