watch: the waits follow the grace of drains that the settings state, and SIGHUP

Cause: Rules.DrainGraceMs was not read. The watch was laid out for a grace of 3 s: 2.5 s until a watch counts as silent, 2 s between two calls in an outage.

Change: the grace is read (3 s if none is stated, an error if it is negative) and sets the waits where lists are pushed (watch.TimingWithin): silence and the step in an outage end 0.5 s before the grace. A change by SIGHUP or by a document shortens a wait that has begun. Below the 2 s between empty lines a second call checks the watch also while it works, 2 a second for a grace of 1 s; without news it ends, and the watch stays open. A slow agent is not starved, since the older of two calls stays open. It works because the longest time between two chances to hear of a drain is now shorter than the grace. For a grace of 3 s or more nothing changes.

Formats: the golden forms of settings and configuration have the new key and field.

TestAShortBoundAsksOftenEnoughAndNoMore.

The packages sidecar, watch, registry, settings and wire pass, watch also with -race.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	if keys["Limits.SendCap"] && s.MaxAttempts < 1 {
 		return wire.Settings{}, &KeyError{"Limits.SendCap", fmt.Sprintf("%d is not above 0", s.MaxAttempts)}
 	}
+	if s.DrainGrace < 0 {
+		return wire.Settings{}, &KeyError{"Rules.DrainGraceMs", fmt.Sprintf("%v is below 0", s.DrainGrace)}
+	}
 	if _, err := balancer.New(s.Settings, 1); err != nil { // the seed makes no difference to the check
 		return wire.Settings{}, err
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,6 +22,7 @@
 		"cut short":     {`"Tenants":[]}`, `"Tenants":[]`, "line 4"},
 		"wrong type":    {`"SendCap":3`, `"SendCap":"3"`, "line 4, column 24 Limits.SendCap"},
 		"no attempts":   {`"SendCap":3`, `"SendCap":0`, "Limits.SendCap"},
+		"bad grace":     {`"Tenants":[]`, `"Rules":{"DrainGraceMs":-1}`, "Rules.DrainGraceMs"},
 		"a class twice": {`"paid"`, `"search"`, "Classes search"},
 		"no deadline":   {`"DeadlineMs":1000}`, `"DeadlineMs":0}`, "Classes search Deadline"},
 		"no classes":    {`"Classes"`, `"Class"`, "Classes"},
--- a/internal/sidecar/outage_test.go
+++ b/internal/sidecar/outage_test.go
@@ -204,12 +204,29 @@
 	return []eventTimes{{0, 0, 4 * sec}, {1017 * time.Millisecond, 0, 4 * sec}, {0, 10 * sec, 2500 * time.Millisecond}}
 }
 
-// runOutage runs one scenario for each event time in one synctest bubble: at that time discovery recovers or, if moves is set,
-// discovery moves and stays down at the old address. It returns the longest time from the event until the drain was applied.
-func runOutage(t *testing.T, onDemand, moves bool, outage int, connect time.Duration, events []eventTimes) (longest time.Duration) {
+// outagePlan is what the scenarios of one run have in common.
+type outagePlan struct {
+	onDemand bool
+	moves    bool // at its event time discovery moves, and stays down at the old address; otherwise it recovers
+	outage   int  // index in outages
+	connect  time.Duration
+	grace    time.Duration // 0 for the default
+	reloaded bool          // the grace is set only graceLead before the event, and is the default until then
+}
+
+// graceLead is how long before the event a reload changes the grace.
+const graceLead = 200 * time.Millisecond
+
+// runOutage runs one scenario for each event time in one synctest bubble. It returns the longest time from the event until the
+// drain was applied.
+func runOutage(t *testing.T, plan outagePlan, events []eventTimes) (longest time.Duration) {
+	onDemand, moves, outage, connect := plan.onDemand, plan.moves, plan.outage, plan.connect
 	synctest.Test(t, func(t *testing.T) {
 		c := testConfig(t, outageFrom, entry("a", "127.0.0.2:1", "Ready"))
 		c.Settings.ConnectTimeout, c.Settings.MustSubscribe = connect, onDemand
+		if plan.grace > 0 && !plan.reloaded {
+			c.Settings.DrainGrace = plan.grace
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		var scenarios []*outageScenario
@@ -223,6 +240,9 @@
 				}
 				scenarios = append(scenarios, p)
 				p.start(ctx, t, *c, uint64(len(scenarios)))
+				if plan.reloaded {
+					time.AfterFunc(max(0, p.eventAt-graceLead), func() { p.watcher.setDrainGrace(plan.grace) })
+				}
 				if moves {
 					time.AfterFunc(p.eventAt, func() { p.watcher.move(outageTo) })
 				}
@@ -266,7 +286,7 @@
 					if onDemand {
 						bound = watch.NotifyDeadline
 					}
-					if got := runOutage(t, onDemand, false, outage, connect, outageEventTimes(onDemand)); got > bound {
+					if got := runOutage(t, outagePlan{onDemand: onDemand, outage: outage, connect: connect}, outageEventTimes(onDemand)); got > bound {
 						t.Errorf("got the drain up to %v after the recovery, want %v or less", got, bound)
 					} else {
 						t.Logf("the drain was applied up to %v after the recovery", got)
@@ -277,6 +297,26 @@
 	}
 }
 
+// Guards against requests that are sent to a draining upstream after the grace of the settings, because discovery is asked at
+// intervals that fit another grace: where lists are pushed, a drain is applied within the grace after discovery has it and can be
+// reached, with responseTime left for connecting and for requests that are being sent.
+func TestADrainIsAppliedWithinItsGrace(t *testing.T) {
+	const responseTime = 150 * time.Millisecond
+	for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		for _, reloaded := range []bool{false, true} {
+			for outage := range outages {
+				t.Run(fmt.Sprintf("%v, reloaded %v, %s", grace, reloaded, outages[outage].name), func(t *testing.T) {
+					t.Parallel()
+					plan := outagePlan{outage: outage, connect: 200 * time.Millisecond, grace: grace, reloaded: reloaded}
+					if got := runOutage(t, plan, outageEventTimes(false)); got > grace-responseTime {
+						t.Errorf("got the drain up to %v after the recovery, want %v or less", got, grace-responseTime)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a list that is applied too late after SIGHUP: the first call to the new address is made at once, however the
 // old one fails and however long the balancer's back-off still is. Even if that call is never answered, the list is applied
 // within 4 s after the signal, the deadline by which sidecars have to follow it.
@@ -286,7 +326,7 @@
 			t.Run(fmt.Sprintf("asks %v, %s", onDemand, outages[outage].name), func(t *testing.T) {
 				t.Parallel()
 				events := []eventTimes{{1017 * time.Millisecond, 0, 1500 * time.Millisecond}, {0, 15 * time.Second, 2 * time.Second}}
-				if got := runOutage(t, onDemand, true, outage, 2200*time.Millisecond, events); got > 4*time.Second {
+				if got := runOutage(t, outagePlan{onDemand: onDemand, moves: true, outage: outage, connect: 2200 * time.Millisecond}, events); got > 4*time.Second {
 					t.Errorf("got the drain up to %v after the signal, want 4 s or less", got)
 				}
 			})
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -40,6 +40,7 @@
 	classes := classTable(p.config.Settings.Settings)
 	p.dispatcher.stats.addClasses(slices.Collect(maps.Keys(classes)))
 	p.upstreams.updateSettings(p.config.Settings)
+	p.watcher.setDrainGrace(p.config.Settings.DrainGrace)
 	p.server.classes.Store(&classes)
 	return classes
 }
--- a/internal/sidecar/watcher.go
+++ b/internal/sidecar/watcher.go
@@ -32,7 +32,7 @@
 )
 
 // watcher follows the list of discovery. Each watch has a connection of its own, so that the HTTP library never retries a call.
-// subscribe, move and source are safe for concurrent use; the rest belongs to the goroutine of run.
+// subscribe, move, setDrainGrace and source are safe for concurrent use; the rest belongs to the goroutine of run.
 type watcher struct {
 	dir               *endpointDirectory
 	settings          *settingsFollower // nil if only the list is requested
@@ -41,9 +41,11 @@
 	report            func(balancer.EndpointUpdate)
 	subscribeRequests chan struct{} // buffer of one; signals that the balancer subscribes
 	addressChanges    chan struct{} // buffer of one; signals that address has changed
+	graceChanges      chan struct{} // buffer of one; signals that drainGrace has changed
 
 	mu                 sync.Mutex
 	address            string
+	drainGrace         time.Duration           // time within which requests to an upstream that drains have to stop
 	endWatch           context.CancelCauseFunc // ends the watch at the present address; nil if none is open
 	continuesElsewhere bool                    // the open watch moves to another address by itself, unless that address has several replicas
 }
@@ -53,8 +55,8 @@
 var errMoved = errors.New("discovery has moved")
 
 func newWatcher(c *Config, dir *endpointDirectory, report func(balancer.EndpointUpdate)) *watcher {
-	w := &watcher{address: c.Discovery, dir: dir, report: report,
-		subscribeRequests: make(chan struct{}, 1), addressChanges: make(chan struct{}, 1)}
+	w := &watcher{address: c.Discovery, drainGrace: c.Settings.DrainGrace, dir: dir, report: report,
+		subscribeRequests: make(chan struct{}, 1), addressChanges: make(chan struct{}, 1), graceChanges: make(chan struct{}, 1)}
 	if c.Known != nil {
 		w.revision = *c.Known.Revision
 	}
@@ -88,6 +90,23 @@
 	wake(w.addressChanges)
 }
 
+// setDrainGrace sets the time within which requests to an upstream that drains have to stop.
+func (w *watcher) setDrainGrace(grace time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if grace != w.drainGrace {
+		w.drainGrace = grace
+		wake(w.graceChanges)
+	}
+}
+
+// timing returns the time-outs of a watch if lists are pushed: a drain is then binding from when discovery's agent has it.
+func (w *watcher) timing() watch.Timing {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return watch.TimingWithin(w.drainGrace)
+}
+
 // source returns the address of discovery.
 func (w *watcher) source() string {
 	w.mu.Lock()
@@ -189,8 +208,10 @@
 			return current
 		},
 	}
-	if onDemand {
+	if onDemand { // a drain is binding once the list is received, or watch.NotifyDeadline later
 		f.Step, f.MaxCalls = subscribeStep, subscribeCalls
+	} else {
+		f.Timing, f.TimingChanged = w.timing, w.graceChanges
 	}
 	if err := f.Follow(ctx); errors.Is(err, errMoved) {
 		logWarning(componentDiscovery, "watch ended", err)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// NotifyDeadline bounds the time from when a server has a change and can be reached until the change is
+// NotifyDeadline bounds, with DefaultTiming, the time from when a server has a change and can be reached until the change is
 // applied here, whatever failed before. This time consists of the wait that began just before the server
 // could be reached, and of the response to the next call, which needs hardly any time (a discovery agent has
 // the change at hand, and a list service reads it from memory). With a Wait of 2 s at most, the longest
@@ -27,19 +27,6 @@
 // the timer. With MaxCalls, or several replicas, see the callers' constants.
 const NotifyDeadline = 6 * time.Second
 
-const (
-	// Silence is how long a watch may be silent. The server sends an empty line every 2 s. If a line comes
-	// more than a quarter of that interval late, the only cost is one more call: the silent watch stays open beside it.
-	Silence = 2500 * time.Millisecond
-	// Step is how long a call may be silent before a second is opened beside it. A third replaces the first, so
-	// that each call has two steps to respond: some servers hold back the response head until the first line.
-	Step = Silence / 2
-	// outageStep is the step during an outage, after outageAfter calls without a line: changes have to be applied
-	// within 3 s after the server returns.
-	outageStep  = 2 * time.Second
-	outageAfter = 3
-)
-
 var (
 	// ErrSilent is the error of a watch that was silent for too long.
 	ErrSilent = errors.New("nothing was received in time")
@@ -50,7 +37,9 @@
 // Follower follows one list, over two connections at most. Follow calls its functions one at a time.
 type Follower[M any] struct {
 	Client          *http.Client
-	Step            time.Duration                      // step of the calls; default: the constant Step, or outageStep during an outage
+	Step            time.Duration                      // step of the calls; default: that of Timing
+	Timing          func() Timing                      // returns the time-outs in force; default: DefaultTiming
+	TimingChanged   <-chan struct{}                    // receives a value when the result of Timing has changed; nil if it never changes
 	MaxMessageBytes int                                // limit of the bytes of one message
 	MaxCalls        int                                // Follow gives up after this many calls without a line, or when its only call ends; 0 if it never gives up
 	Address         func() string                      // returns the host:port of the next call
@@ -76,6 +65,19 @@
 	reportedSilent bool
 	// whether the call goes to the former address; it is then read until a call to the new address has received a line
 	formerAddress bool
+	startedAt     time.Time
+	lineAt        time.Time // when it received its last line
+}
+
+// mayReceive reports whether the call may still receive a line, by the time-outs of DefaultTiming.
+func (c *call) mayReceive() bool {
+	switch {
+	case c.formerAddress:
+		return false
+	case c.established:
+		return time.Since(c.lineAt) < Silence
+	}
+	return time.Since(c.startedAt) < 2*Silence
 }
 
 // end ends the call and waits until its connection is no longer in use, so that there is never a third connection.
@@ -98,6 +100,9 @@
 // former address is the exception: a line on it does not end the call to the new address, which may not
 // respond yet, and its messages are applied until the new address has sent a line.
 func (f *Follower[M]) Follow(ctx context.Context) error {
+	if f.Timing == nil {
+		f.Timing = DefaultTiming
+	}
 	s := &followState[M]{Follower: f, ctx: ctx, events: make(chan event[M]), timer: time.NewTimer(0), timerDue: time.Now()}
 	defer s.stop()
 	for {
@@ -107,6 +112,8 @@
 			return context.Cause(ctx)
 		case <-f.AddressChanged:
 			s.onAddressChanged()
+		case <-f.TimingChanged:
+			s.onTimingChanged()
 		case <-s.timer.C:
 			err = s.onTimer()
 		case e := <-s.events:
@@ -143,21 +150,38 @@
 	s.timer.Reset(wait)
 }
 
-// endOldest ends the older call, if there are two.
-func (s *followState[M]) endOldest() {
-	if len(s.openCalls) == 2 {
-		s.openCalls[0].end()
-		s.openCalls = s.openCalls[1:]
+// makeRoom ends one call, if there are two: the older one. With short time-outs it ends the newer one as long as the older one
+// may receive a line: from a slow server, calls that replace each other quickly would never receive one.
+func (s *followState[M]) makeRoom() {
+	switch {
+	case len(s.openCalls) < 2:
+	case s.Timing().short() && s.openCalls[0].mayReceive():
+		s.endCall(1)
+	default:
+		s.endCall(0)
 	}
 }
 
-// onAddressChanged schedules a call to the new address at once. The newest open call is read until the new one has received a line.
+// endCall ends the i-th open call.
+func (s *followState[M]) endCall(i int) {
+	s.openCalls[i].end()
+	s.openCalls = slices.Delete(s.openCalls, i, i+1)
+}
+
+// onTimingChanged brings the next call forward if the time-outs have become shorter.
+func (s *followState[M]) onTimingChanged() {
+	if silence := s.Timing().Silence; time.Until(s.timerDue) > silence {
+		s.scheduleCall(silence)
+	}
+}
+
+// onAddressChanged schedules a call to the new address at once. One open call is read until the new one has received a line.
 func (s *followState[M]) onAddressChanged() {
 	address := s.Address()
 	if len(s.openCalls) > 0 && s.openCalls[len(s.openCalls)-1].address == address {
 		return // a call to this address is open already
 	}
-	s.endOldest()
+	s.makeRoom()
 	for _, c := range s.openCalls {
 		c.formerAddress = true
 	}
@@ -165,7 +189,7 @@
 	s.scheduleCall(0)
 }
 
-// onTimer starts the next call. Of the calls that are open already, only the newest stays open beside it. It returns an error if
+// onTimer starts the next call. Of the calls that are open already, only one stays open beside it. It returns an error if
 // Follow is to give up.
 func (s *followState[M]) onTimer() error {
 	if len(s.openCalls) > 0 && !s.openCalls[len(s.openCalls)-1].formerAddress {
@@ -174,7 +198,7 @@
 	if s.MaxCalls > 0 && s.callsSinceLine >= s.MaxCalls {
 		return ErrSilent
 	}
-	s.endOldest()
+	s.makeRoom()
 	s.openCalls = append(s.openCalls, s.startCall(s.ctx, s.events))
 	s.callsSinceLine++
 	s.scheduleCall(s.stepAfter(s.callsSinceLine))
@@ -193,6 +217,9 @@
 	}
 	newest := i == len(s.openCalls)-1
 	isLine := e.message != nil || e.blank
+	if isLine && s.isProbe(i) {
+		return s.onProbeLine(e, i)
+	}
 	if isLine {
 		s.useOnly(e.call, i)
 		newest = true
@@ -203,7 +230,7 @@
 		return s.onEnd(e, newest)
 	case isLine:
 		e.call.partial = false
-		s.scheduleCall(Silence)
+		s.scheduleCall(s.Timing().Silence)
 	case newest && !e.call.partial: // only once after each line: a message that never ends must not keep the watch open
 		e.call.partial = true
 		s.scheduleCall(s.lineTimeout(e.call))
@@ -211,6 +238,28 @@
 	return nil
 }
 
+// isProbe reports whether the i-th open call only checks, with short time-outs, that the watch beside it has missed nothing.
+func (s *followState[M]) isProbe(i int) bool {
+	return i == 1 && s.Timing().short() && s.openCalls[0].established && s.openCalls[0].mayReceive()
+}
+
+// onProbeLine handles a line of a probe, the i-th open call. If it has news, the watch has missed it, and the probe becomes the
+// watch; otherwise the probe ends.
+func (s *followState[M]) onProbeLine(e event[M], i int) error {
+	e.err = s.handleLine(e)
+	switch {
+	case e.err != nil:
+		return s.onEnd(e, true)
+	case s.Revision() == e.call.fromRevision:
+		s.endCall(i)
+		s.callsSinceLine = 0
+	default:
+		s.useOnly(e.call, i)
+	}
+	s.scheduleCall(s.Timing().Silence)
+	return nil
+}
+
 // onFormerEvent handles an event of the i-th open call, which goes to the former address. It does not affect the timer.
 func (s *followState[M]) onFormerEvent(e event[M], i int) {
 	if e.message != nil {
@@ -256,9 +305,9 @@
 	case f.Step > 0:
 		return f.Step
 	case calls > outageAfter:
-		return outageStep
+		return f.Timing().OutageStep
 	}
-	return Step
+	return f.Timing().Step
 }
 
 // lineTimeout returns how long a call may continue without a line after a head or a part of a message was received. If Step is
@@ -267,12 +316,12 @@
 	if f.Step > 0 && !c.established {
 		return f.Step
 	}
-	return Silence
+	return f.Timing().Silence
 }
 
-// reportSilent reports a silent call, unless that has already been reported since its last line.
+// reportSilent reports a silent call, unless that has already been reported since its last line, or the next line is not due yet.
 func (f *Follower[M]) reportSilent(c *call) {
-	if !c.reportedSilent {
+	if !c.reportedSilent && (!c.established || !c.mayReceive()) {
 		c.reportedSilent = true
 		f.OnError(c.address, ErrSilent)
 	}
@@ -281,7 +330,7 @@
 // handleLine handles a line of the call in use.
 func (f *Follower[M]) handleLine(e event[M]) error {
 	first := !e.call.established
-	e.call.established, e.call.reportedSilent = true, false
+	e.call.established, e.call.reportedSilent, e.call.lineAt = true, false, time.Now()
 	if f.OnLine != nil {
 		f.OnLine()
 	}
@@ -297,7 +346,7 @@
 // startCall starts the next call.
 func (f *Follower[M]) startCall(ctx context.Context, events chan<- event[M]) *call {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &call{address: f.Address(), fromRevision: f.Revision(), cancel: cancel, done: make(chan struct{})}
+	c := &call{address: f.Address(), fromRevision: f.Revision(), cancel: cancel, done: make(chan struct{}), startedAt: time.Now()}
 	if f.Query != nil {
 		c.query = f.Query()
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -176,6 +176,51 @@
 	}
 }
 
+// Checks that a short bound neither floods a server that works nor starves on one that is slow: a watch is checked at most once in
+// each Silence and stays open, two calls are open at most, and a line that comes late is received all the same.
+func TestAShortBoundAsksOftenEnoughAndNoMore(t *testing.T) {
+	const duration = time.Minute
+	timing := TimingWithin(time.Second)
+	healthy := []step{{0, head}, {0, chunk(lineA)}}
+	for range 60 {
+		healthy = append(healthy, step{2 * time.Second, chunk("\n")})
+	}
+	for name, test := range map[string]struct {
+		script []step
+		errors bool // calls are reported as silent
+	}{
+		"a server that works":  {script: healthy},
+		"a head late by 4.5 s": {script: append([]step{{4500 * time.Millisecond, ""}}, healthy...), errors: true},
+		"a line late by 4.5 s": {script: []step{{0, head}, {4500 * time.Millisecond, chunk(lineA)}}, errors: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &agent{scripts: [][]step{test.script}, started: time.Now()}
+				ctx, cancel := context.WithTimeout(t.Context(), duration)
+				defer cancel()
+				lines, messages, failures := 0, 0, 0
+				f := Follower[listMessage]{Client: &http.Client{Transport: &http.Transport{DialContext: a.dial, DisableKeepAlives: true}}, MaxMessageBytes: 1000,
+					Timing: func() Timing { return timing }, Address: func() string { return "agent" }, Revision: func() int64 { return 0 },
+					Apply:   func(string, *listMessage) error { messages++; return nil },
+					OnLine:  func() { lines++ },
+					OnError: func(string, error) { failures++ },
+					Wait:    func() time.Duration { return time.Second }}
+				_ = f.Follow(ctx)
+				if most := int(duration/timing.Step) + 1; len(a.callTimes) > most || a.maxOpen > 2 || !test.errors && len(a.callTimes) > most/2+1 {
+					t.Errorf("got %d calls in %v, %d connections at a time; want %d calls and 2 connections at most", len(a.callTimes), duration, a.maxOpen, most)
+				}
+				if emptyLines := lines - messages; !test.errors && emptyLines < int(duration/(2*time.Second))-1 {
+					t.Errorf("got %d empty lines, want one in 2 s: the watch stays open", emptyLines)
+				}
+				if lines == 0 || test.errors != (failures > 0) {
+					t.Errorf("got %d lines, %d failures; want 1 line or more, failures %v", lines, failures, test.errors)
+				}
+				time.Sleep(3 * time.Minute) // the scripts end
+			})
+		})
+	}
+}
+
 // Checks that with MaxCalls 2, Follow returns ErrSilent after two calls without a line.
 func TestAskedForGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -18,7 +18,7 @@
 		"LateShare":0.75,"DedupWindowMs":8,"Stream":true},{"Name":"b","Semantics":"fragile","AimMs":9,"DeadlineMs":10},
 		{"Name":"c","Semantics":"retryable","KeyScope":"zone"}],
 		"Limits":{"Cancelling":true,"Probes":true,"RetryAfter":true,"SecondCopies":true,"ConnectTimeoutMs":11,"MaxRetryAfterMs":12,
-		"ConnIdleMs":13,"SendCap":14},"Prices":{"CrossZone":0.125},"Rules":{"ColdFrom":0.375,"WarmUpMs":15,"FallMs":16,"FallMultiple":17},
+		"ConnIdleMs":13,"SendCap":14},"Prices":{"CrossZone":0.125},"Rules":{"ColdFrom":0.375,"WarmUpMs":15,"FallMs":16,"FallMultiple":17,"DrainGraceMs":18},
 		"Tenants":[{"Name":"t","Fraction":0.625}]}`))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -12,16 +12,24 @@
 // Settings holds the start-up parameters: those of the balancer, and those that only a real sidecar needs.
 type Settings struct {
 	balancer.Settings
-	ConnIdle time.Duration // idle time after which upstreams close a connection
+	ConnIdle   time.Duration // idle time after which upstreams close a connection
+	DrainGrace time.Duration // time within which requests to an upstream that drains or is removed have to stop
 }
 
+// defaultDrainGrace applies to settings that state none.
+const defaultDrainGrace = 3 * time.Second
+
 // DecodeSettings decodes start-up parameters, the object Env on the wire.
 func DecodeSettings(raw []byte) (Settings, error) {
 	var f settingsFile
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Settings{}, fmt.Errorf("not start-up parameters: %w", err)
 	}
-	return Settings{Settings: f.settings(), ConnIdle: duration(f.Limits.ConnIdleMs)}, nil
+	s := Settings{Settings: f.settings(), ConnIdle: duration(f.Limits.ConnIdleMs), DrainGrace: defaultDrainGrace}
+	if f.Rules.DrainGraceMs != nil {
+		s.DrainGrace = duration(*f.Rules.DrainGraceMs)
+	}
+	return s, nil
 }
 
 // settingsFile holds the start-up parameters that are used, encoded under the platform's names.
@@ -43,11 +51,12 @@
 	Costs             struct {
 		CrossZone float64 `json:"CrossZone"`
 	} `json:"Prices"`
-	SlowStart struct {
-		ColdFrom     float64 `json:"ColdFrom"`
-		WarmUpMs     float64 `json:"WarmUpMs"`
-		FallMs       float64 `json:"FallMs"`
-		FallMultiple float64 `json:"FallMultiple"`
+	Rules struct {
+		ColdFrom     float64  `json:"ColdFrom"`
+		WarmUpMs     float64  `json:"WarmUpMs"`
+		FallMs       float64  `json:"FallMs"`
+		FallMultiple float64  `json:"FallMultiple"`
+		DrainGraceMs *float64 `json:"DrainGraceMs"` // 0 is not the same as absent
 	} `json:"Rules"`
 	Tenants  []tenantFile `json:"Tenants"`
 	TickMs   float64      `json:"TickMs"`
@@ -102,10 +111,10 @@
 		CrossZoneCost:     f.Costs.CrossZone,
 		OverQuotaFraction: f.OverQuotaFraction,
 		WeightByWork:      f.WeightBy == "work",
-		SlowStartCapacity: f.SlowStart.ColdFrom,
-		SlowStartWindow:   duration(f.SlowStart.WarmUpMs),
-		OverloadMultiple:  f.SlowStart.FallMultiple,
-		OverloadDuration:  duration(f.SlowStart.FallMs),
+		SlowStartCapacity: f.Rules.ColdFrom,
+		SlowStartWindow:   duration(f.Rules.WarmUpMs),
+		OverloadMultiple:  f.Rules.FallMultiple,
+		OverloadDuration:  duration(f.Rules.FallMs),
 	}
 	for _, c := range f.Classes {
 		s.Classes = append(s.Classes, balancer.Class{Name: c.Name, LatencyObjective: duration(c.LatencyObjectiveMs), ObjectiveStretch: c.ObjectiveStretch,
