sidecar: a known red test, a chunked body behind an upstream that reads slowly

Cause: takes the last byte of a body of unknown length for unwritten as long as more of it arrives, but what arrives may have lain in the client's send buffer.

No product code changes.

--- a/internal/sidecar/bodytimer_test.go
+++ b/internal/sidecar/bodytimer_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// Guards against the same for a body of unknown length, of which the upstream takes a little at a time, without a stop.
+func TestTimeOfAChunkedBodyCountsFromTheLastByteWritten(t *testing.T) {
+	const timeout, bodyBytes = 700 * time.Millisecond, 2500 << 10
+	slow := func(c net.Conn, p []byte, _ int) (int, error) {
+		time.Sleep(100 * time.Millisecond)
+		return c.Read(p)
+	}
+	c := testConfig(t, quietDiscovery(t).address, entry("s", slowUpstream(t, slow), "Ready"))
+	c.dial = smallSendBuffers
+	r := start(t, c, "127.0.0.1:0")
+	status, delay := upload(t, r.address, bodyBytes, true, timeout, writeAtOnce)
+	if status != http.StatusServiceUnavailable || delay > timeout+maxAnswerDelay+timeTolerance {
+		t.Errorf("got status %d, %v after the last byte, want 503 within %v", status, delay, timeout+maxAnswerDelay+timeTolerance)
+	}
+}
+
 // Guards against cutting off an upload while its client is still writing: a slow client's, and one that has to wait for the
 // upstream, each for longer than the time-out that counts from the last byte.
 func TestASoundUploadIsNotCutOff(t *testing.T) {
