--- a/internal/sidecar/bodytimer_test.go
+++ b/internal/sidecar/bodytimer_test.go
@@ -101,7 +101,8 @@
 		t.Errorf("writing the request: %v", err)
 	}
 	written := time.Now()
-	return status, (<-answered).Sub(written)
+	answeredAt := <-answered // status is set from here on
+	return status, answeredAt.Sub(written)
 }
 
 func writeAtOnce(c net.Conn, body string) error {
