--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -56,7 +56,7 @@
 	ran := []string{}
 	for _, u := range []*upstream{u1, u2} {
 		for _, r := range u.all() {
-			if refused[r.id] {
+			if refused[r.id] && r.bytes >= size { // all of its body has arrived
 				ran = append(ran, r.id+" at "+u.name)
 			}
 		}
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -240,13 +240,13 @@
 	_ = s.cmd.Process.Signal(sig)
 }
 
-// rssMB returns the resident memory of the process in MB, or 0 if it has ended.
+// rssMB returns the resident anonymous memory of the process in MB, without the pages of its program file, or 0 if it has ended.
 func (s *sidecar) rssMB() float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
-	m := regexp.MustCompile(`VmRSS:\s+(\d+) kB`).FindSubmatch(b)
+	m := regexp.MustCompile(`RssAnon:\s+(\d+) kB`).FindSubmatch(b)
 	if m == nil {
 		return 0
 	}
