--- a/review/standin-2/case10.go
+++ b/review/standin-2/case10.go
@@ -25,7 +25,7 @@
 func halfHeads(c caseRun) {
 	answer := answerOK(50 * time.Millisecond)
 	u1, u2 := newUpstream(c.rec, "s-1", answer), newUpstream(c.rec, "s-2", answer)
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home))
 	s := startSidecar(c.rec, c.root, sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: memoryMB, sockets: descriptors, settings: siteSettings()})
 	s.awaitReady()
 	c.rec.log("platform   n1 has %.1f MB of anonymous memory", s.rssMB())
@@ -59,7 +59,7 @@
 	for k := range 10 { // the application
 		all.Go(func() {
 			for i := 0; time.Now().Before(end) && !s.hasEnded(); i++ {
-				r := send(c.rec, s.listen, call{method: "POST", class: "charge-ship", id: fmt.Sprintf("charge-%d-%d", k, i), timeout: "2500m", body: 40})
+				r := send(c.rec, s.listen, call{method: "POST", class: writeClass, id: fmt.Sprintf("charge-%d-%d", k, i), timeout: "2500m", body: 40})
 				if r.status == 0 {
 					unanswered.Add(1)
 				}
@@ -88,7 +88,7 @@
 func halfHead() string {
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
 	var b strings.Builder
-	b.WriteString("GET /plan-read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\n")
+	b.WriteString("GET /" + readClass + "/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\n")
 	for i := 0; b.Len() < headBytes; i++ {
 		name := string([]byte{letters[i%36], letters[i/36%36], letters[i/1296%36]})
 		if i < 1296 {
--- a/review/standin-2/case6.go
+++ b/review/standin-2/case6.go
@@ -23,7 +23,7 @@
 func pausedUpload(c caseRun) {
 	settings := siteSettings()
 	for _, class := range settings["Classes"].([]any) {
-		if class := class.(map[string]any); class["Name"] == "charge-ship" {
+		if class := class.(map[string]any); class["Name"] == writeClass {
 			class["Semantics"], class["KeyScope"] = "dedup", "zone"
 		}
 	}
@@ -35,7 +35,7 @@
 	if c.trouble {
 		u1.readBody, u2.readBody = readWithPause, readWithPause
 	}
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home))
 	var mu sync.Mutex
 	refused := map[string]bool{}
 	var both sync.WaitGroup
@@ -69,14 +69,14 @@
 	var mu sync.Mutex
 	for round := range uploads / uploadsAtA {
 		for i := range 30 { // the usual small requests
-			send(s.rec, s.listen, call{method: "GET", class: "plan-read", id: fmt.Sprintf("%s-read-%d-%d", s.name, round, i), timeout: "3000m"})
+			send(s.rec, s.listen, call{method: "GET", class: readClass, id: fmt.Sprintf("%s-read-%d-%d", s.name, round, i), timeout: "3000m"})
 		}
 		var wg sync.WaitGroup
 		for k := range uploadsAtA {
 			n := round*uploadsAtA + k
 			wg.Go(func() {
 				id := fmt.Sprintf("%s-upload-%d", s.name, n)
-				r := send(s.rec, s.listen, call{method: "POST", class: "charge-ship", id: id, timeout: "3000m",
+				r := send(s.rec, s.listen, call{method: "POST", class: writeClass, id: id, timeout: "3000m",
 					headers: "Idempotency-Key: key-" + id + "\r\n", body: size + n*uploadStep})
 				if r.status == 503 || r.status == 429 {
 					mu.Lock()
--- a/review/standin-2/case7.go
+++ b/review/standin-2/case7.go
@@ -43,14 +43,14 @@
 		}
 	}
 	u1, u2, u3 := newUpstream(c.rec, "s-1", answer("s-1")), newUpstream(c.rec, "s-2", answer("s-2")), newUpstream(c.rec, "s-3", answer("s-3"))
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"), u3.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home), u3.entry(home))
 	s := startSidecar(c.rec, c.root, sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: 192, sockets: 1024, settings: siteSettings()})
 	s.awaitReady()
 	time.Sleep(200 * time.Millisecond)
 	refused := 0
 	for i := range 60 {
 		id := fmt.Sprintf("charge-%d", i)
-		r := send(c.rec, s.listen, call{method: "POST", class: "charge-ship", id: id, timeout: "2500m", body: 40})
+		r := send(c.rec, s.listen, call{method: "POST", class: writeClass, id: id, timeout: "2500m", body: 40})
 		if spoilt[id] != "" && (r.status == 503 || r.status == 429) {
 			refused++
 			c.rec.log("check      %s was refused after the spoilt answer of %s", id, spoilt[id])
--- a/review/standin-2/case8.go
+++ b/review/standin-2/case8.go
@@ -50,13 +50,13 @@
 		return err == nil
 	}
 	u1, u2 := newUpstream(c.rec, "s-1", answer), newUpstream(c.rec, "s-2", answer)
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home))
 	s := startSidecar(c.rec, c.root, sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: 192, sockets: 1024, settings: settings})
 	s.awaitReady()
 	time.Sleep(200 * time.Millisecond)
 	lost := map[string]int{}
 	for i := range 6 {
-		for _, x := range []call{{method: "GET", class: "plan-read"}, {method: "POST", class: "charge-ship", body: 40}} {
+		for _, x := range []call{{method: "GET", class: readClass}, {method: "POST", class: writeClass, body: 40}} {
 			x.id, x.timeout = fmt.Sprintf("%s-%d", x.class, i), "480m"
 			r := send(c.rec, s.listen, x)
 			mu.Lock()
--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -28,7 +28,7 @@
 	if c.trouble {
 		u1.readBody, u2.readBody = readSlowly, readSlowly
 	}
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home))
 	s := startSidecar(c.rec, c.root, sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: 192, sockets: 1024, settings: siteSettings()})
 	s.awaitReady()
 	time.Sleep(200 * time.Millisecond)
@@ -54,7 +54,7 @@
 	c.verdict(late > 0, "%d of %d uploads had no answer within %.2f s of their last byte; the latest answer came after %.2f s", late, chunkedUploads, (clientTime + lateSlack).Seconds(), worst.Seconds())
 }
 
-// sendChunks sends a charge-ship request whose body comes in chunks, and reads the answer.
+// sendChunks sends a request of writeClass whose body comes in chunks, and reads the answer.
 func sendChunks(rec *record, address, id string) (r reply, ok bool) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -64,7 +64,8 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 	started := time.Now()
-	_, _ = fmt.Fprintf(conn, "POST /charge-ship/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: charge-ship\r\nX-Tenant-Id: bukid-beans\r\nX-Timeout: %dm\r\nTransfer-Encoding: chunked\r\n\r\n", id, clientTime.Milliseconds())
+	_, _ = fmt.Fprintf(conn, "POST /%s/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: %s\r\nX-Timeout: %dm\r\nTransfer-Encoding: chunked\r\n\r\n",
+		writeClass, id, writeClass, tenant, clientTime.Milliseconds())
 	for sent := 0; sent < chunkedBytes && err == nil; sent += 64 << 10 {
 		if _, err = fmt.Fprintf(conn, "%x\r\n", 64<<10); err == nil {
 			if _, err = io.CopyN(conn, filler{}, 64<<10); err == nil {
@@ -80,7 +81,7 @@
 		return r, false
 	}
 	sentAt := time.Now()
-	rec.log("client     sent POST /charge-ship id %s in chunks, X-Timeout %dm; its last byte was written %.3f s after its first", id, clientTime.Milliseconds(), sentAt.Sub(started).Seconds())
+	rec.log("client     sent POST /%s id %s in chunks, X-Timeout %dm; its last byte was written %.3f s after its first", writeClass, id, clientTime.Milliseconds(), sentAt.Sub(started).Seconds())
 	r = readReply(bufio.NewReader(conn), sentAt)
 	rec.log("client     id %s was answered %d, %.3f s after its last byte, err %v", id, r.status, r.took.Seconds(), r.err)
 	return r, true
--- a/review/standin-2/clients.go
+++ b/review/standin-2/clients.go
@@ -40,8 +40,8 @@
 	if c.method == "POST" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", c.body)
 	}
-	_, _ = fmt.Fprintf(conn, "%s /%s/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: bukid-beans\r\nX-Timeout: %s\r\n%s%s\r\n",
-		c.method, c.class, c.id, c.class, c.timeout, length, c.headers)
+	_, _ = fmt.Fprintf(conn, "%s /%s/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: %s\r\nX-Timeout: %s\r\n%s%s\r\n",
+		c.method, c.class, c.id, c.class, tenant, c.timeout, length, c.headers)
 	if _, err := io.CopyN(conn, filler{}, int64(c.body)); err != nil {
 		rec.log("client     id %s: writing the body: %v", c.id, err)
 	}
--- a/review/standin-2/extra_move.go
+++ b/review/standin-2/extra_move.go
@@ -15,8 +15,8 @@
 func movedToLagging(c caseRun) {
 	answer := answerOK(10 * time.Millisecond)
 	u1, u2 := newUpstream(c.rec, "s-1", answer), newUpstream(c.rec, "s-2", answer)
-	old := newAgent(c.rec, "discovery (first address)", 43, u1.entry("cebu"), u2.entry("makati"))
-	next := newAgent(c.rec, "discovery (new address)", 43, u1.entry("cebu"), u2.entry("makati"))
+	old := newAgent(c.rec, "discovery (first address)", 43, u1.entry(away), u2.entry(home))
+	next := newAgent(c.rec, "discovery (new address)", 43, u1.entry(away), u2.entry(home))
 	next.firstWhole = true
 	o := sidecarOptions{name: "n1", listen: freeAddress(), discovery: old.address, memoryMB: 192, sockets: 1024, settings: siteSettings()}
 	s := startSidecar(c.rec, c.root, o)
@@ -29,12 +29,12 @@
 			case <-stop:
 				return
 			case <-time.After(90 * time.Millisecond):
-				send(c.rec, s.listen, call{method: "GET", class: "plan-read", id: fmt.Sprintf("read-%d", i), timeout: "3000m"})
+				send(c.rec, s.listen, call{method: "GET", class: readClass, id: fmt.Sprintf("read-%d", i), timeout: "3000m"})
 			}
 		}
 	})
 	time.Sleep(2 * time.Second)
-	drains := u2.entry("makati")
+	drains := u2.entry(home)
 	drains.Status = "Terminating"
 	old.set(drains)
 	told := c.rec.now()
--- a/review/standin-2/extra_overbooked.go
+++ b/review/standin-2/extra_overbooked.go
@@ -23,15 +23,15 @@
 func overbookedDiscovery(c caseRun) {
 	answer := answerOK(150 * time.Millisecond)
 	u1, u2 := newUpstream(c.rec, "s-1", answer), newUpstream(c.rec, "s-2", answer)
-	a := newAgent(c.rec, "discovery", 43, u1.entry("cebu"), u2.entry("makati"))
-	known := map[string]any{"index": 43, "snapshot": true, "endpoints": []entry{u1.entry("cebu"), u2.entry("makati")}}
+	a := newAgent(c.rec, "discovery", 43, u1.entry(away), u2.entry(home))
+	known := map[string]any{"index": 43, "snapshot": true, "endpoints": []entry{u1.entry(away), u2.entry(home)}}
 	o := sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: 192, sockets: 1024, settings: siteSettings(), known: known}
 	first := startSidecar(c.rec, c.root, o)
 	first.awaitReady()
-	send(c.rec, o.listen, call{method: "GET", class: "plan-read", id: "before", timeout: "3000m"})
+	send(c.rec, o.listen, call{method: "GET", class: readClass, id: "before", timeout: "3000m"})
 	first.signal(syscall.SIGKILL)
 	<-first.ended
-	drains := u2.entry("makati")
+	drains := u2.entry(home)
 	drains.Status = "Terminating"
 	a.set(drains)
 	if c.trouble {
@@ -46,9 +46,9 @@
 	for k := range 4 {
 		clients.Go(func() {
 			for i := 0; c.rec.now() < started+playTime; i++ {
-				x := call{method: "GET", class: "plan-read", id: fmt.Sprintf("read-%d-%d", k, i), timeout: "3000m"}
+				x := call{method: "GET", class: readClass, id: fmt.Sprintf("read-%d-%d", k, i), timeout: "3000m"}
 				if k > 0 {
-					x = call{method: "POST", class: "charge-ship", id: fmt.Sprintf("charge-%d-%d", k, i), timeout: "2500m", body: 40}
+					x = call{method: "POST", class: writeClass, id: fmt.Sprintf("charge-%d-%d", k, i), timeout: "2500m", body: 40}
 				}
 				if r := send(c.rec, s.listen, x); r.status != 200 {
 					mu.Lock()
--- a/review/standin-2/extra_pipeline.go
+++ b/review/standin-2/extra_pipeline.go
@@ -21,7 +21,7 @@
 	)
 	answer := answerOK(400 * time.Millisecond)
 	u1, u2 := newUpstream(c.rec, "s-1", answer), newUpstream(c.rec, "s-2", answer)
-	a := newAgent(c.rec, "discovery", 41, u1.entry("makati"), u2.entry("makati"))
+	a := newAgent(c.rec, "discovery", 41, u1.entry(home), u2.entry(home))
 	s := startSidecar(c.rec, c.root, sidecarOptions{name: "n1", listen: freeAddress(), discovery: a.address, memoryMB: 192, sockets: 1024, settings: siteSettings()})
 	s.awaitReady()
 	time.Sleep(200 * time.Millisecond)
@@ -36,7 +36,7 @@
 		done := make(chan bool)
 		for i := range count {
 			go func() {
-				x := call{method: "GET", class: "plan-read", id: fmt.Sprintf("read-%d", i), timeout: "1000m"}
+				x := call{method: "GET", class: readClass, id: fmt.Sprintf("read-%d", i), timeout: "1000m"}
 				check(x.id, send(c.rec, s.listen, x))
 				done <- true
 			}()
@@ -52,7 +52,7 @@
 	}
 	var b strings.Builder
 	for i := range count {
-		fmt.Fprintf(&b, "GET /plan-read/k HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: read-%d\r\nX-Priority-Class: plan-read\r\nX-Timeout: 1000m\r\n\r\n", i)
+		fmt.Fprintf(&b, "GET /%s/k HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: read-%d\r\nX-Priority-Class: %s\r\nX-Timeout: 1000m\r\n\r\n", readClass, i, readClass)
 	}
 	_, _ = io.WriteString(conn, b.String())
 	sentAt := time.Now()
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -115,7 +115,7 @@
 }
 
 func (u *upstream) entry(zone string) entry {
-	return entry{Name: u.name, Address: u.address, Zone: zone, Type: "std-4", Group: 1, Status: "Ready", Weight: 1}
+	return entry{Name: u.name, Address: u.address, Zone: zone, Type: machine, Group: 1, Status: "Ready", Weight: 1}
 }
 
 // end does what the end of the upstream's process does: connections are reset, new ones refused.
