sidecar: a log line for each further attempt, with the results of the earlier ones

Change: "request sent again" names the request, the upstream of the further attempt, and the earlier attempts with their results (5 lines a second at most). The result of a refusal carries the error of reading its body.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -24,6 +24,7 @@
 
 	failures        *limitedLog               // log of requests that failed
 	lateAnswers     *limitedLog               // log of requests answered late
+	retries         *limitedLog               // log of further attempts
 	classes         map[string]balancer.Class // by name, as in the settings of the balancer
 	counts          attemptCounts             // counts of attempts since the last log line of statistics
 	stats           *stats
@@ -130,7 +131,8 @@
 
 func newDispatcher(b *balancer.Balancer, clk clock, stop <-chan struct{}) *dispatcher {
 	d := &dispatcher{clock: clk, balancer: b, urgent: make(chan any, 16), stats: newStats(), events: make(chan any, 256), stop: stop,
-		inFlight: map[string]*inFlightRequest{}, timer: time.NewTimer(time.Hour), failures: newLimitedLog(maxFailureLines), lateAnswers: newLimitedLog(maxLateLines), counts: newAttemptCounts(),
+		inFlight: map[string]*inFlightRequest{}, timer: time.NewTimer(time.Hour), failures: newLimitedLog(maxFailureLines), lateAnswers: newLimitedLog(maxLateLines),
+		retries: newLimitedLog(maxRetryLines), counts: newAttemptCounts(),
 		connectionStats: func() slog.Attr { return slog.Attr{} }, zone: func(string) string { return "" }}
 	d.timer.Stop()
 	return d
@@ -434,6 +436,9 @@
 		return
 	}
 	now := d.clock.now()
+	if len(f.attempts) > 0 {
+		d.retries.log("request sent again", func() []slog.Attr { return append(f.attrs(now), slog.String("upstream", a.Upstream)) })
+	}
 	for i := range f.attempts { // earlier attempts stop waiting for a late answer once this one starts
 		if abandon := f.attempts[i].reply.abandon; abandon != nil {
 			abandon()
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -166,7 +166,7 @@
 	reusable = errors.Is(err, io.EOF) && !resp.Close && x.conn.requestEncoded.Load()
 	unavailable := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
 	if unavailable && resp.Header.Get(headerNotProcessed) == "1" {
-		return attemptReply{result: balancer.Overloaded}, reusable
+		return attemptReply{result: balancer.Overloaded, err: notEOF(err)}, reusable
 	}
 	return attemptReply{result: balancer.ServerError, err: fmt.Errorf("answered %s", resp.Status)}, reusable
 }
--- a/internal/sidecar/logging.go
+++ b/internal/sidecar/logging.go
@@ -16,12 +16,13 @@
 )
 
 // A request that failed or was late is logged in one line, with all its attempts and their connections. So is a request that
-// was rejected before admission. The rate of these lines is limited, so that logging does not use CPU time that is
-// scarce in an overload.
+// was rejected before admission, and so is each further attempt, with the results of the earlier ones. The rate of these
+// lines is limited, so that logging does not use CPU time that is scarce in an overload.
 
 const (
 	maxFailureLines = 20  // lines on failed requests per second, and in one burst
 	maxLateLines    = 2   // lines on requests that were served late per second, and in one burst
+	maxRetryLines   = 5   // lines on further attempts of requests per second, and in one burst
 	maxQuotedBytes  = 160 // maximum length of text from a peer in a log line
 )
 
