sidecar: an answer that can't be read to its end is no proof that nothing ran

Cause: readErrorAnswer classified the answer by its head alone. It read up to 4 KiB of the body, and used the error only to decide whether the connection can be used again. On a reused connection, an early refusal, perhaps a second answer to the previous request, was taken as proof too, while the upstream could still get the whole request.

Change: a refusal (503 or 504) counts as never run only once its body has been read to its end, of 32 MB at most; otherwise it is an error answer, after which the request may have run. An early refusal on a reused connection counts only if the request's body can still be stopped.

Why it works: the balancer neither repeats nor rejects a request of such a class after an attempt that may have run.

Measured: before, TestAnUnreadableRefusalIsNoProof failed in 11 of its 17 cases, TestARefusalCutOffByItsAttemptIsNoProof, TestAnUnreadableRefusalIs- NotFollowedByAnotherAttempt (5 requests at the upstreams, 1 wanted) and TestAnEarlyRefusalStopsItsRequest (the upstream got the complete request) failed.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -162,11 +162,37 @@
 
 // readErrorAnswer reads an answer other than 200. The connection is used again only if the answer was read to its end.
 func (x *upstreamExchange) readErrorAnswer(resp *http.Response) (rep attemptReply, reusable bool) {
-	_, err := io.CopyN(io.Discard, resp.Body, minRetainedBytes)
-	reusable = errors.Is(err, io.EOF) && !resp.Close && x.conn.requestEncoded.Load()
+	refusal, bound := statesNotProcessed(resp), int64(minRetainedBytes)
+	if refusal {
+		bound = maxBodyBytes + 1 // it is read to its end, which comes after maxBodyBytes at the latest
+	}
+	_, err := io.CopyN(io.Discard, resp.Body, bound)
+	complete := errors.Is(err, io.EOF)
+	reusable = complete && !resp.Close && x.conn.requestEncoded.Load()
+	if refusal && complete && x.isOwnAnswerOrStopped() {
+		return attemptReply{result: balancer.Overloaded}, reusable
+	}
+	return attemptReply{result: balancer.ServerError, err: errorAnswer(resp, notEOF(err))}, reusable
+}
+
+// statesNotProcessed reports whether an answer states that its upstream has not processed the request. That is proved only once the
+// answer has been read to its end: an answer that can't be read says nothing about its request.
+func statesNotProcessed(resp *http.Response) bool {
 	unavailable := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
-	if unavailable && resp.Header.Get(headerNotProcessed) == "1" {
-		return attemptReply{result: balancer.Overloaded, err: notEOF(err)}, reusable
+	return unavailable && resp.Header.Get(headerNotProcessed) == "1"
+}
+
+// isOwnAnswerOrStopped reports whether the answer belongs to this exchange's request, or the request is never sent completely. An early
+// answer on a reused connection may be a second answer to the previous request; the request is then stopped if that is possible.
+func (x *upstreamExchange) isOwnAnswerOrStopped() bool {
+	mayBeForPrevious := x.answeredEarly.Load() && x.conn.uses > 1
+	return !mayBeForPrevious || x.body.stop()
+}
+
+// errorAnswer returns the error of an answer other than 200; readError is that of reading its body, or nil.
+func errorAnswer(resp *http.Response, readError error) error {
+	if readError != nil {
+		return fmt.Errorf("answered %s, unreadable: %w", resp.Status, readError)
 	}
-	return attemptReply{result: balancer.ServerError, err: fmt.Errorf("answered %s", resp.Status)}, reusable
+	return fmt.Errorf("answered %s", resp.Status)
 }
