sidecar: a log line for an answer that is cut off after its first bytes

Change: "answer cut off" names the request, the upstream, the cause, and the bytes of the answer that were held back, and for how long.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -30,6 +30,7 @@
 	reply     chan attemptReply // delivers the result to the attempt
 	abandoned chan struct{}     // closed when the attempt no longer waits for reply
 
+	held          heldAnswer  // what has been read of the answer
 	answered      bool        // the answer has begun, so the request may have been processed
 	answeredEarly atomic.Bool // the answer began before the complete request body had been passed to the writer
 }
@@ -143,6 +144,7 @@
 
 // readSuccess reads a 200 answer.
 func (x *upstreamExchange) readSuccess(resp *http.Response) (rep attemptReply, reusable bool) {
+	resp.Body = &countedBody{resp.Body, &x.held}
 	body, reserved, complete, err := x.pool.readAnswer(resp)
 	if err != nil {
 		return x.failureReply(err), false
--- a/internal/sidecar/responses.go
+++ b/internal/sidecar/responses.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -71,6 +72,46 @@
 	r.reservedBytes, r.body = 0, nil
 }
 
+// heldAnswer is what an exchange has read of the body of an answer that it has not passed on. It is safe for concurrent use.
+type heldAnswer struct {
+	mu    sync.Mutex
+	bytes int64
+	since time.Time // when the first bytes were read
+}
+
+// add counts bytes that were read.
+func (h *heldAnswer) add(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.bytes == 0 && n > 0 {
+		h.since = time.Now()
+	}
+	h.bytes += int64(n)
+}
+
+// attrs returns log attributes: the number of bytes, and the time since the first ones. It returns nil if there are no bytes.
+func (h *heldAnswer) attrs() []slog.Attr {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.bytes == 0 {
+		return nil
+	}
+	return []slog.Attr{slog.Int64("held_bytes", h.bytes), millisecondsAttr("held_ms", time.Since(h.since))}
+}
+
+// countedBody is the body of an answer, whose reads are counted in held.
+type countedBody struct {
+	io.ReadCloser
+	held *heldAnswer
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.held.add(n)
+	return n, err
+}
+
 // readAnswer reads a small answer completely, and the start of a large one. An answer without a length ends with the
 // connection, if that is closed and not reset. retained is the part of the budget that the reply occupies until release.
 func (u *upstreamPool) readAnswer(resp *http.Response) (body []byte, retained int64, complete bool, err error) {
--- a/internal/sidecar/upstreampool.go
+++ b/internal/sidecar/upstreampool.go
@@ -29,6 +29,7 @@
 	dial         dialer
 	onDispatched func() // called when the request of an attempt was written completely
 	budget       *byteBudget
+	cutOff       *limitedLog // log of answers that had begun when their attempt ended
 
 	mu           sync.Mutex
 	timeouts     connTimeouts
@@ -42,7 +43,7 @@
 
 func newUpstreamPool(c *Config, clk clock, maxConns int) *upstreamPool {
 	u := &upstreamPool{dial: c.dial, onDispatched: func() {}, budget: &byteBudget{available: int64(c.Limits.MemoryMB * budgetFraction * (1 << 20))},
-		maxConns: maxConns, retainsIdle: true}
+		cutOff: newLimitedLog(maxFailureLines), maxConns: maxConns, retainsIdle: true}
 	u.updateSettings(c.Settings)
 	u.directory = newEndpointDirectory(clk, u.drop)
 	return u
@@ -112,6 +113,11 @@
 		return reply
 	case <-ctx.Done():
 	}
+	if held := x.held.attrs(); held != nil && !errors.Is(context.Cause(ctx), errAnswered) {
+		u.cutOff.log("answer cut off", func() []slog.Attr {
+			return append(held, slog.String("request", truncate(r.id)), slog.String("upstream", name), slog.Any("err", context.Cause(ctx)))
+		})
+	}
 	reply := attemptReply{result: balancer.Cancelled, use: use, err: context.Cause(ctx)}
 	timeout := timedOut(ctx)
 	if timeout {
