sidecar: a test of watches sends its message only after the first update

Cause, traced by reading and by its 2.5 s: the stand-in's two empty lines and its message can be read at once, which gives one update where the test waits for two. It then waited for the next call, after 2.5 s, which gave a third. Lines that are read at once are meant to give one update.

Change: the stand-in sends its message once the test has got the first update. What is checked is as before.

--- a/internal/sidecar/watcher_test.go
+++ b/internal/sidecar/watcher_test.go
@@ -117,17 +117,25 @@
 
 // Guards against a watch that counts as unanswered because there are no changes: an empty line is an answer.
 func TestWatchWithoutChangesIsAnswered(t *testing.T) {
+	answered := make(chan struct{}) // closed once the first update has come: lines that are read at once give one update
 	d := newDiscovery(t, func(_ int, send func(string), done <-chan struct{}) {
 		send("")
 		send("")
+		select {
+		case <-answered:
+		case <-done:
+		}
 		send(list(9, false))
 		<-done
 	})
 	dir, updates := startWatcher(t, d, entry("a", "127.0.0.2:1", "Ready"))
-	for range 2 { // one update for the answer and one for the changes, none for the second empty line
+	for i := range 2 { // one update for the answer and one for the changes, none for the second empty line
 		if m := nextUpdate(t, updates); m.Kind != balancer.Delta || len(m.Endpoints) != 0 {
 			t.Errorf("got update %+v, want kind %d without endpoints", m, balancer.Delta)
 		}
+		if i == 0 {
+			close(answered)
+		}
 	}
 	if len(updates) != 0 {
 		t.Errorf("got a third update %+v, want two", <-updates)
