sidecar: an answer of unknown length is passed on while its upstream pauses

Cause: an answer of unknown length may be held for 100 ms, but the time was looked at only after a read had returned. While the upstream paused, the read did not return, and the attempt's time ran out.

The start of a streamed answer counts for its least mean rate, so that its first pause may be as long as any later one.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -144,24 +144,36 @@
 
 // readSuccess reads a 200 answer.
 func (x *upstreamExchange) readSuccess(resp *http.Response) (rep attemptReply, reusable bool) {
-	resp.Body = &countedBody{resp.Body, &x.held}
-	body, reserved, complete, err := x.pool.readAnswer(resp)
+	start, err := x.pool.readAnswer(resp, x.deadline(), &x.held)
 	if err != nil {
 		return x.failureReply(err), false
 	}
-	rep = attemptReply{result: balancer.OK, header: endToEnd(resp.Header), body: body, reservedBytes: reserved, budget: x.pool.budget}
+	rep = attemptReply{result: balancer.OK, header: endToEnd(resp.Header), body: start.body, reservedBytes: start.retained, budget: x.pool.budget}
 	reusable = !resp.Close && x.conn.requestEncoded.Load()
-	if complete {
+	if start.rest == nil {
 		return rep, reusable
 	}
 	if x.ctx.Err() != nil { // the attempt ended while the answer was read
 		rep.release()
 		return x.failureReply(x.ctx.Err()), false
 	}
-	rep.rest = &responseRest{body: resp.Body, length: resp.ContentLength, stallTimeout: x.conn.writeTimeout, reusable: reusable}
+	rep.rest = &responseRest{body: start.rest, length: resp.ContentLength, bytesRead: int64(len(start.body)), stallTimeout: x.conn.writeTimeout, reusable: reusable}
 	return rep, false
 }
 
+// deadline returns when the attempt ends, or zero if that is not known. An attempt that began before the body was received gets its
+// deadline later, from the time that is left to the client.
+func (x *upstreamExchange) deadline() time.Time {
+	if deadline, ok := x.ctx.Deadline(); ok {
+		return deadline
+	}
+	timer := x.clientReq.bodyTimer
+	if timer == nil || x.clientReq.body.receiving() {
+		return time.Time{}
+	}
+	return time.Now().Add(timer.expiresAt() - timer.clock.now())
+}
+
 // readErrorAnswer reads an answer other than 200. The connection is used again only if the answer was read to its end.
 func (x *upstreamExchange) readErrorAnswer(resp *http.Response) (rep attemptReply, reusable bool) {
 	refusal, bound := statesNotProcessed(resp), int64(minRetainedBytes)
