sidecar: a failed request's log line says how long its body's last byte may have been written

Change: body_unwritten_ms, the time since the last byte was last observed to be unwritten, beside body_remaining and body_unread.

--- a/internal/sidecar/bodytimer.go
+++ b/internal/sidecar/bodytimer.go
@@ -70,3 +70,10 @@
 	defer t.mu.Unlock()
 	return t.clock.now()-t.unwrittenAt >= max(t.timeout-disconnectPollInterval, minBodyTime)
 }
+
+// sinceUnwritten returns the time since the last byte was last observed to be unwritten.
+func (t *bodyTimer) sinceUnwritten() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clock.now() - t.unwrittenAt
+}
--- a/internal/sidecar/logging.go
+++ b/internal/sidecar/logging.go
@@ -128,7 +128,8 @@
 		millisecondsAttr("after_ms", now-f.acceptedAt), slog.Int64("body", f.request.body.length), slog.String("attempts", f.describeAttempts(now))}
 	if f.request.conn != nil && f.request.body.receiving() {
 		arrival := f.request.conn.bodyArrival()
-		attrs = append(attrs, slog.Int64("body_remaining", arrival.remaining), slog.Int64("body_unread", arrival.unread))
+		attrs = append(attrs, slog.Int64("body_remaining", arrival.remaining), slog.Int64("body_unread", arrival.unread),
+			millisecondsAttr("body_unwritten_ms", f.request.bodyTimer.sinceUnwritten()))
 	}
 	return attrs
 }
