sidecar: a body's time counts by what its client has written, as the kernel knows it

Cause: a body of unknown length shows its end only when it is read, and any growth of what had arrived counted as proof that its client was still writing. But that may have lain in the client's send buffer, and keeps coming as long as the upstream takes some.

Evidence: body_unwritten_ms, added before, is 2,051 to 2,100 in the lines that have after_ms=3850 to 4051: the time began late.

The last byte was unwritten as long as the first number grows, or more of a stated length is to come than the socket holds. Where the kernel does not tell, as for a client on another machine, it counts only that more than 4 MB have arrived since, or that bytes came while nothing was read.

Why it works: the time counts from the last byte written, and that is what is observed now, for clients on the sidecar's machine.

Related: sound uploads with a stated length were cut off, since nothing below the last 4 MB counted as unwritten (two cases of the new test).

--- a/internal/sidecar/bodytimer.go
+++ b/internal/sidecar/bodytimer.go
@@ -12,22 +12,34 @@
 	// minBodyTime is the least time that a request has while its body is received. It covers several observations, so that a
 	// single one does not end the request; it may be longer than the client's time-out, since an answer may be 0.5 s late.
 	minBodyTime = 250 * time.Millisecond
+	// arrivalStep is how many bytes of a body have to arrive between two observations that are kept.
+	arrivalStep = 32 << 10
+	// maxReadBytes is an upper bound of the bytes that a read in progress has taken and that still count as remaining.
+	maxReadBytes = 128 << 10
 )
 
 // bodyTimer determines since when a client may be waiting for the answer to a request whose body is received only as fast as
 // an upstream takes it. That is when it has written the last byte, which may be long before an attempt reads that byte. The
 // timer observes the client's connection every disconnectPollInterval. It is safe for concurrent use.
 type bodyTimer struct {
-	conn    *framedConn
+	conn    bodySource
 	clock   clock
 	timeout time.Duration // the client's time-out
 
 	mu          sync.Mutex
 	unwrittenAt time.Duration // the latest clock time at which the last byte was observed to be unwritten
-	received    int64         // bytes of the body that had arrived by the latest observation
+	written     int64         // bytes that the client had written by the latest observation of them
+	arrivals    arrivalLog    // used if it is unknown what the client has written
 }
 
-func newBodyTimer(conn *framedConn, clk clock, timeout time.Duration) *bodyTimer {
+// bodySource is the connection on which a body is received.
+type bodySource interface {
+	bodyArrival() bodyArrival
+	// clientProgress returns what the client has written to the connection, or false if that is unknown.
+	clientProgress() (progress peerProgress, ok bool)
+}
+
+func newBodyTimer(conn bodySource, clk clock, timeout time.Duration) *bodyTimer {
 	return &bodyTimer{conn: conn, clock: clk, timeout: timeout, unwrittenAt: clk.now()}
 }
 
@@ -35,26 +47,71 @@
 func (t *bodyTimer) observe() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.now()
-	if t.lastByteUnwritten(t.conn.bodyArrival()) {
-		t.unwrittenAt = now
-	}
+	now, arrival := t.clock.now(), t.conn.bodyArrival()
+	t.arrivals.add(now, arrival)
+	t.unwrittenAt = max(t.unwrittenAt, t.latestUnwritten(now, arrival))
 }
 
-// lastByteUnwritten reports whether it is certain that the client has not written the last byte of its body. The caller holds mu.
-func (t *bodyTimer) lastByteUnwritten(arrival bodyArrival) bool {
-	received := arrival.read + arrival.unread
-	grown := received > t.received
-	t.received = received
+// latestUnwritten returns the latest clock time at which it is now certain that the client had not written the last byte of its
+// body, or 0 if the observation shows none. The caller holds mu.
+func (t *bodyTimer) latestUnwritten(now time.Duration, arrival bodyArrival) time.Duration {
 	switch {
 	case arrival.remaining == 0:
-		return false
+		return 0
 	case arrival.unread == 0: // nothing keeps the client from sending what it has written
-		return true
-	case arrival.remaining < 0: // a client that is no longer sending may have reached the end
-		return grown
+		return now
+	}
+	notArrived := arrival.remaining - arrival.unread // negative if the length is unknown
+	progress, ok := t.conn.clientProgress()
+	switch {
+	case ok && (progress.written > t.written || notArrived > progress.queued+maxReadBytes):
+		t.written = progress.written
+		return now
+	case ok:
+		return 0
+	case notArrived > maxClientSendBuffer:
+		return now
+	}
+	return t.arrivals.latestUnwritten
+}
+
+// arrivalLog derives from what arrives of a body when its last byte was certainly unwritten. It holds the observations after which
+// at most maxClientSendBuffer bytes have arrived: these bytes may have been written before.
+type arrivalLog struct {
+	latest          bodyArrival // the latest observation
+	idle            int         // number of observations in a row before which nothing was read
+	pending         []arrivalObservation
+	latestUnwritten time.Duration // clock time; 0 if there is none
+}
+
+// arrivalObservation is how many bytes of a body had arrived at a clock time, the latest at which it was so.
+type arrivalObservation struct {
+	at       time.Duration
+	received int64
+}
+
+// add records an observation. Those that are less than arrivalStep apart count as one, with the time of the first bytes.
+func (l *arrivalLog) add(now time.Duration, arrival bodyArrival) {
+	received := arrival.read + arrival.unread
+	if l.idle++; arrival.read != l.latest.read {
+		l.idle = 0
+	}
+	// What takes the place of bytes that were read may come after the read, but within one interval. What comes later came into free
+	// space, in which there was room for all that the client had written before.
+	if grown := received > l.latest.read+l.latest.unread; grown && l.idle > 1 {
+		l.latestUnwritten = now
+	}
+	l.latest = arrival
+	switch n := len(l.pending); {
+	case n > 0 && received == l.pending[n-1].received:
+		l.pending[n-1].at = now
+	case n == 0 || received >= l.pending[n-1].received+arrivalStep:
+		l.pending = append(l.pending, arrivalObservation{now, received})
+	}
+	for received-l.pending[0].received > maxClientSendBuffer {
+		l.latestUnwritten = max(l.latestUnwritten, l.pending[0].at)
+		l.pending = l.pending[1:]
 	}
-	return arrival.remaining-arrival.unread > maxClientSendBuffer
 }
 
 // expiresAt returns the clock time at which the client stops waiting, provided that it has written its last byte.
--- a/internal/sidecar/bodytimer_test.go
+++ b/internal/sidecar/bodytimer_test.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -110,6 +112,12 @@
 	return err
 }
 
+// againstBackPressure is writeAtOnce for a client with a small send buffer, which has to wait for the upstream.
+func againstBackPressure(c net.Conn, body string) error {
+	_ = c.(*net.TCPConn).SetWriteBuffer(smallBufferSize)
+	return writeAtOnce(c, body)
+}
+
 // Guards against an answer that comes too late, and so is lost, because an upstream does not take the body: the client's time
 // counts from when it has written the last byte, not from when an attempt has read it. The upstream can't have run the request.
 func TestTimeCountsFromTheLastByteWritten(t *testing.T) {
@@ -181,10 +189,6 @@
 		}
 		return nil
 	}
-	againstBackPressure := func(c net.Conn, body string) error {
-		_ = c.(*net.TCPConn).SetWriteBuffer(smallBufferSize)
-		return writeAtOnce(c, body)
-	}
 	for _, test := range []struct {
 		name      string
 		bodyBytes int
@@ -208,6 +212,153 @@
 	}
 }
 
+// remoteListener hides the addresses of clients, so that they seem to be on another machine: the kernel is not asked for their sockets.
+type remoteListener struct{ *net.TCPListener }
+
+func (l remoteListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return remoteConn{c.(*net.TCPConn)}, nil
+}
+
+type remoteConn struct{ *net.TCPConn }
+
+func (remoteConn) RemoteAddr() net.Addr { return &net.UnixAddr{Name: "remote"} }
+
+// startFor starts a sidecar with one upstream for clients on its own machine, or on another one.
+func startFor(t *testing.T, read func(net.Conn, []byte, int) (int, error), remote bool) *testSidecar {
+	t.Helper()
+	c := testConfig(t, quietDiscovery(t).address, entry("s", slowUpstream(t, read), "Ready"))
+	c.dial = smallSendBuffers
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if remote {
+		l = remoteListener{l.(*net.TCPListener)}
+	}
+	r := startOnListener(t, c, l, "")
+	eventually(t, "ready", func() bool {
+		resp, err := r.client.Get("http://" + r.address + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode == http.StatusOK
+	})
+	return r
+}
+
+// Guards against an answer that comes too late where the kernel does not know what the client has written.
+func TestTimeOfARemoteClientsBodyCountsFromTheLastByteWritten(t *testing.T) {
+	const timeout = 700 * time.Millisecond
+	slow := func(c net.Conn, p []byte, _ int) (int, error) {
+		time.Sleep(100 * time.Millisecond)
+		return c.Read(p)
+	}
+	for _, chunked := range []bool{false, true} {
+		r := startFor(t, slow, true)
+		status, delay := upload(t, r.address, 2500<<10, chunked, timeout, writeAtOnce)
+		if status != http.StatusServiceUnavailable || delay > timeout+maxAnswerDelay+timeTolerance {
+			t.Errorf("chunked %v: got status %d, %v after the last byte, want 503 within %v", chunked, status, delay, timeout+maxAnswerDelay+timeTolerance)
+		}
+	}
+}
+
+// inSteps writes a body in pieces of random size, at a mean rate in bytes per second.
+func inSteps(rate int) func(net.Conn, string) error {
+	return func(c net.Conn, body string) error {
+		rng, started, sent := rand.New(rand.NewPCG(1, 9)), time.Now(), 0
+		for sent < len(body) {
+			n := min(1+rng.IntN(rate/20), len(body)-sent)
+			if err := writeAtOnce(c, body[sent:sent+n]); err != nil {
+				return err
+			}
+			sent += n
+			time.Sleep(time.Until(started.Add(time.Duration(sent) * time.Second / time.Duration(rate))))
+		}
+		return nil
+	}
+}
+
+// Guards against cutting off sound uploads of other forms: at 64 kB/s, faster while the upstream pauses, and as large as may be. Each takes
+// longer than the time-out that counts from the last byte, or would if it were slowed down.
+func TestSoundUploadsOfAnyFormAreNotCutOff(t *testing.T) {
+	const pause, timeout = 1200 * time.Millisecond, 300 * time.Millisecond
+	atOnce := func(c net.Conn, p []byte, _ int) (int, error) { return c.Read(p) }
+	pausesFirst := func(c net.Conn, p []byte, total int) (int, error) {
+		if total == 0 {
+			time.Sleep(pause)
+		}
+		return c.Read(p)
+	}
+	slowly := func(c net.Conn, p []byte, _ int) (int, error) { // 2 MB/s
+		time.Sleep(32 * time.Millisecond)
+		return c.Read(p)
+	}
+	for _, test := range []struct {
+		name      string
+		bodyBytes int
+		read      func(net.Conn, []byte, int) (int, error)
+		write     func(net.Conn, string) error
+		remote    bool
+		timeout   time.Duration
+		uploads   int // at the same time
+	}{
+		{"64 kB/s", 160 << 10, atOnce, inSteps(64_000), false, timeout, 1},
+		{"64 kB/s, a remote client", 160 << 10, atOnce, inSteps(64_000), true, timeout, 1},
+		{"640 kB/s, the upstream pauses", 1200 << 10, pausesFirst, inSteps(640_000), false, timeout, 1},
+		{"against back pressure", 6 << 20, slowly, againstBackPressure, false, 5 * timeout, 1},
+		{"the largest body at once", maxBodyBytes, atOnce, writeAtOnce, false, timeout, 1},
+		{"the largest body at once, a remote client", maxBodyBytes, atOnce, writeAtOnce, true, timeout, 1},
+		{"several large bodies at once", 12 << 20, atOnce, writeAtOnce, false, timeout, 6},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", test.name, chunked), func(t *testing.T) {
+				r := startFor(t, test.read, test.remote)
+				var wg sync.WaitGroup
+				for range test.uploads {
+					wg.Go(func() {
+						if status, _ := upload(t, r.address, test.bodyBytes, chunked, test.timeout, test.write); status != http.StatusOK {
+							t.Errorf("got status %d, want 200", status)
+						}
+					})
+				}
+				wg.Wait()
+			})
+		}
+	}
+}
+
+// Guards against a log of arrivals that grows with the body, and against one that misses what it proves: a byte that comes after
+// maxClientSendBuffer others was written after them, and one that comes while nothing is read for two
+// observations was written just now.
+func TestArrivalLog(t *testing.T) {
+	var l arrivalLog
+	const step = 100 << 10
+	for i := int64(1); i <= 400; i++ { // the upstream takes all that comes
+		l.add(time.Duration(i), bodyArrival{read: i * step, unread: 1000})
+	}
+	if want := time.Duration(400 - maxClientSendBuffer/step - 1); l.latestUnwritten != want {
+		t.Errorf("after 40 MB: got %d as the latest time, want %d", l.latestUnwritten, want)
+	}
+	if limit := maxClientSendBuffer/arrivalStep + 2; len(l.pending) > limit {
+		t.Errorf("got %d observations, want %d at most", len(l.pending), limit)
+	}
+	before := l.latestUnwritten
+	for i, test := range []struct {
+		unread int64
+		want   time.Duration
+	}{{2000, before}, {3000, 402}, {3000, 402}, {3001, 404}} {
+		at := time.Duration(401 + i)
+		if l.add(at, bodyArrival{read: 400 * step, unread: test.unread}); l.latestUnwritten != test.want {
+			t.Errorf("%d bytes unread at %d, nothing read since 400: got %d as the latest time, want %d", test.unread, at, l.latestUnwritten, test.want)
+		}
+	}
+}
+
 // Guards against a request that runs twice: once an attempt is known to lack some of the body, its upstream never gets the rest.
 func TestAStoppedAttemptNeverGetsTheWholeBody(t *testing.T) {
 	for _, length := range []int64{9, -1} {
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -123,6 +123,9 @@
 	return bodyArrival{read: int64(c.bodyBytes), unread: unread(c.Conn), remaining: c.framing.bodyRemaining()}
 }
 
+// clientProgress implements bodySource.
+func (c *framedConn) clientProgress() (progress peerProgress, ok bool) { return progressOfPeer(c.Conn) }
+
 // disconnected reports whether the client has closed the connection, or its sending side.
 func (c *framedConn) disconnected() bool {
 	if c.clientClosed.Load() {
