sidecar: a failed request's log line says how much of its body each attempt passed on

Change: the description of an attempt has the bytes of the body that were passed to the HTTP library.

--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -346,7 +346,7 @@
 	a := &f.attempts[e.attempt]
 	a.cancel(nil)
 	a.endedAt = e.at
-	a.reply = attemptReply{result: e.reply.result, use: e.reply.use, err: e.reply.err, abandon: e.reply.abandon}
+	a.reply = attemptReply{result: e.reply.result, use: e.reply.use, bodyPassed: e.reply.bodyPassed, err: e.reply.err, abandon: e.reply.abandon}
 	d.counts.add(a.upstream, e.reply.result, e.at-a.sentAt)
 	if e.reply.result == balancer.OK && !d.answer(id, answer{kind: served, reply: e.reply}) {
 		e.reply.drop()
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -61,6 +61,9 @@
 		finish(reusable)
 	}
 	rep.use = x.use
+	if x.body != nil {
+		rep.bodyPassed = x.body.delivered.Load()
+	}
 	select {
 	case x.reply <- rep:
 	case <-x.abandoned:
--- a/internal/sidecar/logging.go
+++ b/internal/sidecar/logging.go
@@ -112,6 +112,9 @@
 		if a.reply.use.nth > 1 {
 			fmt.Fprintf(&s, " after %v idle", roundForLog(a.reply.use.idle))
 		}
+		if a.reply.bodyPassed > 0 {
+			fmt.Fprintf(&s, ", %d bytes of the body passed on", a.reply.bodyPassed)
+		}
 		if a.reply.err != nil {
 			fmt.Fprintf(&s, ": %s", quoteShort(a.reply.err.Error()))
 		}
--- a/internal/sidecar/upstreampool.go
+++ b/internal/sidecar/upstreampool.go
@@ -90,6 +90,7 @@
 	reservedBytes int64         // reserved in budget for body
 	budget        *byteBudget
 	use           connUse
+	bodyPassed    int64 // bytes of the request's body that were passed to the HTTP library
 	err           error // cause of the failure, for the log
 
 	abandon func() // closes the connection, which still waits for the answer; nil if it does not wait
