sidecar: a second attempt leaves a body to the attempt that has consumed it

Cause: each new attempt, and each end of one, took the body from the attempt that was reading it, even if nothing of it could be sent again. The HTTP library reads once more after the last byte of a body with a length; that read failed, and the complete request was reported as not written, which counted as proof that it never ran.

Evidence: in the lines of the refused uploads all bytes of the body were passed on (for example 3,950,526 of 3,950,526), and the attempt ended with the body's own error, none of the network.

Change: the body belongs to one reader, which others neither replace once some of the rest is consumed, nor stop. An attempt without the body is not begun, or ends as not_sent, and doesn't count against its upstream. After the last byte the end is reported to any reader. "Never ran" is proved by what was passed on and written, once no further write is possible, and not given after an answer has begun.

Why it works: an attempt that has been given the complete body is never reported as incomplete, whatever other attempts do.

TestBodyIsReadByOneAttempt calls isConsumed and stop where it called endAttempt, which was both; its expectations are as before. TestAnEarlyRefusalStopsItsRequest was made independent of how fast the upstream reads on, and TestAnEarlyRefusalOfASentRequestIsNoProof added for what it could show only at times.

--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -44,12 +44,13 @@
 }
 
 var (
-	errAttemptEnded = errors.New("the attempt that read the body has ended")
+	errAttemptEnded = errors.New("another attempt has the body, or the request is answered")
 	errBodyLarge    = errors.New("the body is too large")
 )
 
-// clientBody is the body of a request: its retained start, and the rest that is still to be read from the client. Attempts
-// read it one after the other, each through its own bodyReader; its methods are safe for concurrent use.
+// clientBody is the body of a request: its retained start, and the rest that is still to be read from the client. Each attempt
+// reads it through a bodyReader of its own. One of them at a time, the owner, may read the rest: the latest, unless an earlier one
+// has read some of it. Its methods are safe for concurrent use.
 type clientBody struct {
 	retained []byte
 	length   int64 // -1 if not stated
@@ -60,13 +61,13 @@
 	onComplete func()      // called after the last byte
 	onError    func(error) // called if reading from the client fails
 
-	readMu         sync.Mutex // locked while the rest is read
-	mu             sync.Mutex
-	consumed       bool  // an attempt has read some of the rest
-	ended          bool  // the rest has been read to its end
-	err            error // error of reading from the client
-	restBytes      int64 // number of bytes of the rest that were read
-	currentAttempt int   // number of the attempt that may read
+	readMu    sync.Mutex // locked while the rest is read
+	mu        sync.Mutex
+	consumed  bool        // an attempt has read some of the rest
+	ended     bool        // the rest has been read to its end
+	err       error       // error of reading from the client
+	restBytes int64       // number of bytes of the rest that were read
+	owner     *bodyReader // the reader that may read the rest; nil if none may
 }
 
 // receiving reports whether some of the body is still to be read from the client.
@@ -76,12 +77,10 @@
 	return b.rest != nil && !b.ended
 }
 
-// endAttempt stops the reading of an attempt that has ended. It reports whether some of the rest has been consumed, so that
-// the body can't be sent again.
-func (b *clientBody) endAttempt() bool {
+// isConsumed reports whether some of the rest has been consumed, so that the body can't be sent again.
+func (b *clientBody) isConsumed() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentAttempt++ // otherwise a late read of the ended attempt would consume bytes that the next one needs
 	return b.consumed
 }
 
@@ -92,23 +91,23 @@
 	return b.err
 }
 
-// reader returns a reader of the body for the next attempt, and stops the reading of the previous one. If some of the rest has
-// been consumed, the first read fails.
+// reader returns a reader of the body for the next attempt. It becomes the owner, unless some of the rest has been consumed: its
+// first read then fails, and the attempt that consumed it goes on.
 func (b *clientBody) reader() io.ReadCloser {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentAttempt++
 	if b.consumed {
-		return &bodyReader{body: b} // its attempt is 0, which makes every read fail
+		return &bodyReader{body: b}
 	}
-	return &bodyReader{body: b, attempt: b.currentAttempt, retained: b.retained}
+	b.owner = &bodyReader{body: b, retained: b.retained}
+	return b.owner
 }
 
 // endReading stops the reading of all attempts, once the request has been answered.
 func (b *clientBody) endReading() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentAttempt++
+	b.owner = nil
 }
 
 // drain discards the rest of the body, since a client may not read its answer before it has sent the body. The
@@ -129,26 +128,27 @@
 // bodyReader reads a body for one attempt.
 type bodyReader struct {
 	body      *clientBody
-	attempt   int
 	retained  []byte
 	delivered atomic.Int64 // number of bytes returned by Read
-	ended     atomic.Bool  // the body has been read to its end, or failed
+	complete  atomic.Bool  // Read has reported the end of the body
 }
 
 // Close implements io.Closer. The body belongs to its request, and stays open.
 func (r *bodyReader) Close() error { return nil }
 
 // incomplete reports whether some of the body has not been passed to the writer, so that no upstream can have all of it.
-func (r *bodyReader) incomplete() bool { return !r.ended.Load() && r.delivered.Load() != r.body.length }
+func (r *bodyReader) incomplete() bool {
+	return !r.complete.Load() && r.delivered.Load() != r.body.length
+}
 
-// stop stops the reading of the attempt, and reports whether some of the body that is still received has not been passed to
-// the writer. If so, no upstream will get all of the body from this attempt.
+// stop ends the reading of the rest by this reader, so that another attempt can have it. It reports whether some of a body that has
+// a rest has not been passed to the writer. If so, no upstream will get all of the body from this attempt.
 func (r *bodyReader) stop() (incomplete bool) {
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.currentAttempt == r.attempt {
-		b.currentAttempt++
+	if b.owner == r {
+		b.owner = nil
 	}
 	return b.rest != nil && r.incomplete()
 }
@@ -156,16 +156,13 @@
 // Read implements io.Reader. It reads from the retained bytes, then from the client.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	switch {
-	case r.attempt == 0:
-		r.ended.Store(true)
-		return 0, errAttemptEnded
 	case len(r.retained) > 0:
 		n := copy(p, r.retained)
 		r.retained = r.retained[n:]
 		r.delivered.Add(int64(n))
 		return n, nil
 	case r.body.rest == nil:
-		r.ended.Store(true)
+		r.complete.Store(true)
 		return 0, io.EOF
 	}
 	return r.readRest(p)
@@ -173,53 +170,85 @@
 
 // readRest reads from the client.
 func (r *bodyReader) readRest(p []byte) (int, error) {
+	if err := r.mayRead(); err != nil { // checked first, since a read of the owner may take long
+		return 0, err
+	}
 	b := r.body
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
+	if err := r.beginRead(); err != nil {
+		return 0, err
+	}
+	n, err := b.rest.Read(p)
+	return r.endRead(n, err)
+}
+
+// mayRead returns the reason why this reader may not read the rest, or nil if it may.
+func (r *bodyReader) mayRead() error {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	return r.mayReadLocked()
+}
+
+// mayReadLocked is mayRead for a caller that holds the body's mu. The library reads once more after the last byte of a body with a
+// length: that read reports the end, whoever is the owner by then.
+func (r *bodyReader) mayReadLocked() error {
+	switch {
+	case r.body.owner == r:
+		return nil
+	case r.delivered.Load() == r.body.length:
+		return io.EOF
+	}
+	return errAttemptEnded
+}
+
+// beginRead returns the reason why the rest can't be read now, or nil if it can; it is consumed from then on.
+func (r *bodyReader) beginRead() error {
+	b := r.body
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := r.mayReadLocked(); err != nil {
+		return err
+	}
 	switch {
-	case b.currentAttempt != r.attempt:
-		r.ended.Store(true)
-		b.mu.Unlock()
-		return 0, errAttemptEnded
-	case b.err != nil || b.ended:
-		err := b.err
-		r.ended.Store(true)
-		b.mu.Unlock()
-		if err == nil {
-			err = io.EOF
-		}
-		return 0, err
+	case b.err != nil:
+		return b.err
+	case b.ended:
+		r.complete.Store(true)
+		return io.EOF
 	}
 	b.consumed = true
-	b.mu.Unlock()
-	n, err := b.rest.Read(p)
+	return nil
+}
+
+// endRead records the result of a read, and returns what Read returns. What was read is lost if another attempt has the body by now.
+func (r *bodyReader) endRead(n int, err error) (int, error) {
+	b := r.body
 	b.mu.Lock()
 	b.restBytes += int64(n)
 	if b.restBytes+int64(len(b.retained)) > maxBodyBytes && err == nil {
 		err = errBodyLarge
 	}
-	outdated := b.currentAttempt != r.attempt
+	ended := errors.Is(err, io.EOF)
 	switch {
-	case errors.Is(err, io.EOF):
+	case ended:
 		b.ended = true
 	case err != nil:
 		b.err = err
 	}
-	if !outdated {
-		r.delivered.Add(int64(n)) // with mu locked, see stop
-	}
-	if outdated || err != nil {
-		r.ended.Store(true)
+	isOwner := b.owner == r
+	if isOwner { // with mu locked, see stop
+		r.delivered.Add(int64(n))
+		r.complete.Store(ended)
 	}
 	b.mu.Unlock()
 	switch {
-	case errors.Is(err, io.EOF):
+	case ended:
 		b.onComplete()
 	case err != nil:
 		b.onError(err)
 	}
-	if outdated {
+	if !isOwner {
 		return 0, errAttemptEnded
 	}
 	return n, err
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -208,8 +208,8 @@
 	}
 	b := body()
 	first := b.reader()
-	if b.endAttempt() {
-		t.Error("endAttempt: got consumed, want not consumed before any read")
+	if first.(*bodyReader).stop(); b.isConsumed() {
+		t.Error("isConsumed: got consumed, want not consumed before any read")
 	}
 	if text, err := io.ReadAll(first); !errors.Is(err, errAttemptEnded) || string(text) != "kept " {
 		t.Errorf("the attempt that has ended read %q with error %v, want %q with %v", text, err, "kept ", errAttemptEnded)
@@ -222,8 +222,8 @@
 	if text, err := io.ReadAll(b.reader()); !errors.Is(err, errAttemptEnded) || len(text) > 0 {
 		t.Errorf("after a read of the rest, the next attempt read %q with error %v, want none with %v", text, err, errAttemptEnded)
 	}
-	if !b.endAttempt() {
-		t.Error("endAttempt: got not consumed, want consumed after a read of the rest")
+	if !b.isConsumed() {
+		t.Error("isConsumed: got not consumed, want consumed after a read of the rest")
 	}
 }
 
--- a/internal/sidecar/dispatcher.go
+++ b/internal/sidecar/dispatcher.go
@@ -356,7 +356,7 @@
 		f.request.answer <- answer{kind: disconnected}
 	}
 	d.handle(balancer.AttemptEnded{ID: id, Attempt: e.attempt, Result: e.reply.result,
-		Elapsed: e.at - a.sentAt, Final: f.done, BodyConsumed: f.request.body.endAttempt()})
+		Elapsed: e.at - a.sentAt, Final: f.done, BodyConsumed: f.request.body.isConsumed()})
 	d.forgetRequest(id)
 }
 
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -47,6 +47,9 @@
 // run carries out the exchange, and releases the connection.
 func (x *upstreamExchange) run() {
 	rep, reusable := x.roundTrip()
+	if x.body != nil {
+		x.body.stop() // otherwise a late read would consume bytes that the next attempt needs
+	}
 	finish := func(reusable bool) {
 		x.cancelRead()
 		if reusable {
@@ -125,26 +128,40 @@
 	return req
 }
 
-// failureReply returns the result of an exchange that failed with err.
+// failureReply returns the result of an exchange that failed with err. The connection can't be used again.
 func (x *upstreamExchange) failureReply(err error) attemptReply {
-	c := x.conn
+	neverSent, bodyErr := x.neverSentCompletely(), x.clientReq.body.readError()
 	switch {
-	case c.beginRefused.Load():
+	case x.conn.beginRefused.Load():
 		return attemptReply{result: balancer.NotSent, err: err}
-	case !c.requestEncoded.Load() && x.clientReq.body.readError() != nil: // reading the body from the client failed
-		return attemptReply{result: balancer.NotSent, err: x.clientReq.body.readError()}
+	case neverSent && bodyErr != nil: // reading the body from the client failed
+		return attemptReply{result: balancer.NotSent, err: bodyErr}
 	case timedOut(x.ctx) && !x.answered && x.body != nil && x.body.stop(): // no upstream has all of the request
 		return attemptReply{result: balancer.ConnectFailed, err: context.Cause(x.ctx)}
 	case timedOut(x.ctx):
 		return attemptReply{result: balancer.Timeout, err: err}
 	case x.ctx.Err() != nil:
 		return attemptReply{result: balancer.Cancelled, err: err}
-	case !x.answered && !c.requestEncoded.Load() || c.writeFailed.Load():
+	case neverSent && errors.Is(err, errAttemptEnded): // no failure of the upstream
+		return attemptReply{result: balancer.NotSent, err: err}
+	case neverSent && !x.answered:
 		return attemptReply{result: balancer.ConnectFailed, err: err}
 	}
 	return attemptReply{result: balancer.Reset, err: err}
 }
 
+// neverSentCompletely ends the sending of the request, and reports whether it is certain that its last byte was not sent. That the
+// library has not reported the request as written is no proof: its last write may have succeeded.
+func (x *upstreamExchange) neverSentCompletely() bool {
+	x.conn.endWrites()
+	incomplete := false
+	if x.body != nil {
+		x.body.stop()
+		incomplete = x.body.incomplete()
+	}
+	return incomplete || !x.conn.firstByteSent.Load() || x.conn.writeFailed.Load()
+}
+
 // readSuccess reads a 200 answer.
 func (x *upstreamExchange) readSuccess(resp *http.Response) (rep attemptReply, reusable bool) {
 	start, err := x.pool.readAnswer(resp, x.deadline(), &x.held)
@@ -203,7 +220,7 @@
 // answer on a reused connection may be a second answer to the previous request; the request is then stopped if that is possible.
 func (x *upstreamExchange) isOwnAnswerOrStopped() bool {
 	mayBeForPrevious := x.answeredEarly.Load() && x.conn.uses > 1
-	return !mayBeForPrevious || x.body.stop()
+	return !mayBeForPrevious || x.neverSentCompletely()
 }
 
 // errorAnswer returns the error of an answer other than 200; readError is that of reading its body, or nil.
--- a/internal/sidecar/refusal_test.go
+++ b/internal/sidecar/refusal_test.go
@@ -134,32 +134,60 @@
 			t.Fatalf("the previous request on the connection: got result %d, want %d", rep.result, balancer.OK)
 		}
 		u.awaitReusable(t)
-		r := testRequest("POST", "what is kept")
-		r.body.length, r.body.onComplete, r.body.onError, r.body.budget = 1<<20, func() {}, func(error) {}, &byteBudget{}
 		rest, client := io.Pipe()
 		defer func() { _ = client.Close() }()
+		r := largeRequest(16<<20, 16<<20)
 		r.body.rest = rest
-		go func() { _, _ = client.Write(make([]byte, 4<<10)) }()
-		want := balancer.Overloaded
-		if retained { // nothing keeps the library from sending it
-			r = testRequest("POST", strings.Repeat("x", 8<<20))
-			want = balancer.ServerError
+		if retained {
+			r = testRequest("POST", strings.Repeat("x", 16<<20))
 		}
+		go func() { _, _ = client.Write(make([]byte, 4<<10)) }()
 		rep := u.attempt(t.Context(), "s", r, 0)
-		if rep.result != want || rep.use.nth != 2 {
-			t.Errorf("body retained %v: got result %d for request %d of its connection, want %d for 2", retained, rep.result, rep.use.nth, want)
+		go func() { _, _ = client.Write(make([]byte, 16<<20)) }() // the client sends the rest, which the upstream must not get
+		if rep.result != balancer.Overloaded || rep.use.nth != 2 {
+			t.Errorf("body retained %v: got result %d for request %d of its connection, want %d for 2", retained, rep.result, rep.use.nth, balancer.Overloaded)
 		}
-		if rep.result == balancer.Overloaded {
-			go func() { _, _ = client.Write(make([]byte, 1<<20)) }() // the client sends the rest, which the upstream must not get
-			if err := <-got; err == nil {
-				t.Errorf("body retained %v: the upstream got the complete request, want a part of it", retained)
-			}
+		if err := <-got; err == nil {
+			t.Errorf("body retained %v: the upstream got the complete request, want a part of it", retained)
+		}
+	}
+}
+
+// Guards against an early refusal that is taken as proof although the request has been sent completely since then.
+func TestAnEarlyRefusalOfASentRequestIsNoProof(t *testing.T) {
+	for _, test := range []struct {
+		uses      int
+		early     bool
+		bytesRead int // of the body, of 9
+		want      bool
+	}{
+		{2, true, 9, false},
+		{2, true, 8, true},
+		{2, false, 9, true},
+		{1, true, 9, true},
+	} {
+		near, far := net.Pipe()
+		c := &upstreamConn{Conn: near, uses: test.uses, writeTimeout: testTimeout, writing: make(chan struct{}, 1), checkMayBegin: func() error { return nil }}
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		if _, err := c.Write([]byte("POST")); err != nil {
+			t.Fatal(err)
+		}
+		r := largeRequest(9, 9)
+		x := &upstreamExchange{conn: c, clientReq: r, body: r.body.reader().(*bodyReader)}
+		x.answeredEarly.Store(test.early)
+		if _, err := io.ReadFull(x.body, make([]byte, test.bytesRead)); err != nil {
+			t.Fatal(err)
+		}
+		if got := x.isOwnAnswerOrStopped(); got != test.want {
+			t.Errorf("%+v: got a proof %v, want %v", test, got, test.want)
 		}
+		_ = near.Close()
+		_ = far.Close()
 	}
 }
 
 // refuseSecondRequestEarly serves a connection: it answers the first request, refuses the second one once it has some of its body,
-// and reports the result of reading the rest of that body.
+// and reports the result of reading the rest of that body after a pause.
 func refuseSecondRequestEarly(listener net.Listener, rest chan<- error) {
 	c, err := listener.Accept()
 	if err != nil {
@@ -179,6 +207,7 @@
 	}
 	_, _ = io.CopyN(io.Discard, second.Body, 8)
 	_, _ = io.WriteString(c, refusalHead+"Content-Length: 4\r\n\r\nfull")
+	time.Sleep(300 * time.Millisecond)
 	_, err = io.Copy(io.Discard, second.Body)
 	rest <- err
 }
--- a/internal/sidecar/upstreamconn.go
+++ b/internal/sidecar/upstreamconn.go
@@ -19,6 +19,9 @@
 	releasedAt  time.Time // when it was last released
 	closed      bool      // guarded by the pool's lock
 
+	writing     chan struct{} // has a buffer of one, which is full during a write
+	writesEnded bool          // nothing more may be sent; guarded by writing
+
 	writeTimeout   time.Duration // time-out of one write
 	checkMayBegin  func() error  // returns the reason why the next request may not be written, or nil if it may
 	firstByteSent  atomic.Bool   // Write was called with the first byte of the present request
@@ -32,6 +35,11 @@
 // decision to send it, the upstream may have begun to drain, the client may have disconnected, or the time for a retry may
 // be over.
 func (c *upstreamConn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	if c.writesEnded || c.beginRefused.Load() {
+		return 0, net.ErrClosed
+	}
 	if !c.firstByteSent.Swap(true) {
 		if err := c.checkMayBegin(); err != nil {
 			c.beginRefused.Store(true)
@@ -46,6 +54,15 @@
 	return n, err
 }
 
+// endWrites closes the connection, and waits until no write is in progress. Nothing more is sent afterwards, so that firstByteSent and
+// writeFailed say what has been sent.
+func (c *upstreamConn) endWrites() {
+	_ = c.Close() // ends a write that is in progress; the pool closes the connection once more
+	c.writing <- struct{}{}
+	c.writesEnded = true
+	<-c.writing
+}
+
 // Read implements net.Conn, and records when the library waits for bytes.
 func (c *upstreamConn) Read(p []byte) (int, error) {
 	c.idleReading.Store(true)
--- a/internal/sidecar/upstreampool.go
+++ b/internal/sidecar/upstreampool.go
@@ -78,6 +78,7 @@
 	errClientDisconnected  = errors.New("the client has disconnected")
 	errRetryWindowOver     = errors.New("the time for another attempt is over")
 	errUnexpectedBytes     = errors.New("the upstream sent unrequested bytes or closed the connection")
+	errBodyConsumed        = errors.New("another attempt has consumed the body")
 	errSaturated           = errors.New("all upstream connections that the limits allow are busy")
 )
 
@@ -99,6 +100,9 @@
 // attempt sends a request to an upstream once, and blocks until the attempt or ctx ends. If startBefore is above 0, the
 // attempt does not begin at or after that clock time.
 func (u *upstreamPool) attempt(ctx context.Context, name string, r *clientRequest, startBefore time.Duration) attemptReply {
+	if r.body.isConsumed() { // an earlier attempt is sending the body, or has sent a part of it
+		return attemptReply{result: balancer.NotSent, err: errBodyConsumed}
+	}
 	c, failure := u.connFor(ctx, name, r, startBefore)
 	if c == nil {
 		return failure
@@ -232,7 +236,7 @@
 	u.opened++
 	timeouts := u.timeouts
 	u.mu.Unlock()
-	c := &upstreamConn{name: name, address: address, writeTimeout: timeouts.late}
+	c := &upstreamConn{name: name, address: address, writeTimeout: timeouts.late, writing: make(chan struct{}, 1)}
 	var err error
 	if c.Conn, err = u.dial.dialTimeout(ctx, timeouts.connect, "tcp", address.address); err == nil {
 		var protocols http.Protocols
