--- a/internal/sidecar/bodytimer_test.go
+++ b/internal/sidecar/bodytimer_test.go
@@ -240,14 +240,7 @@
 		l = remoteListener{l.(*net.TCPListener)}
 	}
 	r := startOnListener(t, c, l, "")
-	eventually(t, "ready", func() bool {
-		resp, err := r.client.Get("http://" + r.address + "/-/ready")
-		if err != nil {
-			return false
-		}
-		defer func() { _ = resp.Body.Close() }()
-		return resp.StatusCode == http.StatusOK
-	})
+	r.awaitReadyPage(t)
 	return r
 }
 
--- a/internal/sidecar/neverran_test.go
+++ b/internal/sidecar/neverran_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"mosslead/balancer"
-	"mosslead/internal/lab/memnet"
-	"mosslead/internal/lab/transcript"
 )
 
 // gatedConn is a connection whose writes wait at the gate once a number of bytes has been written.
@@ -163,16 +161,7 @@
 
 // resetBeforeTheWriteReturns sends a request to an upstream that resets the connection once it has the complete request.
 func resetBeforeTheWriteReturns(t *testing.T, body string) {
-	n, calls := memnet.New(func(memnet.Event) {}), transcript.NewCalls()
-	near, far := n.Host("sidecar", "10.0.0.1", 0), n.Host("s", "10.0.0.11", time.Millisecond)
-	if err := transcript.Serve(t.Context(), far, 8000, calls); err != nil {
-		t.Fatal(err)
-	}
-	u := testUpstreams(t, 4, entry("s", upstream1Address, "Ready"))
-	u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := near.Dial(ctx, network, address)
-		return slowWriteConn{c}, err
-	}
+	n, calls, u := slowWritePool(t)
 	go func() {
 		c, err := calls.Next()
 		if err != nil {
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -242,6 +242,13 @@
 		t.Fatal(err)
 	}
 	r := startOnListener(t, c, l, "")
+	r.awaitReadyPage(t)
+	return r
+}
+
+// awaitReadyPage waits until the sidecar answers clients that it is ready.
+func (r *testSidecar) awaitReadyPage(t *testing.T) {
+	t.Helper()
 	eventually(t, "ready", func() bool {
 		resp, err := r.client.Get("http://" + r.address + "/-/ready")
 		if err != nil {
@@ -250,7 +257,6 @@
 		defer func() { _ = resp.Body.Close() }()
 		return resp.StatusCode == http.StatusOK
 	})
-	return r
 }
 
 // startOnListener starts a sidecar on a listener, with hand-overs in tmp if that is not empty. It does not wait until the
--- a/internal/sidecar/upstreampool_test.go
+++ b/internal/sidecar/upstreampool_test.go
@@ -60,20 +60,27 @@
 	return n, err
 }
 
+// slowWritePool returns a pool whose writes are those of slowWriteConn, in an in-memory network, and the calls at its upstream s.
+func slowWritePool(t *testing.T) (*memnet.Network, transcript.Calls, *upstreamPool) {
+	t.Helper()
+	n, calls := memnet.New(func(memnet.Event) {}), transcript.NewCalls()
+	near, far := n.Host("sidecar", "10.0.0.1", 0), n.Host("s", "10.0.0.11", time.Millisecond)
+	if err := transcript.Serve(t.Context(), far, 8000, calls); err != nil {
+		t.Fatal(err)
+	}
+	u := testUpstreams(t, 4, entry("s", upstream1Address, "Ready"))
+	u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := near.Dial(ctx, network, address)
+		return slowWriteConn{c}, err
+	}
+	return n, calls, u
+}
+
 // Guards against an unsafe request that runs twice: an answer that is cut off means that the request may have run, even if
 // the write of the request has not returned yet.
 func TestAnswerBreaksOffBeforeTheWriteReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, calls := memnet.New(func(memnet.Event) {}), transcript.NewCalls()
-		near, far := n.Host("sidecar", "10.0.0.1", 0), n.Host("s", "10.0.0.11", time.Millisecond)
-		if err := transcript.Serve(t.Context(), far, 8000, calls); err != nil {
-			t.Fatal(err)
-		}
-		u := testUpstreams(t, 4, entry("s", upstream1Address, "Ready"))
-		u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := near.Dial(ctx, network, address)
-			return slowWriteConn{c}, err
-		}
+		n, calls, u := slowWritePool(t)
 		go func() {
 			c, err := calls.Next()
 			if err == nil {
