sidecar: a connection whose writes were ended is not released for use again

Cause: by reading: after an early refusal on a reused connection the exchange closes the connection, and could still report it as reusable if the library had reported the request as written by then. The pool would have found it closed when it was taken, or at the first byte.

Change: such a connection is discarded.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -128,7 +128,7 @@
 	return req
 }
 
-// failureReply returns the result of an exchange that failed with err. The connection can't be used again.
+// failureReply returns the result of an exchange that failed with err.
 func (x *upstreamExchange) failureReply(err error) attemptReply {
 	neverSent, bodyErr := x.neverSentCompletely(), x.clientReq.body.readError()
 	switch {
@@ -151,7 +151,7 @@
 }
 
 // neverSentCompletely ends the sending of the request, and reports whether it is certain that its last byte was not sent. That the
-// library has not reported the request as written is no proof: its last write may have succeeded.
+// library has not reported the request as written is no proof: its last write may have succeeded. The connection can't be used again.
 func (x *upstreamExchange) neverSentCompletely() bool {
 	x.conn.endWrites()
 	incomplete := false
@@ -204,7 +204,7 @@
 	complete := errors.Is(err, io.EOF)
 	reusable = complete && !resp.Close && x.conn.requestEncoded.Load()
 	if refusal && complete && x.isOwnAnswerOrStopped() {
-		return attemptReply{result: balancer.Overloaded}, reusable
+		return attemptReply{result: balancer.Overloaded}, reusable && !x.conn.writesEnded
 	}
 	return attemptReply{result: balancer.ServerError, err: errorAnswer(resp, notEOF(err))}, reusable
 }
--- a/internal/sidecar/upstreamconn.go
+++ b/internal/sidecar/upstreamconn.go
@@ -20,7 +20,7 @@
 	closed      bool      // guarded by the pool's lock
 
 	writing     chan struct{} // has a buffer of one, which is full during a write
-	writesEnded bool          // nothing more may be sent; guarded by writing
+	writesEnded bool          // nothing more may be sent; set by the exchange, while writing is full
 
 	writeTimeout   time.Duration // time-out of one write
 	checkMayBegin  func() error  // returns the reason why the next request may not be written, or nil if it may
