sidecar: two checks of the review's fixes get tests that fail without them

Cause: trials on a scratch copy, each check taken out in turn: no test failed without the early check for a consumed body, nor without the rule for bodies with a stated length in bodyTimer.

The program is not touched.

--- a/internal/sidecar/bodytimer_test.go
+++ b/internal/sidecar/bodytimer_test.go
@@ -325,6 +325,42 @@
 	}
 }
 
+// fakeBodySource is a bodySource whose client has written nothing since the observation before.
+type fakeBodySource struct {
+	arrival bodyArrival
+	queued  int64 // -1 if the kernel does not tell
+}
+
+func (s fakeBodySource) bodyArrival() bodyArrival { return s.arrival }
+
+func (s fakeBodySource) clientProgress() (peerProgress, bool) {
+	return peerProgress{queued: s.queued}, s.queued >= 0
+}
+
+// Guards against a client that waits in a write being taken for one that has written all of a body with a length, and the reverse: more
+// is to come than its socket holds, or not.
+func TestLastByteOfAStatedLengthIsUnwritten(t *testing.T) {
+	const megabyte = 1 << 20
+	for _, test := range []struct {
+		name              string
+		remaining, queued int64
+		unwritten         bool
+	}{
+		{"more to come than is queued", 4 * megabyte, 2 * megabyte, true},
+		{"all that is to come is queued", 3 * megabyte, 2 * megabyte, false},
+		{"all of it is queued, in a large buffer", 10 * megabyte, 9 * megabyte, false},
+		{"unknown length", -1, 2 * megabyte, false},
+		{"a remote client, 4 MB and more to come", 6 * megabyte, -1, true},
+		{"a remote client, less to come", 4 * megabyte, -1, false},
+	} {
+		source := fakeBodySource{bodyArrival{unread: megabyte, remaining: test.remaining}, test.queued}
+		timer := &bodyTimer{conn: source}
+		if got := timer.latestUnwritten(1, source.arrival); (got == 1) != test.unwritten {
+			t.Errorf("%s: got %d as the latest time, want it to be 1: %v", test.name, got, test.unwritten)
+		}
+	}
+}
+
 // Guards against a log of arrivals that grows with the body, and against one that misses what it proves: a byte that comes after
 // maxClientSendBuffer others was written after them, and one that comes while nothing is read for two
 // observations was written just now.
--- a/internal/sidecar/neverran_test.go
+++ b/internal/sidecar/neverran_test.go
@@ -66,6 +66,9 @@
 		if rep := u.attempt(t.Context(), "second", r, 0); rep.result != balancer.NotSent {
 			t.Errorf("length %d: the second attempt: got result %d, error %v, want %d", length, rep.result, rep.err, balancer.NotSent)
 		}
+		if n := second.opened.Load(); n != 0 {
+			t.Errorf("length %d: the second attempt opened %d connections, want 0", length, n)
+		}
 		close(gate)
 		if rep := <-reply; rep.result != balancer.OK {
 			t.Errorf("length %d: the first attempt: got result %d, error %v, want %d", length, rep.result, rep.err, balancer.OK)
